--- /dev/null
+++ b/libs/routing/src/gypsumrelay_routing/baselines.py
@@ -0,0 +1,152 @@
+"""Simple placements, as a comparison for measurements."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from gypsumrelay_errors import Failure, NoUpstream
+
+from gypsumrelay_routing.estimates import cached_tokens
+from gypsumrelay_routing.requests import (
+    Placement,
+    PlacementRequest,
+    PlacementSettings,
+    blocks_needed,
+)
+from gypsumrelay_routing.sampling import (
+    Usable,
+    choose_some,
+    longest_holders,
+    usable_for,
+)
+from gypsumrelay_routing.views import Kind, Pool, View
+
+Policy = Callable[
+    [View, PlacementRequest, Random, PlacementSettings, float],
+    Placement | Failure,
+]
+_Choice = Callable[
+    [View, Pool, PlacementRequest, Random, Usable],
+    str | None,
+]
+
+
+def round_robin() -> Policy:
+    """Return a policy that takes the upstreams of each pool in turn."""
+    turns: dict[tuple[str, ...], int] = {}
+
+    def choose(
+        view: View,
+        pool: Pool,
+        request: PlacementRequest,
+        rng: Random,
+        usable: Usable,
+    ) -> str | None:
+        names = tuple(sorted(filter(usable, pool.upstreams.names)))
+        if not names:
+            return None
+        turn = turns.get(names[:1], 0)
+        turns[names[:1]] = turn + 1
+        return names[turn % len(names)]
+
+    return _policy(choose)
+
+
+def least_outstanding() -> Policy:
+    """Return a policy that takes the upstream with the least known work."""
+
+    def choose(
+        view: View,
+        pool: Pool,
+        request: PlacementRequest,
+        rng: Random,
+        usable: Usable,
+    ) -> str | None:
+        return min(
+            filter(usable, pool.upstreams.names),
+            key=lambda name: (outstanding(view, name), name),
+            default=None,
+        )
+
+    return _policy(choose)
+
+
+def prefix_affinity() -> Policy:
+    """Return a policy that goes where most of the prompt is cached.
+
+    Where none is, or where the upstream is gone, it takes any.
+    """
+
+    def choose(
+        view: View,
+        pool: Pool,
+        request: PlacementRequest,
+        rng: Random,
+        usable: Usable,
+    ) -> str | None:
+        holders = longest_holders(pool, request)
+        chosen: tuple[str, ...] = ()
+        if holders is not None:
+            chosen = choose_some(holders, 1, rng, usable)
+        if not chosen:
+            chosen = choose_some(pool.upstreams, 1, rng, usable)
+        return chosen[0] if chosen else None
+
+    return _policy(choose)
+
+
+def outstanding(view: View, name: str) -> int:
+    """Return the requests known to run or wait at an upstream."""
+    known = view.upstreams[name]
+    busy = known.report.slots - known.report.free_slots
+    return busy + known.report.waiting + known.committed_slots
+
+
+def _policy(choose: _Choice) -> Policy:
+    def place(
+        view: View,
+        request: PlacementRequest,
+        rng: Random,
+        settings: PlacementSettings,
+        now: float,
+    ) -> Placement | Failure:
+        usable = usable_for(view, request, now)
+        kinds = (
+            (Kind.service,) if request.service else (Kind.decode, Kind.prefill)
+        )
+        names = [
+            choose(view, view.pool(kind, request.serves), request, rng, usable)
+            for kind in kinds
+        ]
+        found = [name for name in names if name is not None]
+        if len(found) < len(kinds):
+            sentence = 'No live upstream serves the request.'
+            return NoUpstream(
+                sentence,
+                retry_at=now + settings.min_retry_seconds,
+            )
+        return _placement(view, request, found, settings, now)
+
+    return place
+
+
+def _placement(
+    view: View,
+    request: PlacementRequest,
+    found: list[str],
+    settings: PlacementSettings,
+    now: float,
+) -> Placement:
+    if request.service:
+        return Placement(found[0], None, now)
+    decode, prefill = found
+    return Placement(
+        decode,
+        prefill,
+        now,
+        cached_tokens(view.upstreams[prefill], request, settings),
+        blocks_needed(request, Kind.decode, settings),
+        blocks_needed(request, Kind.prefill, settings),
+        request.prompt_tokens * settings.kv_bytes_per_token,
+    )
--- /dev/null
+++ b/libs/routing/src/gypsumrelay_routing/fairqueue.py
@@ -0,0 +1,252 @@
+"""Waiting queue of an agent over all entries: fair, bounded by deadline."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Final
+
+import attrs
+from gypsumrelay_errors import DeadlineUnreachable, Failure, Overloaded
+
+from gypsumrelay_routing.bands import Band, Waiting
+from gypsumrelay_routing.heaps import KeyedHeap
+
+_CLASSES: Final = 10
+
+
+@attrs.frozen
+class FairQueueSettings:
+    """Settings of a fair queue.
+
+    Attributes:
+        max_waiting: Requests that may wait; more are shed.
+        background_share: Part of the service that less urgent classes get
+            together while more urgent work waits, split evenly over them.
+        rate_window_seconds: Period over which the service rate is measured.
+        min_retry_seconds: Earliest retry after a rejection.
+        max_retry_seconds: Latest retry after a rejection.
+    """
+
+    max_waiting: int = 10_000
+    background_share: float = 0.1
+    rate_window_seconds: float = 1
+    min_retry_seconds: float = 0.2
+    max_retry_seconds: float = 10
+
+
+@attrs.frozen
+class Rejected:
+    """A request that left the queue without a grant."""
+
+    waiting: Waiting
+    failure: Failure
+
+
+@attrs.frozen
+class Turn:
+    """Who is served next, and who has to be told that they are not."""
+
+    granted: Waiting | None
+    rejected: tuple[Rejected, ...] = ()
+
+
+@attrs.define
+class _Backlog:
+    weight: int
+    cost: int = 0
+    # The least urgent request with the latest deadline is shed first.
+    victims: KeyedHeap[tuple[float, float]] = attrs.field(factory=KeyedHeap)
+
+
+@attrs.define
+class _ServiceRate:
+    since: float | None = None
+    cost: int = 0
+    per_second: float = 0
+
+    def count(self, cost: int, window: float, now: float) -> None:
+        if self.since is None:
+            self.since = now
+        self.cost += cost
+        elapsed = now - self.since
+        if elapsed >= window:
+            self.per_second = self.cost / elapsed
+            self.since = now
+            self.cost = 0
+
+
+@attrs.define
+class FairQueue:
+    """Requests that wait for one upstream.
+
+    Within a priority class the accounts share the service by weight, and
+    within an account the earliest deadline that can still be met is first.
+    The most urgent class is served first, but a waiting less urgent class
+    earns credit for the service it watches and is served from that.
+    """
+
+    settings: FairQueueSettings = attrs.field(factory=FairQueueSettings)
+    waiting: dict[str, Waiting] = attrs.field(factory=dict)
+    bands: tuple[Band, ...] = attrs.field(
+        factory=lambda: tuple(Band() for _ in range(_CLASSES)),
+    )
+    expiries: KeyedHeap[float] = attrs.field(factory=KeyedHeap)
+    excess: KeyedHeap[float] = attrs.field(factory=KeyedHeap)
+    backlogs: dict[str, _Backlog] = attrs.field(factory=dict)
+    queued_cost: int = 0
+    rate: _ServiceRate = attrs.field(factory=_ServiceRate)
+
+    def push(self, waiting: Waiting, now: float) -> tuple[Rejected, ...]:
+        """Add a request; return those that have to leave for it.
+
+        A second push of a request id replaces the first.
+        """
+        self.cancel(waiting.request_id)
+        rejected = list(self.expire(now))
+        if waiting.start_by < now:
+            rejected.append(self._reject_late(waiting, now))
+            return tuple(rejected)
+        self._insert(waiting)
+        if len(self.waiting) > self.settings.max_waiting:
+            rejected.append(self._shed(now))
+        return tuple(rejected)
+
+    def peek(self, now: float) -> Turn:
+        """Return the next request without removing it."""
+        rejected = self.expire(now)
+        band = _choose_band(self)
+        return Turn(None if band is None else _head(self, band), rejected)
+
+    def pop(self, now: float) -> Turn:
+        """Remove the next request and charge its account."""
+        rejected = self.expire(now)
+        band = _choose_band(self)
+        if band is None:
+            return Turn(None, rejected)
+        granted = _head(self, band)
+        _pay_credit(self, band, granted)
+        band.serve(granted)
+        self._forget(granted)
+        self.rate.count(
+            granted.cost,
+            self.settings.rate_window_seconds,
+            now,
+        )
+        return Turn(granted, rejected)
+
+    def cancel(self, request_id: str) -> Waiting | None:
+        """Remove a request without charge, for instance on a cancellation."""
+        waiting = self.waiting.get(request_id)
+        if waiting is not None:
+            self.bands[waiting.priority].remove(waiting)
+            self._forget(waiting)
+        return waiting
+
+    def expire(self, now: float) -> tuple[Rejected, ...]:
+        """Remove the requests that can no longer meet their deadlines."""
+        rejected = []
+        first = self.expiries.first()
+        while first is not None and first[0] < now:
+            late = self.waiting[first[1]]
+            self.cancel(late.request_id)
+            rejected.append(self._reject_late(late, now))
+            first = self.expiries.first()
+        return tuple(rejected)
+
+    def next_expiry(self) -> float | None:
+        """Return the instant after which `expire` has something to do."""
+        first = self.expiries.first()
+        return first and first[0]
+
+    def retry_at(self, now: float) -> float:
+        """Return when the requests that wait now will have been served."""
+        limits = self.settings
+        seconds = limits.max_retry_seconds
+        if self.rate.per_second:
+            seconds = min(seconds, self.queued_cost / self.rate.per_second)
+        return now + max(limits.min_retry_seconds, seconds)
+
+    def _insert(self, waiting: Waiting) -> None:
+        self.waiting[waiting.request_id] = waiting
+        self.queued_cost += waiting.cost
+        self.bands[waiting.priority].add(waiting)
+        self.expiries.put(waiting.request_id, waiting.start_by)
+        backlog = self.backlogs.setdefault(
+            waiting.client_account,
+            _Backlog(waiting.weight),
+        )
+        backlog.weight = waiting.weight
+        backlog.cost += waiting.cost
+        backlog.victims.put(
+            waiting.request_id,
+            (-waiting.priority, -waiting.deadline),
+        )
+        self._rank(waiting.client_account, backlog)
+
+    def _forget(self, waiting: Waiting) -> None:
+        self.waiting.pop(waiting.request_id)
+        self.queued_cost -= waiting.cost
+        self.expiries.remove(waiting.request_id)
+        backlog = self.backlogs[waiting.client_account]
+        backlog.cost -= waiting.cost
+        backlog.victims.remove(waiting.request_id)
+        self._rank(waiting.client_account, backlog)
+
+    def _rank(self, client_account: str, backlog: _Backlog) -> None:
+        if backlog.victims:
+            self.excess.put(client_account, -backlog.cost / backlog.weight)
+            return
+        self.excess.remove(client_account)
+        self.backlogs.pop(client_account)
+
+    def _shed(self, now: float) -> Rejected:
+        # The account with the most queued cost for its weight is above its
+        # share, or all accounts are equal.
+        account = _first_name(self.excess)
+        victim = self.waiting[_first_name(self.backlogs[account].victims)]
+        self.cancel(victim.request_id)
+        sentence = 'Too many requests wait; the account is above its share.'
+        failure = Overloaded(sentence, retry_at=self.retry_at(now))
+        return Rejected(victim, failure)
+
+    def _reject_late(self, waiting: Waiting, now: float) -> Rejected:
+        sentence = 'No place became free in time for the latency target.'
+        failure = DeadlineUnreachable(sentence, retry_at=self.retry_at(now))
+        return Rejected(waiting, failure)
+
+
+def _choose_band(queue: FairQueue) -> Band | None:
+    occupied = list(_occupied(queue))
+    due = [
+        band for band in occupied[1:] if band.credit >= _head(queue, band).cost
+    ]
+    if due:
+        return max(due, key=_credit)
+    return occupied[0] if occupied else None
+
+
+def _pay_credit(queue: FairQueue, band: Band, granted: Waiting) -> None:
+    less_urgent = list(_occupied(queue))[1:]
+    if band in less_urgent:
+        band.credit -= granted.cost
+    earned = queue.settings.background_share * granted.cost
+    for watcher in less_urgent:
+        if watcher is not band:
+            watcher.credit += earned / len(less_urgent)
+
+
+def _occupied(queue: FairQueue) -> Iterator[Band]:
+    return (band for band in queue.bands if band.starts)
+
+
+def _head(queue: FairQueue, band: Band) -> Waiting:
+    return queue.waiting[band.head() or '']
+
+
+def _credit(band: Band) -> float:
+    return band.credit
+
+
+def _first_name(heap: KeyedHeap[float] | KeyedHeap[tuple[float, float]]) -> str:
+    first = heap.first()
+    return first[1] if first else ''
--- /dev/null
+++ b/libs/routing/src/gypsumrelay_routing/transfers.py
@@ -0,0 +1,127 @@
+"""Budget of one network link: committed bytes, deadlines and stalls."""
+
+from __future__ import annotations
+
+import attrs
+from gypsumrelay_errors import DeadlineUnreachable, Overloaded
+
+
+@attrs.frozen
+class LinkSettings:
+    """Settings of a network link.
+
+    Attributes:
+        bytes_per_second: Bandwidth that transfers may use together.
+        max_transfers: Transfers that may be committed at once.
+        stall_seconds: Time without progress after which a transfer counts
+            as stalled.
+    """
+
+    bytes_per_second: float = 10e9
+    max_transfers: int = 64
+    stall_seconds: float = 0.5
+
+
+@attrs.define
+class Transfer:
+    """A committed transfer."""
+
+    remaining_bytes: float
+    deadline: float
+    progressed_at: float
+
+
+@attrs.define
+class LinkBudget:
+    """Transfers committed on one link, which share its bandwidth equally."""
+
+    settings: LinkSettings = attrs.field(factory=LinkSettings)
+    transfers: dict[str, Transfer] = attrs.field(factory=dict)
+    committed_bytes: float = 0
+
+    def seconds_for(self, size: float) -> float:
+        """Return an upper bound for the duration of a new transfer.
+
+        It holds in whichever order the link carries its transfers.
+        """
+        committed = self.committed_bytes + size
+        return committed / self.settings.bytes_per_second
+
+    def admit(
+        self,
+        name: str,
+        size: float,
+        deadline: float,
+        now: float,
+    ) -> Transfer | Overloaded | DeadlineUnreachable:
+        """Commit a transfer, unless it or a committed one would be late."""
+        self.finish(name)
+        if now + size / self.settings.bytes_per_second > deadline:
+            sentence = 'The transfer cannot meet its deadline on an idle link.'
+            return DeadlineUnreachable(sentence, retry_at=now)
+        retry_at = now + self.seconds_for(0)
+        if len(self.transfers) >= self.settings.max_transfers:
+            sentence = 'The link carries as many transfers as it may.'
+            return Overloaded(sentence, retry_at=retry_at)
+        transfer = Transfer(size, deadline, now)
+        if self._makes_late(transfer, now):
+            sentence = "The link's bandwidth is committed to other transfers."
+            return Overloaded(sentence, retry_at=retry_at)
+        self.transfers[name] = transfer
+        self.committed_bytes += size
+        return transfer
+
+    def progress(self, name: str, remaining_bytes: float, now: float) -> None:
+        """Record how much of a transfer is left; only less is progress."""
+        transfer = self.transfers.get(name)
+        if transfer is None or remaining_bytes >= transfer.remaining_bytes:
+            return
+        self.committed_bytes -= transfer.remaining_bytes - remaining_bytes
+        transfer.remaining_bytes = remaining_bytes
+        transfer.progressed_at = now
+
+    def finish(self, name: str) -> None:
+        """Return the bytes of a transfer that ended in whatever way."""
+        transfer = self.transfers.pop(name, None)
+        if transfer is not None:
+            self.committed_bytes -= transfer.remaining_bytes
+        if not self.transfers:
+            # Sums of floats leave remainders that would add up for ever.
+            self.committed_bytes = 0
+
+    def stalled(self, now: float) -> tuple[str, ...]:
+        """Return the transfers without progress or past their deadlines."""
+        limit = now - self.settings.stall_seconds
+        return tuple(
+            name
+            for name, transfer in self.transfers.items()
+            if transfer.progressed_at < limit or transfer.deadline < now
+        )
+
+    def expire(self, now: float) -> None:
+        """Return the bytes of transfers past their deadlines."""
+        late = [
+            name
+            for name, transfer in self.transfers.items()
+            if transfer.deadline < now
+        ]
+        for name in late:
+            self.finish(name)
+
+    def _makes_late(self, added: Transfer, now: float) -> bool:
+        together = [*self.transfers.values(), added]
+        return any(
+            now + self._shared_seconds(transfer, together) > transfer.deadline
+            for transfer in together
+        )
+
+    def _shared_seconds(
+        self,
+        transfer: Transfer,
+        together: list[Transfer],
+    ) -> float:
+        # With equal sharing, a transfer waits for no more of another one
+        # than its own size.
+        own = transfer.remaining_bytes
+        shared = sum(min(own, other.remaining_bytes) for other in together)
+        return shared / self.settings.bytes_per_second
