Record events on a hybrid clock and render merged time lines

Operators have to see in one order what several processes did, although their wall clocks differ and one of them may be faulty.

The library has the clock (a stamp more than 60 s ahead of the local wall clock is ignored), a bounded ring with a thread-safe recorder, merge and selection by request, account, upstream and span, and rendering as text, JSON and one HTML page without scripts or outside resources. An event holds at most 16 flat members of 200 characters each, so a full ring has a bounded size.

--- a/libs/timeline/src/gypsumrelay_timeline/__init__.py
+++ b/libs/timeline/src/gypsumrelay_timeline/__init__.py
@@ -1,1 +1,43 @@
 """Events of all processes on one time line."""
+
+from gypsumrelay_timeline.clock import (
+    MAX_DRIFT_MS,
+    HybridClock,
+    Stamp,
+)
+from gypsumrelay_timeline.events import (
+    Event,
+    Query,
+    events_from_json,
+    events_to_json,
+    merge,
+    select,
+)
+from gypsumrelay_timeline.rendering import (
+    format_time,
+    render_html,
+    render_json,
+    render_text,
+)
+from gypsumrelay_timeline.ring import (
+    Recorder,
+    Ring,
+)
+
+__all__ = (
+    'MAX_DRIFT_MS',
+    'Event',
+    'HybridClock',
+    'Query',
+    'Recorder',
+    'Ring',
+    'Stamp',
+    'events_from_json',
+    'events_to_json',
+    'format_time',
+    'merge',
+    'render_html',
+    'render_json',
+    'render_text',
+    'select',
+)
--- /dev/null
+++ b/libs/timeline/tests/steps/timeline.py
@@ -0,0 +1,255 @@
+"""Steps for clocks, rings, selection and rendering."""
+
+from __future__ import annotations
+
+import json
+import random
+import threading
+from html.parser import HTMLParser
+from typing import Any
+
+from behave import given, then, when
+from gypsumrelay_errors import BodyMalformed
+from gypsumrelay_timeline import (
+    MAX_DRIFT_MS,
+    Event,
+    HybridClock,
+    Query,
+    Recorder,
+    Ring,
+    Stamp,
+    events_from_json,
+    events_to_json,
+    merge,
+    render_html,
+    render_json,
+    render_text,
+    select,
+)
+
+WALL_MS = 1_700_000_000_000
+SCRIPT = '<script src="http://other/x.js">alert(1)</script>\'"'
+CONTROL = 'a\x1b[2Jb\nc\u202e'
+
+
+def make_recorder(name: str, wall_ms: int, limit: int = 1000) -> Recorder:
+    return Recorder(name, Ring(limit), lambda: wall_ms)
+
+
+@given('a process whose wall clock is {ahead:d} ms ahead of another')
+def two_processes(context: Any, ahead: int) -> None:
+    # The names are chosen so that an order by name would be wrong.
+    context.sender = make_recorder('z', WALL_MS + ahead)
+    context.receiver = make_recorder('a', WALL_MS)
+
+
+@when('the first sends a message and the second records its arrival')
+def send_message(context: Any) -> None:
+    sent = context.sender.record('link', 'sent')
+    context.receiver.observe(sent.stamp)
+    context.receiver.record('link', 'received')
+
+
+@then('the merged time line shows the sending first')
+def check_order(context: Any) -> None:
+    rings = (context.receiver.ring, context.sender.ring)
+    merged = merge(ring.snapshot() for ring in rings)
+    assert [event.name for event in merged] == ['sent', 'received'], merged
+
+
+@then('{count:d} random local events and messages give growing stamps')
+def check_growing(context: Any, count: int) -> None:
+    rng = random.Random(1)  # noqa: S311 - reproducible examples
+    clock = HybridClock()
+    for _ in range(count):
+        wall_ms = WALL_MS + rng.randrange(-5000, 5000)
+        remote = Stamp(WALL_MS + rng.randrange(-200_000, 200_000), 3)
+        merged = clock.merge(remote, wall_ms)
+        following = rng.choice((clock.tick(wall_ms), merged))
+        assert following.stamp > clock.stamp
+        if remote.wall_ms <= wall_ms + MAX_DRIFT_MS:
+            assert merged.stamp > remote
+        clock = following
+
+
+@when('a stamp arrives that is an hour ahead')
+def receive_faulty(context: Any) -> None:
+    context.receiver = make_recorder('a', WALL_MS)
+    context.receiver.observe(Stamp(WALL_MS + 3_600_000))
+
+
+@then('the local stamp stays within a minute of the wall clock')
+def check_drift(context: Any) -> None:
+    stamp = context.receiver.stamp()
+    assert WALL_MS <= stamp.wall_ms <= WALL_MS + MAX_DRIFT_MS, stamp
+
+
+@when(
+    '{threads:d} threads record {each:d} events each into a ring of {limit:d}'
+)
+def record_in_threads(
+    context: Any,
+    threads: int,
+    each: int,
+    limit: int,
+) -> None:
+    recorder = make_recorder('a', WALL_MS, limit)
+
+    def work() -> None:
+        for _ in range(each):
+            recorder.record('test', 'event')
+
+    workers = [threading.Thread(target=work) for _ in range(threads)]
+    for worker in workers:
+        worker.start()
+    for worker in workers:
+        worker.join()
+    context.ring = recorder.ring
+
+
+@then('the ring holds {kept:d} events and has dropped {dropped:d}')
+def check_ring(context: Any, kept: int, dropped: int) -> None:
+    assert len(context.ring.snapshot()) == kept
+    assert context.ring.dropped == dropped
+
+
+@then('no two events have the same stamp')
+def check_distinct(context: Any) -> None:
+    stamps = [event.stamp for event in context.ring.snapshot()]
+    assert stamps == sorted(set(stamps))
+
+
+@when('an event with {count:d} long and nested members is recorded')
+def record_large(context: Any, count: int) -> None:
+    detail = {f'{index}{"n" * 500}': [['x' * 500]] for index in range(count)}
+    recorder = make_recorder('a', WALL_MS)
+    context.event = recorder.record('test', 'large', detail=detail)
+
+
+@then('it holds {count:d} flat members of at most {length:d} characters')
+def check_bounded(context: Any, count: int, length: int) -> None:
+    detail = context.event.detail
+    assert len(detail) == count
+    for name, member in detail.items():
+        assert len(name) <= length
+        assert isinstance(member, str)
+        assert len(member) <= length
+
+
+@given('events of two requests, accounts and upstreams')
+def make_events(context: Any) -> None:
+    rows = (
+        (1000, 'r1', 'kiosk', 'u1'),
+        (2000, 'r1', 'kiosk', 'u2'),
+        (3000, 'r2', 'office', 'u1'),
+        (4000, 'r2', 'office', 'u2'),
+    )
+    context.events = [
+        Event(Stamp(wall_ms), 'a', 'test', 'event', *names, {'n': wall_ms})
+        for wall_ms, *names in rows
+    ]
+
+
+@when('they are selected by {member} "{value}"')
+def select_by(context: Any, member: str, value: str) -> None:
+    query = Query(**{member: value})
+    context.selected = select(context.events, query)
+
+
+@then('only events with {member} "{value}" remain')
+def check_selected(context: Any, member: str, value: str) -> None:
+    expected = [
+        event for event in context.events if getattr(event, member) == value
+    ]
+    assert len(expected) == 2
+    assert context.selected == expected
+
+
+@when('they are selected from {begin:d} to {end:d} ms')
+def select_span(context: Any, begin: int, end: int) -> None:
+    query = Query(begin_ms=begin, end_ms=end)
+    context.selected = select(context.events, query)
+
+
+@then('only the events at {begin:d} and {end:d} ms remain')
+def check_span(context: Any, begin: int, end: int) -> None:
+    found = [event.stamp.wall_ms for event in context.selected]
+    assert found == [begin, end]
+
+
+@then('they are equal after JSON, and other data is refused')
+def check_json(context: Any) -> None:
+    assert events_from_json(json.loads(render_json(context.events))) == (
+        context.events
+    )
+    for faulty in ({}, [1], [{'stamp': 1}], None, 'text'):
+        assert isinstance(events_from_json(faulty), BodyMalformed), faulty
+
+
+@given('an event whose every text is markup with a script')
+def make_markup(context: Any) -> None:
+    context.events = [hostile_event('one', SCRIPT), hostile_event('', SCRIPT)]
+
+
+@given('an event whose every text has control characters')
+def make_control(context: Any) -> None:
+    context.events = [hostile_event('', CONTROL)]
+
+
+def hostile_event(prefix: str, text: str) -> Event:
+    return Event(
+        Stamp(WALL_MS),
+        instance=prefix + text,
+        part=text,
+        name=text,
+        request_id=text,
+        client_account=text,
+        upstream=text,
+        detail={text: text},
+    )
+
+
+class Tags(HTMLParser):
+    """Collects the tags and attributes that a browser would see."""
+
+    def __init__(self) -> None:
+        """Start without tags."""
+        super().__init__()
+        self.seen: list[tuple[str, dict[str, str | None]]] = []
+
+    def handle_starttag(self, tag: str, attrs: Any) -> None:
+        """Note one tag."""
+        self.seen.append((tag, dict(attrs)))
+
+
+@then('the page contains the text only in escaped form')
+def check_escaped(context: Any) -> None:
+    page = render_html(context.events)
+    assert SCRIPT not in page
+    assert '&lt;script' in page
+    tags = Tags()
+    tags.feed(page)
+    names = {name for name, _ in tags.seen}
+    assert 'script' not in names, names
+    known = {'style', 'title', 'class', 'charset', 'lang', 'content'}
+    for _, attributes in tags.seen:
+        assert set(attributes) <= known | {'http-equiv'}, attributes
+
+
+@then('the page has one lane for each process and no outside address')
+def check_lanes(context: Any) -> None:
+    page = render_html(context.events)
+    assert page.count('class="lane"') == 2
+    assert page.count('<i ') == len(context.events)
+    assert "default-src 'none'" in page
+    assert 'src=&quot;http' in page
+    assert 'url(' not in page
+    assert '@import' not in page
+
+
+@then('the text has one line for the event and no control character')
+def check_text(context: Any) -> None:
+    text = render_text(context.events)
+    assert text.count('\n') == 1
+    assert text.rstrip('\n').isprintable()
+    assert len(events_to_json(context.events)) == 1
