--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 lint: setup
 	$(BIN)/ruff format --check -q .
 	$(BIN)/ruff check -q .
-	$(BIN)/flake8 libs tools
+	$(BIN)/flake8 libs tools features
 
 types: setup
 	$(BIN)/mypy $(SOURCES)
@@ -44,3 +44,9 @@
 	$(BIN)/python tools/run_features.py
 
 test: lint types imports features
+
+demo: setup
+	$(BIN)/python -m gypsumrelay_demo demo --deployment examples/lagos.json --seed $(SEED)
+
+up: setup
+	exec $(BIN)/python -m gypsumrelay_demo up --deployment examples/lagos.json
--- /dev/null
+++ b/features/steps/whole_path.py
@@ -0,0 +1,149 @@
+"""Steps for the whole path."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given, then, when
+from gypsumrelay_demo import (
+    System,
+    call,
+    complete,
+    get_json,
+    make_load,
+    run_load,
+    smallest_deployment,
+    wait_until,
+)
+from gypsumrelay_standins import expected_text
+
+PROMPT = 'the seal of the left window'
+
+
+def entry_url(context: Any) -> str:
+    return next(iter(context.system.entries.values())).url
+
+
+def any_key(context: Any) -> str:
+    return next(iter(context.system.keys.values())).secret
+
+
+def runs_of(context: Any, upstream: str) -> list[dict[str, Any]]:
+    url = context.system.upstreams[upstream].url
+    return get_json(context.system.pool, f'{url}/record')['runs']
+
+
+@given('the smallest system')
+def start_smallest(context: Any) -> None:
+    context.system = System(smallest_deployment(), context.path)
+    context.system.start()
+
+
+@when('a caller asks for {tokens:d} tokens as a stream')
+def ask_stream(context: Any, tokens: int) -> None:
+    ask(context, tokens, stream=True)
+
+
+@when('a caller asks for {tokens:d} tokens as one body')
+def ask_whole(context: Any, tokens: int) -> None:
+    ask(context, tokens, stream=False)
+
+
+def ask(context: Any, tokens: int, *, stream: bool) -> None:
+    body = {
+        'model': 'model',
+        'prompt': PROMPT,
+        'max_tokens': tokens,
+        'stream': stream,
+    }
+    context.tokens = tokens
+    context.reply = complete(
+        context.system.pool,
+        entry_url(context),
+        any_key(context),
+        body,
+    )
+
+
+@then('the whole answer to its own prompt arrives')
+def check_answer(context: Any) -> None:
+    assert context.reply.whole, context.reply
+    expected = expected_text(PROMPT, context.tokens)
+    assert context.reply.text == expected, context.reply
+
+
+@then('no engine memory is held within {seconds:d} seconds')
+def check_memory(context: Any, seconds: int) -> None:
+    def is_free() -> bool:
+        return not any(
+            get_json(context.system.pool, f'{node.url}/record')['held_pieces']
+            for name, node in context.system.upstreams.items()
+            if not name.startswith('service')
+        )
+
+    assert wait_until(is_free, seconds)
+
+
+@when('a caller posts an order')
+def post_order(context: Any) -> None:
+    post(context, any_key(context))
+    assert context.reply.status == 200, context.reply
+
+
+@when('a caller with an unknown key posts an order')
+def post_unknown(context: Any) -> None:
+    post(context, 'gr-unknown')
+
+
+def post(context: Any, key: str) -> None:
+    context.reply = call(
+        context.system.pool,
+        f'{entry_url(context)}/orders/1?key=none',
+        'POST',
+        {'Authorization': f'Bearer {key}', 'X-Mark': 'kept'},
+        b'order one',
+    )
+
+
+@then('the service ran it once')
+def check_ran_once(context: Any) -> None:
+    runs = runs_of(context, 'service-0')
+    assert len(runs) == 1, runs
+    assert runs[0]['body'] == 'order one'
+    assert ['X-Mark', 'kept'] in runs[0]['headers']
+
+
+@then('the service ran nothing')
+def check_ran_nothing(context: Any) -> None:
+    assert not runs_of(context, 'service-0')
+
+
+@then('no upstream saw the key')
+def check_no_key(context: Any) -> None:
+    key = any_key(context)
+    for name in context.system.upstreams:
+        assert key not in str(runs_of(context, name)), name
+
+
+@then('the refusal is "{code}" with outcome "{outcome}"')
+def check_refusal(context: Any, code: str, outcome: str) -> None:
+    assert context.reply.code == code, context.reply
+    assert context.reply.outcome == outcome, context.reply
+
+
+@when('{count:d} mixed requests are sent with seed {seed:d}')
+def send_load(context: Any, count: int, seed: int) -> None:
+    load = make_load(context.system, count, seed)
+    context.tally = run_load(context.system, load)
+
+
+@then('every accepted request was answered in full')
+def check_all_answered(context: Any) -> None:
+    tally = context.tally
+    assert tally.accepted, tally
+    assert tally.accepted == tally.answered, tally
+
+
+@then('nothing was doubled and every refusal was not run')
+def check_none_doubled(context: Any) -> None:
+    assert context.tally.is_clean, context.tally
--- /dev/null
+++ b/libs/agent/src/gypsumrelay_agent/acting.py
@@ -0,0 +1,157 @@
+"""Carries out the actions that the decisions ask for."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from functools import partial
+from typing import Any, Final
+
+from gypsumrelay_upstreams import (
+    Action,
+    CancelRun,
+    Dropped,
+    Ended,
+    EngineRestarted,
+    ForeignRuns,
+    Granted,
+    Key,
+    Refused,
+    StartRun,
+    coldstart,
+    ledger,
+)
+from gypsumrelay_wire import Decode, Message, Prefill, Reserved
+from logbook import Logger
+
+from gypsumrelay_agent import events
+from gypsumrelay_agent.replies import (
+    SILENT_ENDS,
+    failed_from,
+    failed_of_end,
+)
+from gypsumrelay_agent.requests import run_deadline
+from gypsumrelay_agent.runs import Run, run_call, run_decode, run_prefill
+from gypsumrelay_agent.state import AgentState, now_seconds
+
+log = Logger('agent')
+
+
+def act(state: AgentState, actions: Iterable[Action]) -> None:
+    """Carry out actions in their order."""
+    for action in actions:
+        handler = _ACTIONS.get(type(action))
+        if handler is not None:
+            handler(state, action)
+
+
+def send(state: AgentState, link: str, message: Message) -> None:
+    """Send a message on a link by its id; a closed one gets nothing."""
+    known = state.links.get(link)
+    if known is not None:
+        known.send(message)
+
+
+def _dropped(state: AgentState, action: Dropped) -> None:
+    forget_order(state, action.key)
+    state.record(f'dropped_{action.reason.value}', action.key)
+    log.debug('Dropped a message: {}.', action.reason.value)
+
+
+def _granted(state: AgentState, action: Granted) -> None:
+    state.metrics.count('agent.reserved')
+    confirm(state, action.key, action.link)
+
+
+def confirm(state: AgentState, key: Key, link: str) -> None:
+    """Tell the entry that it has a place, or start a waiting call."""
+    if key in state.orders:
+        now = now_seconds()
+        act(state, ledger.start(state.ledger, key, 0, run_deadline(now), now))
+    else:
+        state.record('reserved', key)
+        send(state, link, Reserved(key.request_id, key.attempt, 0))
+
+
+def _refused(state: AgentState, action: Refused) -> None:
+    state.metrics.count('agent.refused')
+    forget_order(state, action.key)
+    send(state, action.link, failed_from(action.key, action.failure))
+
+
+def _start_run(state: AgentState, action: StartRun) -> None:
+    order = state.orders.pop(action.key)
+    place = state.ledger.places[action.key]
+    link = state.links[place.link]
+    run = Run(
+        action.key,
+        action.run_id,
+        link,
+        order,
+        place.request.prompt_tokens,
+    )
+    state.runs[action.key] = run
+    state.record('started', action.key, place.request.client_account)
+    state.executor.submit(_target(state, run))
+
+
+def _target(state: AgentState, run: Run) -> Callable[[], None]:
+    if isinstance(run.order, Prefill):
+        return partial(run_prefill, run, state.engine, state.tell)
+    if isinstance(run.order, Decode):
+        return partial(run_decode, run, state.engine, state.tell)
+    deadline = state.deadlines.pop(run.key)
+    return partial(run_call, run, state.service, deadline, state.tell)
+
+
+def _cancel_run(state: AgentState, action: CancelRun) -> None:
+    state.metrics.count('agent.cancelled')
+    if state.is_service:
+        state.tell(events.RunFreed(action.run_id))
+        return
+    state.executor.submit(_cancel_at_engine, state, action.run_id)
+
+
+def _cancel_at_engine(state: AgentState, run_id: str) -> None:
+    if state.engine.cancel(run_id):
+        state.tell(events.RunFreed(run_id))
+
+
+def _ended(state: AgentState, action: Ended) -> None:
+    forget_order(state, action.key)
+    run = state.runs.pop(action.key, None)
+    if run is not None:
+        run.cancelled.set()
+    if action.reason not in SILENT_ENDS:
+        state.record(f'ended_{action.reason.value}', action.key)
+        message = failed_of_end(action.key, action.reason, run)
+        send(state, action.link, message)
+
+
+def _engine_restarted(state: AgentState, action: EngineRestarted) -> None:
+    log.warning('The upstream restarted.')
+    now = now_seconds()
+    coldstart.restart(state.ramp, now)
+    act(state, ledger.set_limit(state.ledger, state.ramp.limit, now))
+
+
+def _foreign_runs(state: AgentState, action: ForeignRuns) -> None:
+    log.warning('The upstream holds runs of another agent.')
+    coldstart.observe_foreign_runs(state.ramp, now_seconds())
+
+
+def forget_order(state: AgentState, key: Key) -> None:
+    """Drop the message of a run that will not start."""
+    state.orders.pop(key, None)
+    state.deadlines.pop(key, None)
+
+
+_ACTIONS: Final[dict[type[Action], Callable[[AgentState, Any], None]]] = {
+    Granted: _granted,
+    Refused: _refused,
+    StartRun: _start_run,
+    CancelRun: _cancel_run,
+    Dropped: _dropped,
+    Ended: _ended,
+    EngineRestarted: _engine_restarted,
+    ForeignRuns: _foreign_runs,
+}
--- /dev/null
+++ b/libs/agent/src/gypsumrelay_agent/events.py
@@ -0,0 +1,97 @@
+"""What the agent's actor is told."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+from gypsumrelay_platform import Listing
+from gypsumrelay_upstreams import EngineReport, Key
+from gypsumrelay_wire import Link
+
+from gypsumrelay_agent.engine import UpstreamFault
+
+
+@attrs.frozen
+class LinkOpened:
+    """A peer opened a link."""
+
+    link: Link
+
+
+@attrs.frozen
+class LinkLost:
+    """A link closed."""
+
+    link: Link
+
+
+@attrs.frozen
+class Received:
+    """A message came on a link; receivers are chosen by its class."""
+
+    link: Link
+    message: Any
+
+
+@attrs.frozen
+class ListingRead:
+    """The platform's list was read."""
+
+    listing: Listing
+
+
+@attrs.frozen
+class ConfigurationChanged:
+    """The log had new records."""
+
+
+@attrs.frozen
+class Reported:
+    """The engine answered a question for its state, or did not."""
+
+    report: EngineReport | UpstreamFault
+
+
+@attrs.frozen
+class RunLanded:
+    """The engine sent the first sign of a run."""
+
+    key: Key
+    first_index: int
+
+
+@attrs.frozen
+class RunEnded:
+    """The thread of a run is done.
+
+    Attributes:
+        key: The attempt.
+        used_tokens: Tokens that ran, of prompt and output.
+        seconds_per_unit: Time for each token or call, 0 where unknown.
+        fault: What went wrong, or None for a finished run.
+        keeps_result: Whether the engine holds the result for a while.
+    """
+
+    key: Key
+    used_tokens: int
+    seconds_per_unit: float = 0
+    fault: UpstreamFault | None = None
+    keeps_result: bool = False
+
+
+@attrs.frozen
+class RunFreed:
+    """The engine confirmed that it cancelled a run."""
+
+    run_id: str
+
+
+@attrs.frozen
+class Tick:
+    """Time has passed."""
+
+
+@attrs.frozen
+class DrainBegan:
+    """The agent takes no new work."""
--- /dev/null
+++ b/libs/agent/src/gypsumrelay_agent/handling.py
@@ -0,0 +1,192 @@
+"""What an agent does at each event."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Final
+
+from gypsumrelay_upstreams import (
+    EngineReport,
+    coldstart,
+    ledger,
+    reconciliation,
+)
+from gypsumrelay_wire import (
+    Call,
+    Cancel,
+    Decode,
+    Prefill,
+    Reserve,
+)
+
+from gypsumrelay_agent import events
+from gypsumrelay_agent.acting import act
+from gypsumrelay_agent.engine import UpstreamFault
+from gypsumrelay_agent.probing import probe
+from gypsumrelay_agent.replies import failed_of_fault
+from gypsumrelay_agent.requests import (
+    call_request,
+    key_of,
+    reserve_request,
+    run_deadline,
+)
+from gypsumrelay_agent.state import AgentState, link_id, now_seconds
+
+# A prefill result lives under a second at the engine.
+RESULT_SECONDS: Final = 1.0
+
+
+def handle(state: AgentState, event: object) -> None:
+    """Handle one event."""
+    handler = _HANDLERS.get(type(event))
+    if handler is not None:
+        handler(state, event)
+
+
+def _open_link(state: AgentState, event: events.LinkOpened) -> None:
+    name = link_id(event.link)
+    state.links[name] = event.link
+    ledger.open_link(state.ledger, name, now_seconds())
+
+
+def _lose_link(state: AgentState, event: events.LinkLost) -> None:
+    name = link_id(event.link)
+    state.links.pop(name, None)
+    act(state, ledger.lose_link(state.ledger, name, now_seconds()))
+
+
+def _receive(state: AgentState, event: events.Received) -> None:
+    ledger.heartbeat(state.ledger, link_id(event.link), now_seconds())
+    receiver = _RECEIVERS.get(type(event.message))
+    if receiver is not None:
+        receiver(state, event)
+
+
+def _reserve(state: AgentState, event: events.Received) -> None:
+    now = now_seconds()
+    request = reserve_request(event.message, now)
+    found = ledger.reserve(state.ledger, request, link_id(event.link), now)
+    act(state, found)
+
+
+def _start(state: AgentState, event: events.Received) -> None:
+    now = now_seconds()
+    message = event.message
+    key = key_of(message)
+    state.orders[key] = message
+    first_index = message.first_index if isinstance(message, Decode) else 0
+    act(
+        state,
+        ledger.start(state.ledger, key, first_index, run_deadline(now), now),
+    )
+    state.orders.pop(key, None)
+
+
+def _call(state: AgentState, event: events.Received) -> None:
+    now = now_seconds()
+    request = call_request(event.message, now)
+    state.orders[request.key] = event.message
+    state.deadlines[request.key] = request.deadline
+    found = ledger.reserve(state.ledger, request, link_id(event.link), now)
+    act(state, found)
+
+
+def _cancel(state: AgentState, event: events.Received) -> None:
+    key = key_of(event.message)
+    act(state, ledger.cancel(state.ledger, key, now_seconds()))
+
+
+def _take_report(state: AgentState, event: events.Reported) -> None:
+    now = now_seconds()
+    state.probing = False
+    report = event.report
+    if isinstance(report, UpstreamFault):
+        if not state.upstream_down:
+            coldstart.restart(state.ramp, now)
+        state.upstream_down = True
+        state.metrics.count('agent.upstream_down')
+    else:
+        state.upstream_down = False
+        _take_engine_report(state, report, now)
+    act(state, ledger.set_limit(state.ledger, state.ramp.limit, now))
+
+
+def _take_engine_report(
+    state: AgentState,
+    report: EngineReport,
+    now: float,
+) -> None:
+    coldstart.observe_report(
+        state.ramp,
+        cold=report.cold,
+        asked_at=report.asked_at,
+        now=now,
+    )
+    if not state.is_service:
+        act(state, reconciliation.reconcile(state.ledger, report, now))
+
+
+def _note_landed(state: AgentState, event: events.RunLanded) -> None:
+    act(state, ledger.progress(state.ledger, event.key, event.first_index, 0))
+
+
+def _end_run(state: AgentState, event: events.RunEnded) -> None:
+    now = now_seconds()
+    run = state.runs.pop(event.key, None)
+    if run is None:
+        return
+    if event.fault is None:
+        coldstart.observe_completion(
+            state.ramp,
+            event.seconds_per_unit,
+            run.started_at,
+            now,
+        )
+        state.record('finished', event.key)
+    else:
+        run.link.send(failed_of_fault(run, event.fault))
+        state.record('failed', event.key)
+    kept_until = now + RESULT_SECONDS if event.keeps_result else float('-inf')
+    found = ledger.release(
+        state.ledger,
+        event.key,
+        now,
+        finished=event.fault is None,
+        kept_until=kept_until,
+    )
+    found += ledger.set_limit(state.ledger, state.ramp.limit, now)
+    act(state, found)
+
+
+def _free_run(state: AgentState, event: events.RunFreed) -> None:
+    act(state, ledger.confirm_freed(state.ledger, event.run_id, now_seconds()))
+
+
+def _tick(state: AgentState, event: events.Tick) -> None:
+    now = now_seconds()
+    act(state, ledger.expire(state.ledger, now))
+    probe(state, now)
+
+
+def _drain(state: AgentState, event: events.DrainBegan) -> None:
+    act(state, ledger.drain(state.ledger, now_seconds()))
+
+
+_HANDLERS: Final[dict[type, Callable[[AgentState, Any], None]]] = {
+    events.LinkOpened: _open_link,
+    events.LinkLost: _lose_link,
+    events.Received: _receive,
+    events.Reported: _take_report,
+    events.RunLanded: _note_landed,
+    events.RunEnded: _end_run,
+    events.RunFreed: _free_run,
+    events.Tick: _tick,
+    events.DrainBegan: _drain,
+}
+_RECEIVERS: Final[dict[type, Callable[[AgentState, Any], None]]] = {
+    Reserve: _reserve,
+    Prefill: _start,
+    Decode: _start,
+    Call: _call,
+    Cancel: _cancel,
+}
--- /dev/null
+++ b/libs/agent/src/gypsumrelay_agent/probing.py
@@ -0,0 +1,82 @@
+"""Regular questions to the upstream for its state."""
+
+from __future__ import annotations
+
+import socket
+import time
+from typing import TYPE_CHECKING, Final
+
+import urllib3
+from gypsumrelay_upstreams import EngineReport
+
+from gypsumrelay_agent import events
+from gypsumrelay_agent.engine import (
+    CONNECT_SECONDS,
+    EngineClient,
+    UpstreamFault,
+)
+
+if TYPE_CHECKING:
+    from gypsumrelay_agent.state import AgentState
+
+PROBE_SECONDS: Final = 1.0
+HTTP_PORT: Final = 80
+# An upstream that is down is asked more often, so that it is back in use
+# soon after its start.
+DOWN_PROBE_SECONDS: Final = 0.3
+
+
+def probe(state: AgentState, now: float) -> None:
+    """Ask the upstream for its state when it is time."""
+    period = DOWN_PROBE_SECONDS if state.upstream_down else PROBE_SECONDS
+    if state.probing or now - state.probed_at < period:
+        return
+    state.probing = True
+    state.probed_at = now
+    state.executor.submit(_ask, state)
+
+
+def _ask(state: AgentState) -> None:
+    asked_at = time.monotonic()
+    if state.is_service:
+        url = urllib3.util.parse_url(state.settings.upstream.url)
+        address = (url.host or '', url.port or HTTP_PORT)
+        report = _ask_service(address, asked_at)
+    else:
+        report = _ask_engine(state.engine, asked_at)
+    state.tell(events.Reported(report))
+
+
+def _ask_service(
+    address: tuple[str, int],
+    asked_at: float,
+) -> EngineReport | UpstreamFault:
+    """Return whether a plain service accepts connections.
+
+    Services have no common interface to ask for more, and a request that
+    nobody sent must not run there.
+    """
+    try:
+        socket.create_connection(address, CONNECT_SECONDS).close()
+    except OSError:
+        return UpstreamFault('the service refuses connections', reached=False)
+    return EngineReport(frozenset(), 0, False, '', asked_at)
+
+
+def _ask_engine(
+    client: EngineClient,
+    asked_at: float,
+) -> EngineReport | UpstreamFault:
+    answer = client.read('/state')
+    if isinstance(answer, UpstreamFault):
+        return answer
+    try:
+        return EngineReport(
+            frozenset(answer['held']),
+            int(answer['held_pieces']),
+            bool(answer['cold']),
+            str(answer['incarnation']),
+            asked_at,
+        )
+    except (KeyError, TypeError, ValueError):
+        return UpstreamFault('the report of the upstream is malformed')
--- /dev/null
+++ b/libs/agent/src/gypsumrelay_agent/replies.py
@@ -0,0 +1,70 @@
+"""Messages that end an attempt without its full answer."""
+
+from __future__ import annotations
+
+import time
+from typing import Final
+
+from gypsumrelay_errors import (
+    Failure,
+    Outcome,
+    OutcomeUnknown,
+    UpstreamFailed,
+)
+from gypsumrelay_upstreams import EndReason, Key
+from gypsumrelay_wire import Call, Failed, to_retry_ms
+
+from gypsumrelay_agent.engine import UpstreamFault
+from gypsumrelay_agent.runs import Run
+
+# Ends that the entry brought about or that it learns in another way.
+SILENT_ENDS: Final = frozenset(
+    (
+        EndReason.finished,
+        EndReason.cancelled,
+        EndReason.superseded,
+        EndReason.link_lost,
+    ),
+)
+
+
+def failed_from(key: Key, failure: Failure, *, crashed: bool = False) -> Failed:
+    """Return the message for a typed failure."""
+    return Failed(
+        key.request_id,
+        key.attempt,
+        failure.code,
+        failure.sentence,
+        failure.outcome.value,
+        to_retry_ms(failure.retry_at, time.monotonic()),
+        crashed,
+    )
+
+
+def failed_of_fault(run: Run, fault: UpstreamFault) -> Failed:
+    """Return the message for a run whose upstream failed it."""
+    failure = failure_of_fault(run, fault)
+    return failed_from(run.key, failure, crashed=fault.crashed)
+
+
+def failure_of_fault(run: Run, fault: UpstreamFault) -> Failure:
+    """Return the failure of a run, with what is certain about its work."""
+    if not fault.reached:
+        return UpstreamFailed(fault.sentence, Outcome.not_run)
+    order = run.order
+    if isinstance(order, Call) and not order.idempotent:
+        return OutcomeUnknown(fault.sentence, Outcome.unknown)
+    return UpstreamFailed(fault.sentence, Outcome.failed)
+
+
+def failed_of_end(ended: Key, reason: EndReason, run: Run | None) -> Failed:
+    """Return the message for an attempt that the ledger ended."""
+    fault = UpstreamFault(
+        f'the attempt ended: {reason.value}',
+        reached=run is not None,
+        crashed=reason is EndReason.engine_restarted,
+    )
+    if run is None:
+        failure = UpstreamFailed(fault.sentence, Outcome.not_run)
+        return failed_from(ended, failure)
+    return failed_of_fault(run, fault)
--- /dev/null
+++ b/libs/agent/src/gypsumrelay_agent/service.py
@@ -0,0 +1,86 @@
+"""Client of a plain service."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from contextlib import suppress
+from typing import Final
+
+import attrs
+import urllib3
+
+from gypsumrelay_agent.engine import (
+    CONNECT_SECONDS,
+    READ_BYTES,
+    UpstreamFault,
+    fault_of,
+)
+
+LEAST_SECONDS: Final = 0.05
+
+
+@attrs.frozen
+class ServiceStart:
+    """Status and headers of an answer."""
+
+    status: int
+    headers: list[list[str]]
+
+
+@attrs.frozen
+class ServiceClient:
+    """Sends requests to one instance of a plain service."""
+
+    url: str
+    pool: urllib3.PoolManager
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        headers: list[list[str]],
+        body: bytes,
+        deadline: float,
+    ) -> Iterator[ServiceStart | bytes | UpstreamFault]:
+        """Yield the start and the chunks of the answer, or a fault."""
+        seconds = max(LEAST_SECONDS, deadline - time.monotonic())
+        fields = urllib3.HTTPHeaderDict()
+        for name, text in headers:
+            fields.add(name, text)
+        try:
+            response = self.pool.request(
+                method,
+                f'{self.url}{path}',
+                headers=fields,
+                body=body or None,
+                redirect=False,
+                timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=seconds),
+                preload_content=False,
+                decode_content=False,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            yield fault_of(error)
+            return
+        yield from _answer(response)
+
+
+def _answer(
+    response: urllib3.BaseHTTPResponse,
+) -> Iterator[ServiceStart | bytes | UpstreamFault]:
+    yield ServiceStart(
+        response.status,
+        [[name, text] for name, text in response.headers.items()],
+    )
+    whole = False
+    try:
+        yield from response.stream(READ_BYTES, decode_content=False)
+        whole = True
+    except urllib3.exceptions.HTTPError as error:
+        yield fault_of(error)
+    finally:
+        if whole:
+            response.release_conn()
+        else:
+            with suppress(urllib3.exceptions.HTTPError, OSError):
+                response.close()
--- /dev/null
+++ b/libs/agent/src/gypsumrelay_agent/waitingqueue.py
@@ -0,0 +1,78 @@
+"""The fair queue in the form that the ledger asks for."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import attrs
+from gypsumrelay_routing import FairQueue, Rejected, Waiting
+from gypsumrelay_upstreams import Key, WaitingItem
+
+
+@attrs.define
+class FairWaitingQueue:
+    """Orders waiting reservations by the fair queue.
+
+    Requests that the fair queue rejects stay in `rejected` until the
+    ledger asks for expired ones, so that each is answered once.
+    """
+
+    queue: FairQueue = attrs.field(factory=FairQueue)
+    keys: dict[str, Key] = attrs.field(factory=dict)
+    rejected: list[Key] = attrs.field(factory=list)
+
+    def push(self, waiting: WaitingItem, now: float) -> None:
+        """Add an item."""
+        name = _name(waiting.key)
+        self.keys[name] = waiting.key
+        self._note(
+            self.queue.push(
+                Waiting(
+                    name,
+                    waiting.client_account,
+                    waiting.weight,
+                    max(1, waiting.cost),
+                    waiting.deadline,
+                    waiting.priority,
+                ),
+                now,
+            ),
+        )
+
+    def pop_next(
+        self,
+        now: float,
+        fits: Callable[[Key], bool],
+    ) -> Key | None:
+        """Remove and return the next key if it fits."""
+        turn = self.queue.peek(now)
+        self._note(turn.rejected)
+        if turn.granted is None:
+            return None
+        key = self.keys[turn.granted.request_id]
+        if not fits(key):
+            return None
+        self.queue.pop(now)
+        return self.keys.pop(turn.granted.request_id)
+
+    def remove(self, key: Key) -> bool:
+        """Remove an item; return whether it was there."""
+        self.keys.pop(_name(key), None)
+        return self.queue.cancel(_name(key)) is not None
+
+    def expire(self, now: float) -> list[Key]:
+        """Remove and return the items that get no place any more."""
+        self._note(self.queue.expire(now))
+        expired = self.rejected
+        self.rejected = []
+        return expired
+
+    def _note(self, rejected: Iterable[Rejected]) -> None:
+        for one in rejected:
+            key = self.keys.pop(one.waiting.request_id, None)
+            if key is not None:
+                self.rejected.append(key)
+
+
+def _name(key: Key) -> str:
+    return f'{key.request_id}/{key.attempt}'
--- /dev/null
+++ b/libs/demo/src/gypsumrelay_demo/__main__.py
@@ -0,0 +1,83 @@
+"""`make demo` and `make up`: the whole system on loopback."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import signal
+import sys
+import tempfile
+import threading
+from pathlib import Path
+from typing import Final
+
+from gypsumrelay_demo.deployment import (
+    Deployment,
+    read_deployment,
+    smallest_deployment,
+)
+from gypsumrelay_demo.load import make_load, run_load
+from gypsumrelay_demo.system import System
+
+BUILD: Final = Path('build')
+REQUESTS: Final = 300
+SEED: Final = 1
+
+
+def main() -> int:
+    """Run the demonstration or keep its system up."""
+    parser = argparse.ArgumentParser(prog='gypsumrelay-demo')
+    parser.add_argument('command', choices=('demo', 'up'))
+    parser.add_argument('--deployment', type=Path)
+    parser.add_argument('--requests', type=int, default=REQUESTS)
+    parser.add_argument('--seed', type=int, default=SEED)
+    arguments = parser.parse_args()
+    deployment = _deployment(arguments.deployment)
+    signal.signal(signal.SIGTERM, _interrupt)
+    with tempfile.TemporaryDirectory(prefix='gypsumrelay-') as folder:
+        system = System(deployment, Path(folder))
+        try:
+            system.start()
+            if arguments.command == 'up':
+                return _keep_up(system)
+            return _demonstrate(system, arguments.requests, arguments.seed)
+        except KeyboardInterrupt:
+            return 0
+        finally:
+            system.stop()
+            (BUILD / 'demo.json').unlink(missing_ok=True)
+
+
+def _deployment(path: Path | None) -> Deployment:
+    return smallest_deployment() if path is None else read_deployment(path)
+
+
+def _demonstrate(system: System, requests: int, seed: int) -> int:
+    print(
+        f'{len(system.entries)} entries, {len(system.agents)} agents, '
+        f'{len(system.upstreams)} upstreams are up.',
+    )
+    tally = run_load(system, make_load(system, requests, seed))
+    for code, count in sorted(tally.codes.items()):
+        print(f'refused with {code}: {count}')
+    print(tally.line())
+    return 0 if tally.is_clean and tally.accepted else 1
+
+
+def _keep_up(system: System) -> int:
+    BUILD.mkdir(exist_ok=True)
+    path = BUILD / 'demo.json'
+    scratch = path.with_suffix('.tmp')
+    scratch.write_text(json.dumps(system.describe(), indent=2))
+    scratch.rename(path)
+    print(f'The system is up; {path} describes it.', flush=True)
+    threading.Event().wait()
+    return 0
+
+
+def _interrupt(signal_number: int, frame: object) -> None:
+    raise KeyboardInterrupt
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/libs/demo/src/gypsumrelay_demo/callers.py
@@ -0,0 +1,185 @@
+"""Callers of the demonstration: model requests and service calls."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import Any, Final
+
+import attrs
+import urllib3
+
+CALL_SECONDS: Final = 60.0
+OK: Final = 200
+DATA: Final = b'data: '
+
+
+@attrs.frozen
+class Reply:
+    """What a caller got.
+
+    Attributes:
+        status: HTTP status, 0 for a broken connection.
+        text: Generated text or body.
+        code: Code of the failure, '' without one.
+        outcome: Outcome of the failure, '' without one.
+        whole: Whether the answer came to its end.
+        first_seconds: Time to the first part of the answer.
+        seconds: Time to the end.
+        gaps: Times between the parts of a stream.
+    """
+
+    status: int
+    text: str = ''
+    code: str = ''
+    outcome: str = ''
+    whole: bool = False
+    first_seconds: float = 0
+    seconds: float = 0
+    gaps: tuple[float, ...] = ()
+    headers: dict[str, str] = attrs.field(factory=dict)
+
+
+def complete(
+    pool: urllib3.PoolManager,
+    url: str,
+    key: str,
+    body: dict[str, Any],
+    headers: dict[str, str] | None = None,
+) -> Reply:
+    """Send a completion request and read its whole answer."""
+    started = time.monotonic()
+    sent = {'Authorization': f'Bearer {key}', **(headers or {})}
+    path = '/v1/chat/completions' if 'messages' in body else '/v1/completions'
+    try:
+        response = pool.request(
+            'POST',
+            url + path,
+            body=json.dumps(body).encode(),
+            headers=sent,
+            timeout=CALL_SECONDS,
+            retries=False,
+            preload_content=False,
+        )
+        if response.status != OK or not body.get('stream'):
+            return _plain(response, started)
+        return _streamed(response, started)
+    except urllib3.exceptions.HTTPError as error:
+        seconds = time.monotonic() - started
+        return Reply(0, code=type(error).__name__, seconds=seconds)
+
+
+def call(
+    pool: urllib3.PoolManager,
+    url: str,
+    method: str,
+    headers: dict[str, str],
+    body: bytes = b'',
+) -> Reply:
+    """Send a request to a plain service."""
+    started = time.monotonic()
+    try:
+        response = pool.request(
+            method,
+            url,
+            body=body or None,
+            headers=headers,
+            timeout=CALL_SECONDS,
+            retries=False,
+            preload_content=False,
+        )
+        return _plain(response, started)
+    except urllib3.exceptions.HTTPError as error:
+        seconds = time.monotonic() - started
+        return Reply(0, code=type(error).__name__, seconds=seconds)
+
+
+def _plain(response: urllib3.BaseHTTPResponse, started: float) -> Reply:
+    payload = response.read()
+    response.release_conn()
+    seconds = time.monotonic() - started
+    headers = dict(response.headers)
+    try:
+        answer = json.loads(payload)
+    except ValueError:
+        answer = {}
+    if not isinstance(answer, dict):
+        answer = {}
+    failure = answer.get('error')
+    if isinstance(failure, dict):
+        return Reply(
+            response.status,
+            code=failure['code'],
+            outcome=failure['outcome'],
+            seconds=seconds,
+            headers=headers,
+        )
+    text = payload.decode('utf-8', 'replace')
+    choices = answer.get('choices')
+    if choices:
+        choice = choices[0]
+        text = choice.get('text') or choice.get('message', {}).get('content')
+    return Reply(
+        response.status,
+        text,
+        whole=True,
+        first_seconds=seconds,
+        seconds=seconds,
+        headers=headers,
+    )
+
+
+def _streamed(response: urllib3.BaseHTTPResponse, started: float) -> Reply:
+    reader = _StreamReader(started)
+    rest = b''
+    for chunk in response.stream(65536):
+        *blocks, rest = (rest + chunk).split(b'\n\n')
+        for block in blocks:
+            reader.read(block.removeprefix(DATA))
+    response.release_conn()
+    return reader.reply(response)
+
+
+@attrs.define
+class _StreamReader:
+    started: float
+    texts: list[str] = attrs.field(factory=list)
+    times: list[float] = attrs.field(factory=list)
+    code: str = ''
+    outcome: str = ''
+    done: bool = False
+
+    def read(self, block: bytes) -> None:
+        """Take in one event of the stream."""
+        if block == b'[DONE]':
+            self.done = True
+            return
+        event = json.loads(block)
+        if 'error' in event:
+            self.code = event['error']['code']
+            self.outcome = event['error']['outcome']
+            return
+        choice = event['choices'][0]
+        text = choice.get('text') or choice.get('delta', {}).get('content')
+        if text:
+            self.texts.append(text)
+            self.times.append(time.monotonic())
+
+    def reply(self, response: urllib3.BaseHTTPResponse) -> Reply:
+        """Return the reply that the events make."""
+        gaps = [
+            later - earlier
+            for earlier, later in zip(self.times, self.times[1:], strict=False)
+        ]
+        first = self.times[0] if self.times else time.monotonic()
+        return Reply(
+            response.status,
+            ''.join(self.texts),
+            self.code,
+            self.outcome,
+            self.done,
+            first - self.started,
+            time.monotonic() - self.started,
+            tuple(gaps),
+            dict(response.headers),
+        )
--- /dev/null
+++ b/libs/demo/src/gypsumrelay_demo/deployment.py
@@ -0,0 +1,125 @@
+"""Description of a deployment, as in the files under examples/."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import cattrs
+from gypsumrelay_configuration import Configuration, Contract
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+@attrs.frozen
+class EntryPlace:
+    """One entry and its availability zone."""
+
+    name: str
+    availability_zone: str
+
+
+@attrs.frozen
+class UpstreamPlace:
+    """One upstream and its availability zone."""
+
+    name: str
+    kind: str
+    serves: str
+    availability_zone: str
+
+
+@attrs.frozen
+class Deployment:
+    """Everything that the demonstration starts.
+
+    Attributes:
+        engine: Options of the stand-in engines.
+        service: Options of the stand-in services.
+        platform: Options of the stand-in log and list by kind.
+        entry_settings: Settings of entries that differ from the defaults.
+        agent_settings: Settings of agents that differ from the defaults.
+    """
+
+    name: str
+    availability_zones: tuple[str, ...]
+    one_way_ms: float
+    client_ms: float
+    entries: tuple[EntryPlace, ...]
+    upstreams: tuple[UpstreamPlace, ...]
+    configuration: Configuration
+    contracts: tuple[Contract, ...]
+    engine: dict[str, Any] = attrs.field(factory=dict)
+    service: dict[str, Any] = attrs.field(factory=dict)
+    platform: dict[str, dict[str, Any]] = attrs.field(factory=dict)
+    entry_settings: dict[str, Any] = attrs.field(factory=dict)
+    agent_settings: dict[str, Any] = attrs.field(factory=dict)
+
+
+def read_deployment(path: Path) -> Deployment:
+    """Return the deployment in a file."""
+    return cattrs.structure(json.loads(path.read_text()), Deployment)
+
+
+def smallest_deployment() -> Deployment:
+    """Return one entry, one prefill, one decode and one service upstream."""
+    return cattrs.structure(
+        {
+            'name': 'smallest',
+            'availability_zones': ['a'],
+            'one_way_ms': 0,
+            'client_ms': 0,
+            'entries': [{'name': 'entry-0', 'availability_zone': 'a'}],
+            'upstreams': [
+                _upstream('prefill-0', 'prefill', 'model'),
+                _upstream('decode-0', 'decode', 'model'),
+                _upstream('service-0', 'service', 'orders'),
+            ],
+            'configuration': {
+                'models': [{'name': 'model'}],
+                'routes': [
+                    _route('order', 'POST', '/orders', idempotent=False),
+                    _route('stock', 'GET', '/stock', idempotent=True),
+                    _route('health', 'GET', '/open', idempotent=True),
+                ],
+            },
+            'contracts': [
+                {
+                    'client_account': 'first',
+                    'tokens_per_second': 20000,
+                    'burst_tokens': 60000,
+                    'models': ['model'],
+                    'routes': ['order', 'stock'],
+                },
+            ],
+        },
+        Deployment,
+    )
+
+
+def _upstream(name: str, kind: str, serves: str) -> dict[str, str]:
+    return {
+        'name': name,
+        'kind': kind,
+        'serves': serves,
+        'availability_zone': 'a',
+    }
+
+
+def _route(
+    name: str,
+    method: str,
+    path: str,
+    *,
+    idempotent: bool,
+) -> dict[str, Any]:
+    return {
+        'name': name,
+        'method': method,
+        'path': path,
+        'service': 'orders',
+        'idempotent': idempotent,
+        'open': path == '/open',
+    }
--- /dev/null
+++ b/libs/demo/src/gypsumrelay_demo/load.py
@@ -0,0 +1,192 @@
+"""Mixed load of the demonstration and what became of it."""
+
+from __future__ import annotations
+
+import random
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any, Final
+
+import attrs
+import urllib3
+from gypsumrelay_standins import expected_text
+
+from gypsumrelay_demo.callers import Reply, call, complete
+from gypsumrelay_demo.processes import get_json
+from gypsumrelay_demo.system import System
+
+CALLERS: Final = 16
+NOT_RUN: Final = 'not_run'
+
+
+@attrs.frozen
+class Sent:
+    """One request of the load.
+
+    Attributes:
+        kind: `model` or `call`.
+        marker: Text that only this request carries.
+    """
+
+    number: int
+    kind: str
+    account: str
+    marker: str
+    stream: bool = False
+    prompt: str = ''
+    max_tokens: int = 0
+    method: str = ''
+    path: str = ''
+    idempotent: bool = True
+
+
+@attrs.define
+class Tally:
+    """Counts of the load."""
+
+    accepted: int = 0
+    answered: int = 0
+    lost: int = 0
+    doubled: int = 0
+    refused: int = 0
+    refused_otherwise: int = 0
+    wrong: int = 0
+    codes: dict[str, int] = attrs.field(factory=dict)
+    lock: threading.Lock = attrs.field(factory=threading.Lock)
+
+    def note(self, sent: Sent, reply: Reply) -> None:
+        """Count one reply."""
+        with self.lock:
+            if reply.outcome:
+                self.refused += 1
+                known = self.codes.get(reply.code, 0)
+                self.codes[reply.code] = known + 1
+                self.refused_otherwise += int(reply.outcome != NOT_RUN)
+                return
+            self.accepted += 1
+            if not reply.whole:
+                self.lost += 1
+            elif is_right(sent, reply):
+                self.answered += 1
+            else:
+                self.wrong += 1
+
+    @property
+    def is_clean(self) -> bool:
+        """Return whether every promise of the demonstration held."""
+        return (
+            self.accepted == self.answered
+            and not self.lost
+            and not self.doubled
+            and not self.wrong
+            and not self.refused_otherwise
+        )
+
+    def line(self) -> str:
+        """Return the summary line of the demonstration."""
+        how = 'all not run'
+        if self.refused_otherwise:
+            how = f'{self.refused_otherwise} not certainly unrun'
+        return (
+            f'demo: {self.accepted} accepted, {self.answered} answered, '
+            f'{self.lost + self.wrong} lost, {self.doubled} doubled, '
+            f'{self.refused} refused ({how})'
+        )
+
+
+def is_right(sent: Sent, reply: Reply) -> bool:
+    """Return whether a whole answer is the one to its own request."""
+    if sent.kind == 'model':
+        return reply.text == expected_text(sent.prompt, sent.max_tokens)
+    return sent.marker in reply.text
+
+
+def make_load(system: System, count: int, seed: int) -> list[Sent]:
+    """Return a mixed load; the same seed gives the same load."""
+    rng = random.Random(seed)  # noqa: S311 - reproducible load
+    return [_make_one(system, rng, number) for number in range(count)]
+
+
+def send(system: System, sent: Sent, pool: urllib3.PoolManager) -> Reply:
+    """Send one request to an entry, as the platform's balancer would."""
+    entries = list(system.entries.values())
+    url = entries[sent.number % len(entries)].url
+    key = system.keys[sent.account].secret
+    if sent.kind == 'model':
+        body = {
+            'model': system.deployment.configuration.models[0].name,
+            'prompt': sent.prompt,
+            'max_tokens': sent.max_tokens,
+            'stream': sent.stream,
+        }
+        return complete(pool, url, key, body)
+    headers = {'Authorization': f'Bearer {key}'}
+    payload = b'' if sent.method == 'GET' else sent.marker.encode()
+    return call(pool, url + sent.path, sent.method, headers, payload)
+
+
+def run_load(system: System, load: list[Sent]) -> Tally:
+    """Send a load from several callers and count what became of it."""
+    tally = Tally()
+    pool = urllib3.PoolManager(maxsize=CALLERS)
+
+    def send_one(sent: Sent) -> None:
+        tally.note(sent, send(system, sent, pool))
+
+    with ThreadPoolExecutor(CALLERS) as callers:
+        list(callers.map(send_one, load))
+    tally.doubled = count_doubled(system, load)
+    return tally
+
+
+def count_doubled(system: System, load: list[Sent]) -> int:
+    """Return how many non-idempotent requests ran more than once."""
+    runs = [
+        run['body'] + run['path']
+        for place in system.deployment.upstreams
+        if place.kind == 'service'
+        for run in _record(system, place.name)
+    ]
+    markers = [sent.marker for sent in load if not sent.idempotent]
+    return sum(
+        max(0, sum(marker in run for run in runs) - 1) for marker in markers
+    )
+
+
+def _record(system: System, name: str) -> list[dict[str, Any]]:
+    url = f'{system.upstreams[name].url}/record'
+    answer = get_json(system.pool, url)
+    return answer['runs'] if answer else []
+
+
+def _make_one(system: System, rng: random.Random, number: int) -> Sent:
+    account = rng.choice(system.deployment.contracts).client_account
+    marker = f'marker-{number}-{rng.getrandbits(32):08x}'
+    if rng.random() < 0.6:
+        words = [
+            f'word{rng.randrange(1000)}' for _ in range(rng.randrange(400))
+        ]
+        return Sent(
+            number,
+            'model',
+            account,
+            marker,
+            stream=rng.random() < 0.5,
+            prompt=' '.join([marker, *words]),
+            max_tokens=rng.randrange(1, 60),
+        )
+    routes = [
+        route
+        for route in system.deployment.configuration.routes
+        if not route.open
+    ]
+    route = rng.choice(routes)
+    return Sent(
+        number,
+        'call',
+        account,
+        marker,
+        method=route.method,
+        path=f'{route.path}/{marker}',
+        idempotent=route.idempotent,
+    )
--- /dev/null
+++ b/libs/demo/src/gypsumrelay_demo/system.py
@@ -0,0 +1,419 @@
+"""The whole system on loopback, as separate processes."""
+
+from __future__ import annotations
+
+import json
+import secrets
+import signal
+import time
+from pathlib import Path
+from typing import Any, Final
+
+import attrs
+import urllib3
+from gypsumrelay_configuration import (
+    ConfigurationPublished,
+    ContractPut,
+    KeyGranted,
+    Record,
+    digest_of_key,
+    new_secret,
+)
+from gypsumrelay_platform import LogClient
+
+from gypsumrelay_demo.deployment import Deployment, EntryPlace, UpstreamPlace
+from gypsumrelay_demo.processes import (
+    HOST,
+    START_SECONDS,
+    ManagedProcess,
+    free_port,
+    get_json,
+    post_json,
+    wait_until,
+)
+
+STOP_SECONDS: Final = 15.0
+PROGRAM: Final = 'gypsumrelay_command'
+
+
+@attrs.define
+class Node:
+    """One process of the system with its addresses."""
+
+    process: ManagedProcess
+    availability_zone: str
+    url: str = ''
+    admin_url: str = ''
+    listed: dict[str, Any] = attrs.field(factory=dict)
+    settings: dict[str, Any] = attrs.field(factory=dict)
+    settings_path: Path = Path()
+
+
+@attrs.define
+class CallerKey:
+    """A key that the demonstration's callers use."""
+
+    client_account: str
+    key_id: str
+    secret: str
+
+
+@attrs.define
+class System:
+    """All processes of a running deployment."""
+
+    deployment: Deployment
+    folder: Path
+    platform: dict[str, Node] = attrs.field(factory=dict)
+    upstreams: dict[str, Node] = attrs.field(factory=dict)
+    agents: dict[str, Node] = attrs.field(factory=dict)
+    entries: dict[str, Node] = attrs.field(factory=dict)
+    keys: dict[str, CallerKey] = attrs.field(factory=dict)
+    secret: str = attrs.field(factory=lambda: secrets.token_hex(16))
+    pool: urllib3.PoolManager = attrs.field(
+        factory=lambda: urllib3.PoolManager(maxsize=32, block=False),
+    )
+
+    def start(self) -> None:
+        """Start everything and wait until it serves."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.start_platform()
+        self.publish()
+        for place in self.deployment.upstreams:
+            self.start_upstream(place)
+            self.add_agent(place)
+        for entry_place in self.deployment.entries:
+            self.add_entry(entry_place)
+        self.wait_until_serving()
+
+    def start_platform(self) -> None:
+        """Start the stand-ins of the platform."""
+        for kind in ('log', 'instances', 'weights'):
+            options = self.deployment.platform.get(kind, {})
+            self.platform[kind] = self.start_stand_in(kind, kind, options, '')
+
+    def start_upstream(self, place: UpstreamPlace) -> None:
+        """Start the stand-in of one upstream."""
+        options = dict(self.deployment.service)
+        kind = 'service'
+        if place.kind != 'service':
+            kind = 'engine'
+            options = self.deployment.engine | {'kind': place.kind}
+        self.upstreams[place.name] = self.start_stand_in(
+            place.name,
+            kind,
+            options,
+            place.availability_zone,
+        )
+
+    def start_stand_in(
+        self,
+        name: str,
+        kind: str,
+        options: dict[str, Any],
+        availability_zone: str,
+    ) -> Node:
+        """Start one stand-in and wait until it answers."""
+        port = free_port()
+        arguments = ['-m', 'gypsumrelay_standins', kind, str(port)]
+        process = ManagedProcess(
+            name,
+            [*arguments, '--options', json.dumps(options)],
+            self.folder / f'{name}.log',
+        )
+        process.start()
+        node = Node(process, availability_zone, f'http://{HOST}:{port}')
+        ready_url = f'{node.url}/instances' if kind == 'instances' else node.url
+        if kind == 'service':
+            ready_url = f'{node.url}/record'
+        if kind == 'weights':
+            return node
+        wait_until(
+            lambda: get_json(self.pool, ready_url) is not None,
+            START_SECONDS,
+        )
+        return node
+
+    def publish(self) -> None:
+        """Publish the configuration, the contracts and one key for each."""
+        records: list[Record] = [
+            ConfigurationPublished(
+                secrets.token_hex(8),
+                0,
+                self.deployment.configuration,
+            ),
+        ]
+        for contract in self.deployment.contracts:
+            account = contract.client_account
+            key = CallerKey(account, f'{account}-key', new_secret())
+            self.keys[account] = key
+            digest = digest_of_key(key.secret)
+            records.extend(
+                (
+                    ContractPut(secrets.token_hex(8), 0, contract),
+                    KeyGranted(
+                        secrets.token_hex(8),
+                        key.key_id,
+                        account,
+                        digest,
+                    ),
+                ),
+            )
+        LogClient(self.platform['log'].url).append(records)
+
+    def add_agent(self, place: UpstreamPlace) -> None:
+        """Write the settings of an agent, start and list it."""
+        link_port = free_port()
+        admin_port = free_port()
+        name = f'agent-{place.name}'
+        settings = {
+            **self.common_settings(name, place.availability_zone, admin_port),
+            'link_port': link_port,
+            'upstream': {
+                'name': place.name,
+                'kind': place.kind,
+                'serves': place.serves,
+                'url': self.upstreams[place.name].url,
+                **self.sizes(),
+            },
+            **self.deployment.agent_settings,
+        }
+        node = self.new_node('agent', name, settings, admin_port)
+        node.availability_zone = place.availability_zone
+        node.listed = {
+            **self.listing(node, 'agent', link_port, admin_port),
+            'labels': {
+                'upstream': place.name,
+                'kind': place.kind,
+                'serves': place.serves,
+            },
+        }
+        self.agents[name] = node
+        self.start_node(node)
+
+    def add_entry(self, place: EntryPlace) -> None:
+        """Write the settings of an entry, start and list it."""
+        port = free_port()
+        admin_port = free_port()
+        settings = {
+            **self.common_settings(
+                place.name,
+                place.availability_zone,
+                admin_port,
+            ),
+            'caller': {'port': port},
+            **self.deployment.entry_settings,
+        }
+        settings['caller'] = settings['caller'] | {'port': port}
+        node = self.new_node('entry', place.name, settings, admin_port)
+        node.availability_zone = place.availability_zone
+        node.url = f'http://{HOST}:{port}'
+        node.listed = self.listing(node, 'entry', port, admin_port)
+        self.entries[place.name] = node
+        self.start_node(node)
+
+    def sizes(self) -> dict[str, int]:
+        """Return the sizes that the agents know of their engines."""
+        names = ('slots', 'pieces', 'piece_tokens')
+        engine = self.deployment.engine
+        return {name: engine[name] for name in names if name in engine}
+
+    def common_settings(
+        self,
+        name: str,
+        availability_zone: str,
+        admin_port: int,
+    ) -> dict[str, Any]:
+        """Return the settings that entries and agents share."""
+        return {
+            'instance': {
+                'name': name,
+                'availability_zone': availability_zone,
+                'host': HOST,
+                'admin_port': admin_port,
+            },
+            'platform': self.platform_settings(),
+            'shared_secret': self.secret,
+        }
+
+    def platform_settings(self) -> dict[str, str]:
+        """Return where the platform's services are."""
+        return {
+            'log_url': self.platform['log'].url,
+            'list_url': self.platform['instances'].url,
+            'weights_url': self.platform['weights'].url,
+        }
+
+    def new_node(
+        self,
+        role: str,
+        name: str,
+        settings: dict[str, Any],
+        admin_port: int,
+    ) -> Node:
+        """Return a node whose process is not started yet."""
+        path = self.folder / f'{name}.json'
+        arguments = ['-m', PROGRAM, role, '--settings', str(path)]
+        process = ManagedProcess(name, arguments, self.folder / f'{name}.log')
+        return Node(
+            process,
+            '',
+            admin_url=f'http://{HOST}:{admin_port}',
+            settings=settings,
+            settings_path=path,
+        )
+
+    def listing(
+        self,
+        node: Node,
+        role: str,
+        port: int,
+        admin_port: int,
+    ) -> dict[str, Any]:
+        """Return a node's entry in the platform's list."""
+        return {
+            'name': node.process.name,
+            'role': role,
+            'address': f'{HOST}:{port}',
+            'admin_address': f'{HOST}:{admin_port}',
+            'availability_zone': node.availability_zone,
+            'state': 'live',
+        }
+
+    def start_node(self, node: Node) -> None:
+        """Start an entry or agent as a new incarnation and list it."""
+        node.process.incarnation = secrets.token_hex(4)
+        node.settings['instance']['incarnation'] = node.process.incarnation
+        node.settings_path.write_text(json.dumps(node.settings, indent=2))
+        incarnation = node.process.incarnation
+        node.process.start()
+        node.process.incarnation = incarnation
+        self.list_node(node, 'live')
+
+    def list_node(self, node: Node, state: str) -> None:
+        """Change a node's state in the platform's list."""
+        change = node.listed | {
+            'state': state,
+            'incarnation': node.process.incarnation,
+        }
+        url = f'{self.platform["instances"].url}/change'
+        post_json(self.pool, url, change)
+
+    def kill(self, node: Node) -> None:
+        """Kill a node; the platform's list learns it with its lag."""
+        node.process.kill()
+        if node.listed:
+            self.list_node(node, 'gone')
+
+    def restart(self, node: Node) -> None:
+        """Start a killed process again."""
+        if node.listed:
+            self.start_node(node)
+        else:
+            node.process.start()
+
+    def wait_until_serving(self) -> None:
+        """Wait until all entries are ready and see all upstreams."""
+        wanted = len(self.deployment.upstreams)
+        serving = wait_until(
+            lambda: all(
+                self.known_upstreams(entry) >= wanted
+                for entry in self.entries.values()
+            ),
+            START_SECONDS * 2,
+        )
+        if not serving:
+            raise TimeoutError('the system did not start in time')
+
+    def known_upstreams(self, entry: Node) -> int:
+        """Return how many upstreams an entry may send work to."""
+        ready = get_json(self.pool, f'{entry.admin_url}/readyz')
+        status = get_json(self.pool, f'{entry.admin_url}/status')
+        if ready is None or status is None:
+            return 0
+        return int(status['usable_upstreams'])
+
+    def stop(self) -> None:
+        """Stop all processes; none is left behind."""
+        groups = (self.entries, self.agents, self.upstreams, self.platform)
+        for group in groups:
+            for node in group.values():
+                node.process.signal(signal.SIGCONT)
+                node.process.signal(signal.SIGTERM)
+            deadline = time.monotonic() + STOP_SECONDS
+            for node in group.values():
+                left = max(0.1, deadline - time.monotonic())
+                if node.process.wait(left) is None:
+                    node.process.kill()
+
+    def describe(self) -> dict[str, Any]:
+        """Return the system as `build/demo.json` has it."""
+        return {
+            'entries': [
+                _described(node, url=node.url, admin_url=node.admin_url)
+                for node in self.entries.values()
+            ],
+            'agents': [
+                _described(
+                    node,
+                    admin_url=node.admin_url,
+                    upstream=node.listed['labels']['upstream'],
+                )
+                for node in self.agents.values()
+            ],
+            'upstreams': [
+                _described(
+                    self.upstreams[place.name],
+                    kind=place.kind,
+                    url=self.upstreams[place.name].url,
+                    record_url=f'{self.upstreams[place.name].url}/record',
+                )
+                for place in self.deployment.upstreams
+            ],
+            'platform': [
+                {'name': name, 'pid': node.process.pid, 'url': node.url}
+                for name, node in self.platform.items()
+            ],
+            'client_accounts': self.describe_accounts(),
+            'models': [
+                model.name for model in self.deployment.configuration.models
+            ],
+            'routes': [
+                {
+                    'method': route.method,
+                    'path': route.path,
+                    'idempotent': route.idempotent,
+                    'open': route.open,
+                }
+                for route in self.deployment.configuration.routes
+            ],
+            'operator_settings': str(self.write_operator_settings()),
+        }
+
+    def describe_accounts(self) -> list[dict[str, Any]]:
+        """Return the client accounts with their keys and limits."""
+        return [
+            {
+                'name': contract.client_account,
+                'key': self.keys[contract.client_account].secret,
+                'key_id': self.keys[contract.client_account].key_id,
+                'tokens_per_second': contract.tokens_per_second,
+                'burst_tokens': contract.burst_tokens,
+            }
+            for contract in self.deployment.contracts
+        ]
+
+    def write_operator_settings(self) -> Path:
+        """Write the settings file for the operator commands."""
+        path = self.folder / 'operator.json'
+        path.write_text(json.dumps({'platform': self.platform_settings()}))
+        return path.resolve()
+
+
+def _described(node: Node, **more: Any) -> dict[str, Any]:
+    return {
+        'name': node.process.name,
+        'pid': node.process.pid,
+        **more,
+        'availability_zone': node.availability_zone,
+    }
--- /dev/null
+++ b/libs/entry/src/gypsumrelay_entry/actor.py
@@ -0,0 +1,202 @@
+"""Actor that owns the entry's view of the upstreams."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+import pykka
+from gypsumrelay_errors import Failure, NoUpstream
+from gypsumrelay_platform import ListedInstance
+from gypsumrelay_routing import (
+    Kind,
+    Member,
+    Placement,
+    PlacementRequest,
+    PlacementSettings,
+    UpstreamReport,
+    View,
+    commit,
+    place,
+    subset,
+)
+
+from gypsumrelay_entry import events
+
+if TYPE_CHECKING:
+    from gypsumrelay_wire import Address
+
+Policy = Callable[..., Any]
+
+
+@attrs.define
+class ViewState:
+    """What the actor knows.
+
+    Attributes:
+        name: The entry's name, by which its subset is chosen.
+        view: The upstreams' reports and the entry's commitments.
+        listed: The agents in the subset by upstream.
+        drained: Returns whether operators took an agent's upstream,
+            instance or zone out of service.
+    """
+
+    name: str
+    view: View
+    rng: random.Random
+    subset_size: int
+    drained: Callable[[ListedInstance], bool]
+    policy: Policy = place
+    settings: PlacementSettings = attrs.field(factory=PlacementSettings)
+    listed: dict[str, ListedInstance] = attrs.field(factory=dict)
+
+
+class EntryActor(pykka.ThreadingActor):
+    """Places requests on upstreams."""
+
+    use_daemon_thread = True
+
+    def __init__(self, state: ViewState) -> None:
+        """Take over the view."""
+        super().__init__()
+        self.state = state
+
+    def on_receive(self, message: Any) -> Any:
+        """Handle one event or question."""
+        handler = _HANDLERS.get(type(message))
+        return handler(self.state, message) if handler else None
+
+
+def _place(
+    state: ViewState,
+    event: events.Place,
+) -> events.Placed | Failure:
+    request = event.request
+    now = time.monotonic()
+    placement = state.policy(
+        state.view,
+        request,
+        state.rng,
+        state.settings,
+        now,
+    )
+    if isinstance(placement, Failure):
+        return placement
+    commit(state.view, placement, request, now)
+    return _placed(state, request, placement)
+
+
+def _take_listing(state: ViewState, event: events.ListingRead) -> None:
+    """Take over the agents of the entry's subset."""
+    pools: dict[tuple[str, str], list[ListedInstance]] = {}
+    for listed in event.listing.instances:
+        if listed.role == 'agent' and not listed.leaving:
+            pools.setdefault((listed.kind, listed.serves), []).append(listed)
+    state.listed = {}
+    for pool in pools.values():
+        chosen = _subset(state, pool)
+        state.listed.update(
+            (one.upstream, one) for one in pool if one.upstream in chosen
+        )
+    for upstream in list(state.view.upstreams):
+        if upstream not in state.listed:
+            state.view.forget(upstream)
+
+
+def _take_report(state: ViewState, event: events.LoadReported) -> None:
+    """Take over an agent's report of its upstream's load."""
+    report = event.report
+    listed = state.listed.get(report.upstream)
+    if listed is None or report.kind not in {kind.value for kind in Kind}:
+        return
+    state.view.observe(
+        UpstreamReport(
+            upstream=report.upstream,
+            kind=Kind(report.kind),
+            serves=report.serves,
+            availability_zone=listed.availability_zone,
+            free_slots=report.free_slots,
+            free_blocks=report.free_pieces,
+            waiting=report.waiting,
+            slots=report.slots,
+            decode_ms=report.decode_ms,
+            cold=report.cold,
+            draining=report.draining or state.drained(listed),
+            prefixes=tuple(report.prefixes),
+        ),
+        time.monotonic(),
+    )
+
+
+def _forget_instance(state: ViewState, event: events.LinkFailed) -> None:
+    """Stop using an agent until it reports again."""
+    for listed in state.listed.values():
+        if listed.name == event.instance:
+            state.view.forget(listed.upstream)
+
+
+def _wanted_peers(
+    state: ViewState,
+    event: events.WantedPeers,
+) -> list[Address]:
+    """Return the addresses that the entry keeps links to."""
+    return [listed.address for listed in state.listed.values()]
+
+
+def _subset(state: ViewState, pool: list[ListedInstance]) -> tuple[str, ...]:
+    members = [
+        Member(listed.upstream, listed.availability_zone) for listed in pool
+    ]
+    return subset(state.name, members, state.subset_size)
+
+
+def _placed(
+    state: ViewState,
+    request: PlacementRequest,
+    placement: Placement,
+) -> events.Placed | Failure:
+    main = state.listed.get(placement.upstream)
+    prefill = state.listed.get(placement.prefill or placement.upstream)
+    if main is None or prefill is None:
+        return NoUpstream('the chosen upstream has just left')
+    return events.Placed(
+        request.request_id,
+        _target(main),
+        _target(prefill),
+        placement.upstreams,
+    )
+
+
+def _target(listed: ListedInstance) -> events.Target:
+    return events.Target(listed.upstream, listed.name, listed.address)
+
+
+def _count_usable(state: ViewState, event: events.CountUsable) -> int:
+    now = time.monotonic()
+    return sum(
+        state.view.accepts_work(upstream, now)
+        for upstream in state.view.upstreams
+    )
+
+
+def _confirm(state: ViewState, event: events.AttemptGranted) -> None:
+    state.view.confirm(event.name, event.upstream)
+
+
+def _release(state: ViewState, event: events.AttemptEnded) -> None:
+    state.view.release(event.name, event.upstreams)
+
+
+_HANDLERS: Final[dict[type, Callable[[ViewState, Any], Any]]] = {
+    events.Place: _place,
+    events.WantedPeers: _wanted_peers,
+    events.CountUsable: _count_usable,
+    events.ListingRead: _take_listing,
+    events.LoadReported: _take_report,
+    events.AttemptGranted: _confirm,
+    events.AttemptEnded: _release,
+    events.LinkFailed: _forget_instance,
+}
--- /dev/null
+++ b/libs/entry/src/gypsumrelay_entry/answers.py
@@ -0,0 +1,119 @@
+"""Bodies of answers to callers."""
+
+from __future__ import annotations
+
+import json
+import time
+from http import HTTPStatus
+from typing import Any, Final
+
+import attrs
+from gypsumrelay_errors import Failure
+
+from gypsumrelay_entry.prompts import ModelRequest
+
+DONE: Final = b'data: [DONE]\n\n'
+
+Headers = list[tuple[str, str]]
+
+
+@attrs.frozen
+class AnswerHead:
+    """Identifies one answer in all its parts."""
+
+    request_id: str
+    model: str
+    is_chat: bool
+    created: int
+
+    def stream_prefix(self) -> bytes:
+        """Return the part of a stream event before the text.
+
+        Only the text differs between the events of one answer, so that a
+        batch of tokens costs one encoding of its text.
+        """
+        kind = 'chat.completion.chunk' if self.is_chat else 'text_completion'
+        head = json.dumps(self._identity(kind))[:-1]
+        field = '"delta": {"content": ' if self.is_chat else '"text": '
+        return f'data: {head}, "choices": [{{"index": 0, {field}'.encode()
+
+    def stream_suffix(self) -> bytes:
+        """Return the part of a stream event after the text."""
+        closing = '}' if self.is_chat else ''
+        return f'{closing}, "finish_reason": null}}]}}\n\n'.encode()
+
+    def stream_end(self, reason: str, usage: dict[str, int]) -> bytes:
+        """Return the last event of a stream before its end mark."""
+        kind = 'chat.completion.chunk' if self.is_chat else 'text_completion'
+        choice: dict[str, Any] = {'index': 0, 'finish_reason': reason}
+        choice['delta' if self.is_chat else 'text'] = {} if self.is_chat else ''
+        event = self._identity(kind) | {'choices': [choice], 'usage': usage}
+        return b'data: ' + json.dumps(event).encode() + b'\n\n'
+
+    def whole(self, text: str, reason: str, usage: dict[str, int]) -> bytes:
+        """Return the whole answer as JSON."""
+        kind = 'chat.completion' if self.is_chat else 'text_completion'
+        choice: dict[str, Any] = {'index': 0, 'finish_reason': reason}
+        if self.is_chat:
+            choice['message'] = {'role': 'assistant', 'content': text}
+        else:
+            choice['text'] = text
+        answer = self._identity(kind) | {'choices': [choice], 'usage': usage}
+        return json.dumps(answer).encode()
+
+    def _identity(self, kind: str) -> dict[str, Any]:
+        return {
+            'id': self.request_id,
+            'object': kind,
+            'created': self.created,
+            'model': self.model,
+        }
+
+
+def new_head(request_id: str, request: ModelRequest) -> AnswerHead:
+    """Return the head of the answer to a model request."""
+    return AnswerHead(
+        request_id,
+        request.model.name,
+        request.is_chat,
+        int(time.time()),
+    )
+
+
+def usage_of(prompt_tokens: int, output_tokens: int) -> dict[str, int]:
+    """Return the usage counts of an answer."""
+    return {
+        'prompt_tokens': prompt_tokens,
+        'completion_tokens': output_tokens,
+        'total_tokens': prompt_tokens + output_tokens,
+    }
+
+
+def failure_body(failure: Failure) -> bytes:
+    """Return a failure as JSON."""
+    return json.dumps(
+        {
+            'error': {
+                'code': failure.code,
+                'message': failure.sentence,
+                'outcome': failure.outcome.value,
+            },
+        },
+    ).encode()
+
+
+def failure_headers(failure: Failure, now: float) -> Headers:
+    """Return the headers of a failure's answer."""
+    headers = [('Content-Type', 'application/json')]
+    if failure.retry_at is not None:
+        seconds = max(1, round(failure.retry_at - now + 1 / 2))
+        headers.append(('Retry-After', str(seconds)))
+    return headers
+
+
+def status_line(code: int) -> str:
+    """Return the HTTP status line of a code."""
+    try:
+        return f'{code} {HTTPStatus(code).phrase}'
+    except ValueError:
+        return f'{code} Status'
--- /dev/null
+++ b/libs/entry/src/gypsumrelay_entry/attempts.py
@@ -0,0 +1,295 @@
+"""One attempt of a model request: reserve, prefill, decode."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from typing import Final
+
+import attrs
+from gypsumrelay_errors import (
+    Failure,
+    LinkClosed,
+    Outcome,
+    UpstreamFailed,
+)
+from gypsumrelay_wire import (
+    Cancel,
+    Decode,
+    Failed,
+    Finished,
+    Link,
+    Message,
+    Prefill,
+    Prefilled,
+    Reserve,
+    Reserved,
+    Tokens,
+    to_remaining_ms,
+    to_retry_at,
+)
+
+from gypsumrelay_entry.failures import failure_from
+from gypsumrelay_entry.mailboxes import (
+    Delivery,
+    LinkLost,
+    Mailbox,
+    no_progress,
+)
+from gypsumrelay_entry.prompts import ModelRequest
+
+MS_PER_SECOND: Final = 1000
+
+
+@attrs.frozen
+class AttemptPlan:
+    """Where and how one attempt runs.
+
+    Attributes:
+        number: Counts the attempts of the request.
+        decode: Link to the decode upstream's agent.
+        prefill: Link to the prefill upstream's agent.
+        prefixes: Digests of the prompt's full pieces.
+        reserve_deadline: When waiting for a place ends.
+        progress_seconds: How long a running step may show no progress.
+        weight: Weight of the client account in fair queues.
+    """
+
+    number: int
+    decode: Link
+    prefill: Link
+    prefixes: list[bytes]
+    reserve_deadline: float
+    progress_seconds: float
+    weight: int
+
+
+@attrs.define
+class Progress:
+    """What a request has emitted so far, over all its attempts."""
+
+    next_index: int = 0
+    prompt_tokens: int = 0
+    texts: list[bytes] = attrs.field(factory=list)
+
+    def emitted(self) -> str:
+        """Return the text that was emitted."""
+        return b''.join(self.texts).decode('utf-8', 'replace')
+
+
+@attrs.frozen
+class AttemptFailed:
+    """An attempt that ended without finishing the answer.
+
+    Attributes:
+        failure: What to tell the caller unless a retry follows.
+        link: The link that failed, where one did.
+        crashed_upstream: Whether the upstream died while it ran this.
+        retryable: Whether another attempt may succeed.
+    """
+
+    failure: Failure
+    link: Link | None = None
+    crashed_upstream: bool = False
+    retryable: bool = True
+
+
+@attrs.define
+class Attempt:
+    """State of one attempt; its messages come through the mailbox."""
+
+    plan: AttemptPlan
+    box: Mailbox
+    request: ModelRequest
+    client_account: str
+    progress: Progress
+
+    def run(self) -> Iterator[Tokens | Finished | AttemptFailed]:
+        """Yield token batches, then the finish or the failure."""
+        failed = self._reserve()
+        sent = failed or self._start()
+        if sent is not None:
+            self.cancel()
+            yield sent
+            return
+        yield from self._stream()
+
+    @property
+    def prompt(self) -> str:
+        """Return the prompt with what was emitted for it already."""
+        return self.request.prompt + self.progress.emitted()
+
+    def _start(self) -> AttemptFailed | None:
+        """Start the decode, after a prefill elsewhere where one is due."""
+        if self.plan.prefill is self.plan.decode:
+            sent = self._send_decode('', '', self.prompt)
+        else:
+            prefilled = self._prefill()
+            if isinstance(prefilled, AttemptFailed):
+                return prefilled
+            sent = self._send_decode(prefilled.handle, prefilled.source_url)
+        return AttemptFailed(sent, self.plan.decode) if sent else None
+
+    def cancel(self) -> None:
+        """End the attempt at both agents; memory there is freed."""
+        for link in (self.plan.decode, self.plan.prefill):
+            link.send(Cancel(self.box.request_id, self.plan.number))
+
+    def _reserve(self) -> AttemptFailed | None:
+        missing = {self.plan.decode, self.plan.prefill}
+        for link in tuple(missing):
+            failure = link.send(self._reserve_message(link))
+            if failure is not None:
+                return AttemptFailed(failure, link)
+        while missing:
+            arrived = self._expect(self.plan.reserve_deadline, 'a reservation')
+            if isinstance(arrived, AttemptFailed):
+                return arrived
+            if isinstance(arrived.message, Reserved):
+                missing.discard(arrived.link)
+        return None
+
+    def _reserve_message(self, link: Link) -> Reserve:
+        is_decode = link is self.plan.decode
+        request = self.request
+        done = self.progress.next_index
+        remaining = to_remaining_ms(
+            self.plan.reserve_deadline,
+            time.monotonic(),
+        )
+        return Reserve(
+            request_id=self.box.request_id,
+            attempt=self.plan.number,
+            client_account=self.client_account,
+            purpose='decode' if is_decode else 'prefill',
+            model=request.model.name,
+            prompt_tokens=request.prompt_tokens + done,
+            max_tokens=request.max_tokens - done if is_decode else 0,
+            prefixes=self.plan.prefixes,
+            priority=request.priority,
+            remaining_ms=remaining,
+            request_digest=request.digest,
+            cost=request.prompt_tokens + request.max_tokens,
+            weight=self.plan.weight,
+        )
+
+    def _prefill(self) -> Prefilled | AttemptFailed:
+        deadline = time.monotonic() + self.plan.progress_seconds
+        failure = self.plan.prefill.send(
+            Prefill(
+                self.box.request_id,
+                self.plan.number,
+                self.request.model.name,
+                self.prompt,
+                to_remaining_ms(deadline, time.monotonic()),
+            ),
+        )
+        if failure is not None:
+            return AttemptFailed(failure, self.plan.prefill)
+        while True:
+            arrived = self._expect(deadline, 'the prefill', self.plan.prefill)
+            if isinstance(arrived, AttemptFailed):
+                return arrived
+            if isinstance(arrived.message, Prefilled):
+                self._note_prompt(arrived.message)
+                return arrived.message
+
+    def _note_prompt(self, prefilled: Prefilled) -> None:
+        if not self.progress.prompt_tokens:
+            self.progress.prompt_tokens = prefilled.prompt_tokens
+
+    def _send_decode(
+        self,
+        handle: str,
+        source_url: str,
+        prompt: str = '',
+    ) -> LinkClosed | None:
+        request = self.request
+        now = time.monotonic()
+        deadline = now + self.plan.progress_seconds
+        return self.plan.decode.send(
+            Decode(
+                request_id=self.box.request_id,
+                attempt=self.plan.number,
+                handle=handle,
+                source_url=source_url,
+                first_index=self.progress.next_index,
+                max_tokens=request.max_tokens,
+                priority=request.priority,
+                remaining_ms=to_remaining_ms(deadline, now),
+                prompt=prompt,
+            ),
+        )
+
+    def _stream(self) -> Iterator[Tokens | Finished | AttemptFailed]:
+        while True:
+            deadline = time.monotonic() + self.plan.progress_seconds
+            arrived = self._expect(deadline, 'the decode', self.plan.decode)
+            if isinstance(arrived, AttemptFailed):
+                self.cancel()
+                yield arrived
+                return
+            event = self._accept(arrived.message)
+            if event is not None:
+                yield event
+            if isinstance(event, Finished):
+                return
+
+    def _accept(self, message: Message) -> Tokens | Finished | None:
+        """Return the message where it is the next of the answer."""
+        if isinstance(message, Prefilled):
+            self._note_prompt(message)
+        if isinstance(message, Tokens):
+            if message.first_index != self.progress.next_index:
+                return None
+            self.progress.next_index += message.count
+            self.progress.texts.append(message.text)
+            return message
+        if isinstance(message, Finished):
+            is_next = message.next_index == self.progress.next_index
+            return message if is_next else None
+        return None
+
+    def _expect(
+        self,
+        deadline: float,
+        what: str,
+        waits_for: Link | None = None,
+    ) -> Delivery | AttemptFailed:
+        """Return the next message of this attempt."""
+        while True:
+            arrived = self.box.wait(deadline)
+            if arrived is None:
+                return AttemptFailed(no_progress(what), waits_for)
+            if isinstance(arrived, Failure):
+                return AttemptFailed(arrived, retryable=False)
+            if isinstance(arrived, LinkLost):
+                lost = self._lost(arrived.link)
+                if lost is not None:
+                    return lost
+            elif self._is_current(arrived.message):
+                return self._checked(arrived)
+
+    def _lost(self, link: Link) -> AttemptFailed | None:
+        if link not in {self.plan.decode, self.plan.prefill}:
+            return None
+        failure = UpstreamFailed(
+            'the connection to the upstream was lost',
+            Outcome.failed,
+        )
+        return AttemptFailed(failure, link)
+
+    def _is_current(self, message: Message) -> bool:
+        return getattr(message, 'attempt', None) == self.plan.number
+
+    def _checked(self, arrived: Delivery) -> Delivery | AttemptFailed:
+        message = arrived.message
+        if not isinstance(message, Failed):
+            return arrived
+        retry_at = to_retry_at(message.retry_ms, time.monotonic())
+        failure = failure_from(message, retry_at)
+        return AttemptFailed(
+            failure,
+            arrived.link,
+            message.crashed_upstream,
+        )
--- /dev/null
+++ b/libs/entry/src/gypsumrelay_entry/callers.py
@@ -0,0 +1,71 @@
+"""Who sends a request: the key, its client account and contract."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+from gypsumrelay_configuration import (
+    Contract,
+    digest_of_key,
+    find_key,
+)
+from gypsumrelay_errors import (
+    ConfigurationStale,
+    Failure,
+    KeyMissing,
+    KeyUnknown,
+    KeyWithdrawn,
+)
+
+if TYPE_CHECKING:
+    from gypsumrelay_instance import Keeper
+    from gypsumrelay_settings import EvidenceSettings
+
+SCHEME: Final = 'bearer'
+RETRY_SECONDS: Final = 1.0
+
+
+@attrs.frozen
+class Caller:
+    """The sender of an authenticated request."""
+
+    key_digest: str
+    contract: Contract
+
+
+def authenticate(
+    environ: dict[str, Any],
+    keeper: Keeper,
+    evidence: EvidenceSettings,
+) -> Caller | Failure:
+    """Return the caller whose key came with a request."""
+    scheme, _, secret = environ.get('HTTP_AUTHORIZATION', '').partition(' ')
+    if scheme.lower() != SCHEME or not secret.strip():
+        return KeyMissing('the request carries no bearer key')
+    now = time.monotonic()
+    if now - keeper.confirmed_at > evidence.key_staleness_seconds:
+        return ConfigurationStale(
+            'this instance cannot confirm that the key is still valid',
+            retry_at=now + RETRY_SECONDS,
+        )
+    digest = digest_of_key(secret.strip())
+    withdrawn = check_key(digest, keeper)
+    if withdrawn is not None:
+        return withdrawn
+    key = find_key(keeper.state, digest)
+    contract = keeper.state.contracts.get(key.client_account) if key else None
+    if contract is None:
+        return KeyUnknown('no contract lists this key')
+    return Caller(digest, contract)
+
+
+def check_key(digest: str, keeper: Keeper) -> Failure | None:
+    """Return a failure where a key is unknown or withdrawn."""
+    key = find_key(keeper.state, digest)
+    if key is None:
+        return KeyUnknown('no contract lists this key')
+    if key.withdrawn:
+        return KeyWithdrawn('the key was withdrawn')
+    return None
--- /dev/null
+++ b/libs/entry/src/gypsumrelay_entry/context.py
@@ -0,0 +1,78 @@
+"""The parts of an entry that every request uses."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import TYPE_CHECKING, Any, Final, cast
+
+import attrs
+from gypsumrelay_errors import Failure
+from gypsumrelay_wire import Link
+
+from gypsumrelay_entry import events
+from gypsumrelay_entry.mailboxes import Mailboxes
+
+if TYPE_CHECKING:
+    import pykka
+    from gypsumrelay_instance import Keeper, Peers
+    from gypsumrelay_routing import PlacementRequest
+    from gypsumrelay_settings import EntrySettings
+    from gypsumrelay_telemetry import Metrics
+    from gypsumrelay_timeline import Recorder
+
+POLL_SECONDS: Final = 0.02
+
+
+@attrs.define
+class OpenRequests:
+    """Counts the requests that are open, for a graceful shutdown."""
+
+    count: int = 0
+    draining: bool = False
+    lock: threading.Lock = attrs.field(factory=threading.Lock)
+
+    def begin(self) -> None:
+        """Count a request in."""
+        with self.lock:
+            self.count += 1
+
+    def end(self) -> None:
+        """Count a request out."""
+        with self.lock:
+            self.count -= 1
+
+    def wait_until_none(self, deadline: float) -> bool:
+        """Wait for all requests to end; return whether they did."""
+        while self.count and time.monotonic() < deadline:
+            time.sleep(POLL_SECONDS)
+        return self.count == 0
+
+
+@attrs.define(eq=False)
+class Entry:
+    """One entry process."""
+
+    settings: EntrySettings
+    keeper: Keeper
+    peers: Peers
+    actor: pykka.ActorRef[Any]
+    metrics: Metrics
+    recorder: Recorder
+    mailboxes: Mailboxes = attrs.field(factory=Mailboxes)
+    open_requests: OpenRequests = attrs.field(factory=OpenRequests)
+
+    def place(
+        self,
+        request: PlacementRequest,
+    ) -> events.Placed | Failure:
+        """Ask the actor for a placement."""
+        placed: Any = self.actor.ask(events.Place(request))
+        return cast('events.Placed | Failure', placed)
+
+    def connect(self, target: events.Target) -> Link | Failure:
+        """Return a link to an agent; tell the actor where none opens."""
+        link = self.peers.connect(target.address)
+        if isinstance(link, Failure):
+            self.actor.tell(events.LinkFailed(target.instance))
+        return link
--- /dev/null
+++ b/libs/entry/src/gypsumrelay_entry/exchanges.py
@@ -0,0 +1,112 @@
+"""One HTTP exchange with a caller."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable, Iterator
+from typing import TYPE_CHECKING, Any, ClassVar
+
+import attrs
+from gypsumrelay_errors import (
+    BodyTooLarge,
+    Failure,
+    KeyWithdrawn,
+    Outcome,
+)
+
+from gypsumrelay_entry.answers import (
+    Headers,
+    failure_body,
+    failure_headers,
+    status_line,
+)
+from gypsumrelay_entry.callers import Caller, check_key
+
+if TYPE_CHECKING:
+    from gypsumrelay_entry.context import Entry
+    from gypsumrelay_entry.mailboxes import Check
+
+StartResponse = Callable[[str, Headers], Any]
+Chunks = Iterable[bytes]
+
+
+@attrs.frozen
+class CallerGone(Failure):
+    """The caller closed its connection; nobody reads the answer."""
+
+    code: ClassVar[str] = 'caller_gone'
+    http_status: ClassVar[int] = 499
+
+
+@attrs.frozen
+class Exchange:
+    """One HTTP exchange with a caller."""
+
+    entry: Entry
+    environ: dict[str, Any]
+    start_response: StartResponse
+    request_id: str
+
+    def refuse(self, failure: Failure) -> Chunks:
+        """Answer with a failure."""
+        name = 'entry.refused'
+        if failure.outcome is not Outcome.not_run:
+            name = 'entry.failed'
+        self.entry.metrics.count(name)
+        headers = failure_headers(failure, time.monotonic())
+        headers.append(('X-Request-Id', self.request_id))
+        self.start_response(status_line(failure.http_status), headers)
+        return [failure_body(failure)]
+
+    def begin(self, status: int, headers: Iterable[tuple[str, str]]) -> None:
+        """Send the status and headers of an answer."""
+        self.start_response(
+            status_line(status),
+            [*headers, ('X-Request-Id', self.request_id)],
+        )
+
+    def read_body(self) -> bytes | BodyTooLarge:
+        """Return the request's body, which waitress has read already."""
+        limit = self.entry.settings.caller.max_body_bytes
+        body: bytes = self.environ['wsgi.input'].read(limit + 1)
+        if len(body) > limit:
+            return BodyTooLarge(f'the body is over {limit} bytes')
+        return body
+
+    def check(self, caller: Caller | None) -> Check:
+        """Return the check that open requests repeat while they wait."""
+        is_gone = self.environ['waitress.client_disconnected']
+
+        def check_open() -> Failure | None:
+            if is_gone():
+                return CallerGone(
+                    'the caller closed its connection',
+                    Outcome.failed,
+                )
+            if caller is None:
+                return None
+            if check_key(caller.key_digest, self.entry.keeper) is None:
+                return None
+            return KeyWithdrawn('the key was withdrawn', Outcome.failed)
+
+        return check_open
+
+
+class Counted:
+    """Body of an answer; its request is open until the body is closed."""
+
+    def __init__(self, entry: Entry, chunks: Chunks) -> None:
+        """Wrap the chunks of a request that was counted in."""
+        self.entry = entry
+        self.chunks = chunks
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Return the chunks of the body."""
+        return iter(self.chunks)
+
+    def close(self) -> None:
+        """Count the request out; waitress calls this at the end."""
+        close = getattr(self.chunks, 'close', None)
+        if close is not None:
+            close()
+        self.entry.open_requests.end()
--- /dev/null
+++ b/libs/entry/src/gypsumrelay_entry/failures.py
@@ -0,0 +1,51 @@
+"""Failures that come from agents, and which of them end a request."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Final
+
+from gypsumrelay_errors import Failure, Outcome, UpstreamFailed
+
+if TYPE_CHECKING:
+    from gypsumrelay_wire import Failed
+
+_BY_CODE: Final = {kind.code: kind for kind in Failure.__subclasses__()}
+# Another attempt cannot help against these.
+FINAL_CODES: Final = frozenset(
+    (
+        'rate_exceeded',
+        'tokens_out_of_range',
+        'request_blamed',
+        'key_withdrawn',
+        'idempotency_key_reused',
+        'idempotency_key_running',
+        'outcome_unknown',
+        'claim_unavailable',
+    ),
+)
+RETRY_SECONDS: Final = 1.0
+
+
+def failure_from(message: Failed, retry_at: float | None) -> Failure:
+    """Return the typed failure in a message of an agent."""
+    kind = _BY_CODE.get(message.code, UpstreamFailed)
+    known = {outcome.value for outcome in Outcome}
+    outcome = message.outcome if message.outcome in known else 'unknown'
+    return kind(message.sentence, Outcome(outcome), retry_at)
+
+
+def is_final(failure: Failure) -> bool:
+    """Return whether a failure ends the request at once."""
+    return failure.code in FINAL_CODES
+
+
+def with_retry(failure: Failure) -> Failure:
+    """Return the failure with an instant to try again."""
+    if failure.retry_at is not None or is_final(failure):
+        return failure
+    return type(failure)(
+        failure.sentence,
+        failure.outcome,
+        time.monotonic() + RETRY_SECONDS,
+    )
--- /dev/null
+++ b/libs/entry/src/gypsumrelay_entry/modelrun.py
@@ -0,0 +1,168 @@
+"""A model request over all its attempts."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+import attrs
+from gypsumrelay_errors import Failure
+from gypsumrelay_routing import PlacementRequest
+from gypsumrelay_wire import Finished, Tokens
+
+from gypsumrelay_entry import events
+from gypsumrelay_entry.attempts import (
+    MS_PER_SECOND,
+    Attempt,
+    AttemptFailed,
+    AttemptPlan,
+    Progress,
+)
+from gypsumrelay_entry.failures import is_final, with_retry
+from gypsumrelay_entry.prompts import ModelRequest, prefix_digests
+
+if TYPE_CHECKING:
+    from gypsumrelay_entry.callers import Caller
+    from gypsumrelay_entry.context import Entry
+    from gypsumrelay_entry.mailboxes import Mailbox
+
+PIECE_TOKENS = 2000
+
+
+@attrs.define
+class ModelRun:
+    """One accepted model request."""
+
+    entry: Entry
+    caller: Caller
+    request: ModelRequest
+    box: Mailbox
+    accepted_at: float
+    progress: Progress = attrs.field(factory=Progress)
+    failed_upstreams: set[str] = attrs.field(factory=set)
+    attempts: int = 0
+
+    def run(self) -> Iterator[Tokens | Finished | Failure]:
+        """Yield token batches, then the finish or the final failure."""
+        while True:
+            self.attempts += 1
+            failed: AttemptFailed | None = None
+            for event in self._attempt():
+                if isinstance(event, AttemptFailed):
+                    failed = event
+                else:
+                    yield event
+            if failed is None:
+                return
+            if not self._may_retry(failed):
+                yield with_retry(failed.failure)
+                return
+            self.entry.metrics.count('entry.retries')
+
+    def queue_deadline(self) -> float:
+        """Return when a place must be found at the latest.
+
+        Until the first token, the contract's target decides; a request
+        that is resumed keeps its caller waiting as little as possible.
+        """
+        target = self.request.first_token_ms / MS_PER_SECOND
+        patience = self.entry.settings.routing.queue_seconds
+        if self.progress.next_index:
+            return time.monotonic() + patience
+        return self.accepted_at + max(target, patience)
+
+    def _attempt(self) -> Iterator[Tokens | Finished | AttemptFailed]:
+        prefixes = prefix_digests(self.request.prompt, PIECE_TOKENS)
+        placed = self.entry.place(self._wanted(prefixes))
+        if isinstance(placed, Failure):
+            yield AttemptFailed(placed, retryable=False)
+            return
+        plan = self._plan(placed, prefixes)
+        if isinstance(plan, AttemptFailed):
+            yield plan
+        else:
+            yield from self._run_plan(placed, plan)
+        self._end(placed)
+
+    def _run_plan(
+        self,
+        placed: events.Placed,
+        plan: AttemptPlan,
+    ) -> Iterator[Tokens | Finished | AttemptFailed]:
+        attempt = self._new_attempt(plan)
+        try:
+            for event in attempt.run():
+                if isinstance(event, AttemptFailed):
+                    self._note(placed, plan, event)
+                yield event
+        except GeneratorExit:
+            attempt.cancel()
+            self._end(placed)
+            raise
+
+    def _end(self, placed: events.Placed) -> None:
+        self.entry.actor.tell(
+            events.AttemptEnded(placed.name, placed.upstreams),
+        )
+
+    def _wanted(self, prefixes: list[bytes]) -> PlacementRequest:
+        done = self.progress.next_index
+        return PlacementRequest(
+            request_id=f'{self.box.request_id}.{self.attempts}',
+            serves=self.request.model.name,
+            deadline=self.queue_deadline(),
+            prompt_tokens=self.request.prompt_tokens + done,
+            max_tokens=self.request.max_tokens - done,
+            prefixes=tuple(prefixes),
+            excluded=frozenset(self.failed_upstreams),
+        )
+
+    def _plan(
+        self,
+        placed: events.Placed,
+        prefixes: list[bytes],
+    ) -> AttemptPlan | AttemptFailed:
+        decode = self.entry.connect(placed.main)
+        if isinstance(decode, Failure):
+            self.failed_upstreams.add(placed.main.upstream)
+            return AttemptFailed(decode)
+        prefill = self.entry.connect(placed.prefill)
+        if isinstance(prefill, Failure):
+            self.failed_upstreams.add(placed.prefill.upstream)
+            return AttemptFailed(prefill)
+        return AttemptPlan(
+            number=self.attempts,
+            decode=decode,
+            prefill=prefill,
+            prefixes=prefixes,
+            reserve_deadline=self.queue_deadline(),
+            progress_seconds=self.entry.settings.routing.progress_seconds,
+            weight=max(1, self.caller.contract.tokens_per_second),
+        )
+
+    def _new_attempt(self, plan: AttemptPlan) -> Attempt:
+        return Attempt(
+            plan,
+            self.box,
+            self.request,
+            self.caller.contract.client_account,
+            self.progress,
+        )
+
+    def _note(
+        self,
+        placed: events.Placed,
+        plan: AttemptPlan,
+        failed: AttemptFailed,
+    ) -> None:
+        """Exclude the upstream that failed from the next attempts."""
+        if failed.link is plan.decode:
+            self.failed_upstreams.add(placed.main.upstream)
+        elif failed.link is plan.prefill:
+            self.failed_upstreams.add(placed.prefill.upstream)
+
+    def _may_retry(self, failed: AttemptFailed) -> bool:
+        if not failed.retryable or is_final(failed.failure):
+            return False
+        return self.attempts < self.entry.settings.routing.max_attempts
--- /dev/null
+++ b/libs/entry/src/gypsumrelay_entry/process.py
@@ -0,0 +1,254 @@
+"""The entry process from start to graceful shutdown."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import threading
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+from gypsumrelay_configuration import is_drained
+from gypsumrelay_instance import (
+    AdminCallbacks,
+    Keeper,
+    PeerCallbacks,
+    Peers,
+    start_admin,
+    start_server,
+    wait_for_signal,
+)
+from gypsumrelay_platform import (
+    Callbacks,
+    Follower,
+    ListClient,
+    ListedInstance,
+    LogClient,
+)
+from gypsumrelay_routing import View
+from gypsumrelay_telemetry import new_metrics, set_up_logs
+from gypsumrelay_timeline import Recorder, Ring, Stamp, events_to_json
+from gypsumrelay_wire import Identity, Link, LoadReport, Message
+from logbook import Logger
+
+from gypsumrelay_entry import events
+from gypsumrelay_entry.actor import EntryActor, ViewState
+from gypsumrelay_entry.callerapi import caller_application
+from gypsumrelay_entry.context import Entry
+from gypsumrelay_entry.mailboxes import Mailboxes
+
+if TYPE_CHECKING:
+    import pykka
+    from gypsumrelay_errors import Failure
+    from gypsumrelay_settings import EntrySettings
+
+log = Logger('entry')
+
+MS_PER_SECOND: Final = 1000
+TICK_SECONDS: Final = 1.0
+BACKLOG: Final = 1024
+HEADROOM_THREADS: Final = 4
+# Bodies and answers stay in memory, since the instances have no disk.
+MEMORY_BUFFER_BYTES: Final = 268_435_456
+# A slow reader stops its own answer, not the process's memory.
+ANSWER_BUFFER_BYTES: Final = 1_048_576
+
+
+@attrs.define(eq=False)
+class Parts:
+    """The running parts of an entry process."""
+
+    entry: Entry
+    follower: Follower
+    caller_server: Any
+    admin_server: Any
+    stopped: threading.Event = attrs.field(factory=threading.Event)
+
+
+def run(settings: EntrySettings) -> None:
+    """Run an entry until a signal, then shut down gracefully."""
+    set_up_logs(settings.telemetry, settings.instance.name)
+    parts = start(settings)
+    log.info('Entry {} is ready.', settings.instance.name)
+    wait_for_signal()
+    stop(parts)
+
+
+def start(settings: EntrySettings) -> Parts:
+    """Start all parts of an entry."""
+    entry = _build(settings)
+    follower = _follower(entry)
+    follower.read_list()
+    follower.read_log()
+    follower.start()
+    caller = settings.caller
+    caller_server = start_server(
+        caller_application(entry),
+        (settings.instance.host, caller.port),
+        threads=caller.max_open_requests + HEADROOM_THREADS,
+        backlog=BACKLOG,
+        connection_limit=caller.max_open_requests * 4,
+        channel_timeout=int(caller.body_seconds) or 1,
+        channel_request_lookahead=1,
+        max_request_header_size=caller.max_header_bytes,
+        max_request_body_size=caller.max_body_bytes,
+        inbuf_overflow=MEMORY_BUFFER_BYTES,
+        outbuf_overflow=MEMORY_BUFFER_BYTES,
+        outbuf_high_watermark=ANSWER_BUFFER_BYTES,
+        send_bytes=1,
+        ident=None,
+    )
+    parts = Parts(entry, follower, caller_server, None)
+    parts.admin_server = start_admin(
+        _admin_callbacks(parts),
+        (settings.instance.host, settings.instance.admin_port),
+    )
+    threading.Thread(target=_tick, args=(parts,), daemon=True).start()
+    return parts
+
+
+def stop(parts: Parts) -> None:
+    """Stop taking requests, let the open ones end, then stop."""
+    settings = parts.entry.settings
+    parts.entry.open_requests.draining = True
+    log.info('Entry {} drains.', settings.instance.name)
+    deadline = time.monotonic() + settings.shutdown_seconds
+    done = parts.entry.open_requests.wait_until_none(deadline)
+    if not done:
+        log.warning('Requests were open at the end of the shutdown time.')
+    parts.stopped.set()
+    parts.follower.stop()
+    parts.caller_server.close()
+    parts.admin_server.close()
+    parts.entry.peers.close()
+    parts.entry.actor.stop()
+
+
+def _build(settings: EntrySettings) -> Entry:
+    keeper = Keeper()
+    recorder = Recorder(
+        settings.instance.name,
+        Ring(settings.telemetry.events_kept),
+        lambda: int(time.time() * MS_PER_SECOND),
+    )
+    mailboxes = Mailboxes()
+    actor = EntryActor.start(_view_state(settings, keeper))
+    identity = Identity(
+        settings.instance.name,
+        settings.instance.incarnation or secrets.token_hex(4),
+        'entry',
+        settings.instance.availability_zone,
+    )
+    peers = Peers(
+        identity=identity,
+        secret=settings.shared_secret.encode(),
+        keeper=keeper,
+        callbacks=_peer_callbacks(mailboxes, actor),
+        stamp=lambda: attrs.astuple(recorder.stamp()),
+        merge_stamp=lambda wall_ms, counter: recorder.observe(
+            Stamp(wall_ms, counter),
+        ),
+    )
+    return Entry(
+        settings,
+        keeper,
+        peers,
+        actor,
+        new_metrics(settings.telemetry),
+        recorder,
+        mailboxes,
+    )
+
+
+def _view_state(settings: EntrySettings, keeper: Keeper) -> ViewState:
+    def drained(listed: ListedInstance) -> bool:
+        state = keeper.state
+        return (
+            is_drained(state, 'zone', listed.availability_zone)
+            or is_drained(state, 'instance', listed.name)
+            or is_drained(state, 'upstream', listed.upstream)
+        )
+
+    return ViewState(
+        settings.instance.name,
+        View(settings.instance.availability_zone),
+        # Entries must choose differently, so that they do not herd.
+        random.Random(settings.instance.name),  # noqa: S311
+        settings.routing.subset,
+        drained,
+    )
+
+
+def _peer_callbacks(
+    mailboxes: Mailboxes,
+    actor: pykka.ActorRef[Any],
+) -> PeerCallbacks:
+    def on_message(link: Link, message: Message) -> None:
+        if isinstance(message, LoadReport):
+            actor.tell(events.LoadReported(message))
+        else:
+            mailboxes.deliver(link, message)
+
+    def on_close(link: Link, reason: Failure) -> None:
+        mailboxes.lose(link)
+        actor.tell(events.LinkFailed(link.peer.name))
+
+    return PeerCallbacks(on_message, on_close, lambda link: [])
+
+
+def _follower(entry: Entry) -> Follower:
+    platform = entry.settings.platform
+    callbacks = Callbacks(
+        on_batch=entry.keeper.apply_batch,
+        on_listing=lambda listing: entry.actor.tell(
+            events.ListingRead(listing),
+        ),
+        next_offset=entry.keeper.next_offset,
+    )
+    return Follower(
+        LogClient(platform.log_url),
+        ListClient(platform.list_url),
+        callbacks,
+    )
+
+
+def _tick(parts: Parts) -> None:
+    while not parts.stopped.wait(TICK_SECONDS):
+        keep_links(parts.entry)
+
+
+def keep_links(entry: Entry) -> None:
+    """Open missing links and send heartbeats on all."""
+    wanted: Any = entry.actor.ask(events.WantedPeers())
+    for address in wanted:
+        entry.peers.connect(address)
+    entry.peers.beat()
+    entry.metrics.gauge('entry.open', entry.open_requests.count)
+
+
+def _admin_callbacks(parts: Parts) -> AdminCallbacks:
+    entry = parts.entry
+
+    def status() -> dict[str, Any]:
+        identity = entry.peers.identity
+        return attrs.asdict(identity) | {
+            'offset': entry.keeper.state.offset,
+            'open_requests': entry.open_requests.count,
+            'draining': entry.open_requests.draining,
+            'usable_upstreams': entry.actor.ask(events.CountUsable()),
+        }
+
+    def ready() -> bool:
+        return (
+            not entry.open_requests.draining
+            and entry.keeper.state.configuration.version > 0
+        )
+
+    def drain() -> None:
+        entry.open_requests.draining = True
+
+    def recorded(query: str) -> list[Any]:
+        return events_to_json(entry.recorder.ring.snapshot())
+
+    return AdminCallbacks(status, ready, recorded, drain)
--- /dev/null
+++ b/libs/entry/src/gypsumrelay_entry/prompts.py
@@ -0,0 +1,208 @@
+"""Requests to models: parsing, size estimates and prefix digests."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from typing import Any, Final
+
+import attrs
+from gypsumrelay_configuration import Contract, Model, State, find_model
+from gypsumrelay_errors import (
+    BodyMalformed,
+    Failure,
+    ModelNotAllowed,
+    ModelUnknown,
+    TokensOutOfRange,
+)
+
+DEFAULT_OUTPUT_TOKENS: Final = 256
+DIGEST_BYTES: Final = 8
+REQUEST_DIGEST_BYTES: Final = 16
+# Waiting longer than ten minutes for a token is not a target.
+LOOSEST_TARGET_MS: Final = 600_000
+# A token has at most this many bytes on average in every text we serve, so
+# that the estimate stays an upper bound for text without spaces.
+BYTES_PER_TOKEN: Final = 8
+LOWEST_PRIORITY: Final = 9
+
+
+@attrs.frozen
+class ModelRequest:
+    """A checked request to a model."""
+
+    model: Model
+    prompt: str
+    is_chat: bool
+    stream: bool
+    prompt_tokens: int
+    max_tokens: int
+    priority: int
+    first_token_ms: int
+    between_tokens_ms: int
+    digest: bytes
+
+
+def parse_model_request(
+    body: bytes,
+    state: State,
+    contract: Contract,
+    *,
+    is_chat: bool,
+) -> ModelRequest | Failure:
+    """Return the model request in a body, or what is wrong with it."""
+    try:
+        raw = json.loads(body)
+    except (ValueError, RecursionError):
+        return BodyMalformed('the body is not JSON')
+    if not isinstance(raw, dict):
+        return BodyMalformed('the body is not a JSON object')
+    model = _allowed_model(raw.get('model'), state, contract)
+    if isinstance(model, Failure):
+        return model
+    prompt = _chat_prompt(raw) if is_chat else raw.get('prompt')
+    if isinstance(prompt, Failure):
+        return prompt
+    if not isinstance(prompt, str) or not prompt.strip():
+        return BodyMalformed('the prompt is not a text')
+    sizes = _sizes(raw, prompt, model, contract)
+    if isinstance(sizes, Failure):
+        return sizes
+    return ModelRequest(
+        model=model,
+        prompt=prompt,
+        is_chat=is_chat,
+        stream=raw.get('stream') is True,
+        prompt_tokens=sizes[0],
+        max_tokens=sizes[1],
+        priority=_loosen(raw, 'priority', contract.priority, LOWEST_PRIORITY),
+        first_token_ms=_loosen(raw, 'first_token_ms', contract.first_token_ms),
+        between_tokens_ms=_loosen(
+            raw,
+            'between_tokens_ms',
+            contract.between_tokens_ms,
+        ),
+        digest=request_digest(contract.client_account, body),
+    )
+
+
+def request_digest(client_account: str, body: bytes) -> bytes:
+    """Return the digest by which repeats of a request are recognized."""
+    digest = hashlib.blake2b(
+        client_account.encode(), digest_size=REQUEST_DIGEST_BYTES
+    )
+    digest.update(body)
+    return digest.digest()
+
+
+def estimate_tokens(text: str) -> int:
+    """Return an upper estimate of the tokens in a text."""
+    return max(len(text.split()), len(text.encode()) // BYTES_PER_TOKEN)
+
+
+def prefix_digests(prompt: str, piece_tokens: int) -> list[bytes]:
+    """Return the digest of each full piece of a prompt with all before it."""
+    words = prompt.split()
+    digests = []
+    digest = b''
+    for end in range(piece_tokens, len(words) + 1, piece_tokens):
+        piece = ' '.join(words[end - piece_tokens : end]).encode()
+        digest = hashlib.blake2b(
+            digest + piece,
+            digest_size=DIGEST_BYTES,
+        ).digest()
+        digests.append(digest)
+    return digests
+
+
+def _allowed_model(
+    name: object,
+    state: State,
+    contract: Contract,
+) -> Model | Failure:
+    if not isinstance(name, str):
+        return BodyMalformed('the model is not named')
+    model = find_model(state, name)
+    if model is None:
+        return ModelUnknown('there is no such model')
+    if name not in contract.models:
+        return ModelNotAllowed('the contract does not include this model')
+    return model
+
+
+def _chat_prompt(raw: dict[str, Any]) -> str | BodyMalformed:
+    messages = raw.get('messages')
+    if not isinstance(messages, list) or not messages:
+        return BodyMalformed('the messages are not a list')
+    lines = []
+    for message in messages:
+        text = _message_text(message)
+        if text is None:
+            return BodyMalformed('a message has no role or no content')
+        lines.append(text)
+    return '\n'.join(lines)
+
+
+def _message_text(message: object) -> str | None:
+    if not isinstance(message, dict):
+        return None
+    content = message.get('content')
+    role = message.get('role')
+    if isinstance(content, list):
+        content = _joined_parts(content)
+    if not isinstance(role, str) or not isinstance(content, str):
+        return None
+    return f'{role}: {content}'
+
+
+def _joined_parts(parts: list[Any]) -> str | None:
+    texts = []
+    for part in parts:
+        if not isinstance(part, dict):
+            return None
+        image = part.get('image_url')
+        text = image.get('url') if isinstance(image, dict) else None
+        text = part.get('text', text)
+        if not isinstance(text, str):
+            return None
+        texts.append(text)
+    return ' '.join(texts)
+
+
+def _sizes(
+    raw: dict[str, Any],
+    prompt: str,
+    model: Model,
+    contract: Contract,
+) -> tuple[int, int] | Failure:
+    prompt_tokens = estimate_tokens(prompt)
+    asked = raw.get('max_tokens', raw.get('max_completion_tokens'))
+    if asked is None:
+        asked = min(DEFAULT_OUTPUT_TOKENS, model.output_tokens)
+    if not isinstance(asked, int) or isinstance(asked, bool):
+        return BodyMalformed('max_tokens is not a whole number')
+    if asked < 1 or asked > model.output_tokens:
+        return TokensOutOfRange(f'max_tokens is 1 to {model.output_tokens}')
+    total = prompt_tokens + asked
+    if total > model.context_tokens:
+        return TokensOutOfRange(
+            f'the model holds {model.context_tokens} tokens'
+        )
+    if total > contract.burst_tokens:
+        return TokensOutOfRange(
+            f'the contract allows {contract.burst_tokens} tokens at once',
+        )
+    return prompt_tokens, asked
+
+
+def _loosen(
+    raw: dict[str, Any],
+    name: str,
+    contracted: int,
+    limit: int = LOOSEST_TARGET_MS,
+) -> int:
+    """Return the contract's target, or a looser one that was asked for."""
+    asked = raw.get(name)
+    if isinstance(asked, int) and not isinstance(asked, bool):
+        return min(max(asked, contracted), max(limit, contracted))
+    return contracted
--- /dev/null
+++ b/libs/entry/src/gypsumrelay_entry/servicerun.py
@@ -0,0 +1,184 @@
+"""A request to a plain service."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Generator, Iterator
+from typing import TYPE_CHECKING, Final
+
+import attrs
+from gypsumrelay_errors import (
+    Failure,
+    Outcome,
+    OutcomeUnknown,
+    UpstreamFailed,
+)
+from gypsumrelay_routing import PlacementRequest
+from gypsumrelay_wire import (
+    AnswerBody,
+    AnswerStart,
+    Call,
+    Cancel,
+    Failed,
+    Link,
+    to_remaining_ms,
+    to_retry_at,
+)
+
+from gypsumrelay_entry import events
+from gypsumrelay_entry.failures import failure_from, is_final, with_retry
+from gypsumrelay_entry.mailboxes import Delivery, LinkLost, Mailbox
+
+if TYPE_CHECKING:
+    from gypsumrelay_configuration import Route
+
+    from gypsumrelay_entry.context import Entry
+
+MS_PER_SECOND: Final = 1000
+
+Part = AnswerStart | AnswerBody
+Attempting = Generator[Part | Failure, None, Failure | None]
+
+
+@attrs.frozen
+class ServiceRequest:
+    """A request to a plain service, ready to be sent on."""
+
+    route: Route
+    client_account: str
+    method: str
+    path: str
+    headers: list[list[str]]
+    body: bytes
+    digest: bytes
+
+
+@attrs.define
+class ServiceRun:
+    """One accepted request to a plain service."""
+
+    entry: Entry
+    request: ServiceRequest
+    box: Mailbox
+    deadline: float
+    attempts: int = 0
+    received: int = 0
+    started: bool = False
+    failed_upstreams: set[str] = attrs.field(factory=set)
+
+    def run(self) -> Iterator[Part | Failure]:
+        """Yield the parts of the answer, or the final failure."""
+        while True:
+            self.attempts += 1
+            failure = yield from self._attempt()
+            if failure is None:
+                return
+            if not self._may_retry(failure):
+                yield with_retry(failure)
+                return
+            self.entry.metrics.count('entry.retries')
+
+    def _attempt(self) -> Attempting:
+        placed = self.entry.place(self._wanted())
+        if isinstance(placed, Failure):
+            return placed
+        link = self.entry.connect(placed.main)
+        if isinstance(link, Failure):
+            self.failed_upstreams.add(placed.main.upstream)
+            return UpstreamFailed(link.sentence)
+        try:
+            failure = yield from self._exchange(link)
+        except GeneratorExit:
+            link.send(Cancel(self.box.request_id, self.attempts))
+            raise
+        finally:
+            self.entry.actor.tell(
+                events.AttemptEnded(placed.name, placed.upstreams),
+            )
+        if failure is not None:
+            self.failed_upstreams.add(placed.main.upstream)
+        return failure
+
+    def _wanted(self) -> PlacementRequest:
+        return PlacementRequest(
+            request_id=f'{self.box.request_id}.{self.attempts}',
+            serves=self.request.route.service,
+            deadline=self.deadline,
+            service=True,
+            excluded=frozenset(self.failed_upstreams),
+        )
+
+    def _exchange(self, link: Link) -> Attempting:
+        sent = link.send(self._message())
+        if sent is not None:
+            return self._broken('the request could not be sent')
+        while True:
+            part = self._next_part(link)
+            if isinstance(part, Failure):
+                link.send(Cancel(self.box.request_id, self.attempts))
+                return part
+            yield part
+            if isinstance(part, AnswerBody) and part.last:
+                return None
+            self.started = True
+
+    def _next_part(self, link: Link) -> Part | Failure:
+        """Return the next part of the answer to this attempt."""
+        while True:
+            arrived = self.box.wait(self.deadline)
+            if arrived is None:
+                return self._broken('the upstream gave no answer in time')
+            if isinstance(arrived, Failure):
+                return arrived
+            if isinstance(arrived, LinkLost):
+                if arrived.link is link:
+                    return self._broken('the connection was lost')
+                continue
+            part = self._part_of(arrived)
+            if part is not None:
+                return part
+
+    def _part_of(self, arrived: Delivery) -> Part | Failure | None:
+        """Return the part in a delivery, or None for another attempt's."""
+        message = arrived.message
+        if getattr(message, 'attempt', None) != self.attempts:
+            return None
+        if isinstance(message, Failed):
+            retry_at = to_retry_at(message.retry_ms, time.monotonic())
+            return failure_from(message, retry_at)
+        if isinstance(message, (AnswerStart, AnswerBody)):
+            return message
+        return None
+
+    def _message(self) -> Call:
+        request = self.request
+        return Call(
+            request_id=self.box.request_id,
+            attempt=self.attempts,
+            client_account=request.client_account,
+            method=request.method,
+            path=request.path,
+            headers=request.headers,
+            body=request.body,
+            idempotent=request.route.idempotent,
+            cost=request.route.cost_tokens,
+            remaining_ms=to_remaining_ms(self.deadline, time.monotonic()),
+            request_digest=request.digest,
+        )
+
+    def _broken(self, sentence: str) -> Failure:
+        """Return the failure of an attempt that may have run."""
+        if self.request.route.idempotent:
+            return UpstreamFailed(sentence, Outcome.failed)
+        return OutcomeUnknown(sentence, Outcome.unknown)
+
+    def _may_retry(self, failure: Failure) -> bool:
+        if self.started or is_final(failure):
+            return False
+        if time.monotonic() >= self.deadline:
+            return False
+        if self.attempts >= self.entry.settings.routing.max_attempts:
+            return False
+        return self.request.route.idempotent or failure.outcome is (
+            Outcome.not_run
+        )
--- /dev/null
+++ b/libs/entry/src/gypsumrelay_entry/services.py
@@ -0,0 +1,129 @@
+"""Answers to requests for plain services."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from contextlib import closing
+from typing import Final
+
+from gypsumrelay_configuration import Route, find_route
+from gypsumrelay_errors import (
+    Failure,
+    RouteNotAllowed,
+    RouteUnknown,
+    UpstreamFailed,
+)
+from gypsumrelay_wire import AnswerBody, AnswerStart
+from logbook import Logger
+
+from gypsumrelay_entry.callers import Caller, authenticate
+from gypsumrelay_entry.exchanges import Chunks, Exchange
+from gypsumrelay_entry.headers import answer_headers, forwarded_headers
+from gypsumrelay_entry.prompts import request_digest
+from gypsumrelay_entry.servicerun import ServiceRequest, ServiceRun
+
+log = Logger('entry')
+
+MS_PER_SECOND: Final = 1000
+
+
+def call_service(exchange: Exchange) -> Chunks:
+    """Answer a request under a configured route."""
+    entry = exchange.entry
+    route = find_route(
+        entry.keeper.state,
+        exchange.environ['REQUEST_METHOD'],
+        exchange.environ['PATH_INFO'],
+    )
+    if route is None:
+        return exchange.refuse(RouteUnknown('no route has this path'))
+    caller = _authorize(exchange, route)
+    if isinstance(caller, Failure):
+        return exchange.refuse(caller)
+    body = exchange.read_body()
+    if isinstance(body, Failure):
+        return exchange.refuse(body)
+    account = caller.contract.client_account if caller else ''
+    request = _request(exchange, route, account, body)
+    box = entry.mailboxes.open(exchange.request_id, exchange.check(caller))
+    deadline = time.monotonic() + route.timeout_ms / MS_PER_SECOND
+    parts = _parts(exchange, ServiceRun(entry, request, box, deadline))
+    return _answer(exchange, parts)
+
+
+def _authorize(exchange: Exchange, route: Route) -> Caller | Failure | None:
+    """Return the caller, None on an open route, or a failure."""
+    if route.open:
+        return None
+    entry = exchange.entry
+    caller = authenticate(
+        exchange.environ,
+        entry.keeper,
+        entry.settings.evidence,
+    )
+    if isinstance(caller, Failure):
+        return caller
+    if route.name not in caller.contract.routes:
+        return RouteNotAllowed('the contract does not include this route')
+    return caller
+
+
+def _request(
+    exchange: Exchange,
+    route: Route,
+    account: str,
+    body: bytes,
+) -> ServiceRequest:
+    environ = exchange.environ
+    path = environ['PATH_INFO']
+    query = environ.get('QUERY_STRING')
+    return ServiceRequest(
+        route=route,
+        client_account=account,
+        method=environ['REQUEST_METHOD'],
+        path=f'{path}?{query}' if query else path,
+        headers=forwarded_headers(environ),
+        body=body,
+        digest=request_digest(account, path.encode() + body),
+    )
+
+
+def _parts(
+    exchange: Exchange,
+    run: ServiceRun,
+) -> Iterator[AnswerStart | AnswerBody | Failure]:
+    try:
+        yield from run.run()
+    finally:
+        exchange.entry.mailboxes.close(run.box)
+
+
+def _answer(
+    exchange: Exchange,
+    parts: Iterator[AnswerStart | AnswerBody | Failure],
+) -> Chunks:
+    first = next(parts, None)
+    if isinstance(first, Failure):
+        return exchange.refuse(first)
+    if not isinstance(first, AnswerStart):
+        return exchange.refuse(UpstreamFailed('the answer has no start'))
+    exchange.entry.metrics.count('entry.accepted')
+    exchange.begin(first.status, answer_headers(first.headers))
+    return _chunks(exchange, parts)
+
+
+def _chunks(
+    exchange: Exchange,
+    parts: Iterator[AnswerStart | AnswerBody | Failure],
+) -> Iterator[bytes]:
+    with closing(parts):  # type: ignore[type-var]
+        for part in parts:
+            if isinstance(part, AnswerBody):
+                yield part.chunk
+            elif isinstance(part, Failure):
+                # The status is sent, so only a cut connection can tell the
+                # caller that the answer is not whole.
+                log.warning('Answer broke off: {}.', part.sentence)
+                raise ConnectionError(part.sentence)
+        exchange.entry.metrics.count('entry.answered')
--- /dev/null
+++ b/libs/instance/src/gypsumrelay_instance/peers.py
@@ -0,0 +1,155 @@
+"""Links to other processes: one for each pair, with heartbeats."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+from gypsumrelay_errors import Failure, LinkClosed
+from gypsumrelay_wire import (
+    Address,
+    ConfigurationCopy,
+    ConfigurationRequest,
+    Endpoint,
+    Heartbeat,
+    Identity,
+    Link,
+    Message,
+    dial,
+)
+from logbook import Logger
+
+from gypsumrelay_instance.keeper import Keeper
+
+log = Logger('peers')
+
+HEARTBEAT_SECONDS: Final = 1.0
+# After a refused connection, attempts wait this long, so that a dead peer
+# costs each request one failure at most.
+REDIAL_SECONDS: Final = 0.5
+
+
+@attrs.frozen
+class PeerCallbacks:
+    """What the program does with links.
+
+    Attributes:
+        on_message: Gets every message that is not about the configuration,
+            heartbeats included.
+        on_close: Told once when a link closes.
+        greeting: Returns the messages to send with each heartbeat.
+    """
+
+    on_message: Callable[[Link, Message], None]
+    on_close: Callable[[Link, Failure], None]
+    greeting: Callable[[Link], list[Message]]
+
+
+@attrs.define(eq=False)
+class Peers:
+    """All open links of this process."""
+
+    identity: Identity
+    secret: bytes
+    keeper: Keeper
+    callbacks: PeerCallbacks
+    stamp: Callable[[], tuple[int, int]]
+    merge_stamp: Callable[[int, int], None]
+    dialed: dict[Address, Link] = attrs.field(factory=dict)
+    links: set[Link] = attrs.field(factory=set)
+    refused_until: dict[Address, float] = attrs.field(factory=dict)
+    locks: dict[Address, threading.Lock] = attrs.field(factory=dict)
+    lock: threading.Lock = attrs.field(factory=threading.Lock)
+
+    def endpoint(self) -> Endpoint:
+        """Return what a link of this process needs."""
+        return Endpoint(
+            self.identity,
+            self.secret,
+            self.on_message,
+            self.on_close,
+        )
+
+    def connect(self, address: Address) -> Link | Failure:
+        """Return the open link to an address, or open one."""
+        link = self.dialed.get(address)
+        if link is not None and not link.closed.is_set():
+            return link
+        with self.lock:
+            dialing = self.locks.setdefault(address, threading.Lock())
+        with dialing:
+            link = self.dialed.get(address)
+            if link is not None and not link.closed.is_set():
+                return link
+            return self._dial(address)
+
+    def adopt(self, link: Link) -> None:
+        """Keep a link that a peer opened."""
+        with self.lock:
+            self.links.add(link)
+        self._greet(link)
+
+    def on_message(self, link: Link, message: Message) -> None:
+        """Handle a message on any link."""
+        if isinstance(message, Heartbeat):
+            self._on_heartbeat(link, message)
+            self.callbacks.on_message(link, message)
+        elif isinstance(message, ConfigurationRequest):
+            if message.offset < self.keeper.state.offset:
+                offset = self.keeper.state.offset
+                copy = self.keeper.encode_copy()
+                link.send(ConfigurationCopy(offset, copy))
+        elif isinstance(message, ConfigurationCopy):
+            self.keeper.take_copy(message.state)
+        else:
+            self.callbacks.on_message(link, message)
+
+    def on_close(self, link: Link, reason: Failure) -> None:
+        """Forget a link that closed."""
+        with self.lock:
+            self.links.discard(link)
+        log.info('Link to {} closed: {}.', link.peer.name, reason.sentence)
+        self.callbacks.on_close(link, reason)
+
+    def beat(self) -> None:
+        """Send a heartbeat on every link."""
+        with self.lock:
+            links = list(self.links)
+        for link in links:
+            self._greet(link)
+
+    def close(self) -> None:
+        """Close all links."""
+        with self.lock:
+            links = list(self.links)
+        for link in links:
+            link.close(LinkClosed('this process shuts down'))
+
+    def _greet(self, link: Link) -> None:
+        wall_ms, counter = self.stamp()
+        link.send(Heartbeat(self.keeper.state.offset, wall_ms, counter))
+        for message in self.callbacks.greeting(link):
+            link.send(message)
+
+    def _on_heartbeat(self, link: Link, heartbeat: Heartbeat) -> None:
+        self.merge_stamp(heartbeat.clock_ms, heartbeat.clock_counter)
+        if self.keeper.note_peer(heartbeat.offset):
+            link.send(ConfigurationRequest(self.keeper.state.offset))
+
+    def _dial(self, address: Address) -> Link | Failure:
+        if time.monotonic() < self.refused_until.get(address, 0):
+            return LinkClosed('the peer refused connections just now')
+        link = dial(address, self.endpoint())
+        if isinstance(link, Failure):
+            retry_at = time.monotonic() + REDIAL_SECONDS
+            self.refused_until[address] = retry_at
+            return link
+        with self.lock:
+            self.dialed[address] = link
+            self.links.add(link)
+        link.start()
+        self._greet(link)
+        return link
--- a/libs/settings/src/gypsumrelay_settings/models.py
+++ b/libs/settings/src/gypsumrelay_settings/models.py
@@ -25,12 +25,22 @@
 
 @attrs.frozen
 class InstanceSettings:
-    """Who an instance is and where it listens."""
+    """Who an instance is and where it listens.
+
+    Attributes:
+        name: Name in the platform's list.
+        availability_zone: Where the instance runs.
+        host: IP address that it listens on.
+        admin_port: Port of the administration API.
+        incarnation: Given by the platform for each start of the process;
+            without one, the process draws its own.
+    """
 
     name: str
     availability_zone: str
     host: str
     admin_port: int = bounded(*PORT_RANGE)
+    incarnation: str = ''
 
 
 @attrs.frozen
--- a/libs/standins/src/gypsumrelay_standins/__init__.py
+++ b/libs/standins/src/gypsumrelay_standins/__init__.py
@@ -1,6 +1,6 @@
 """Stand-ins of the platform and upstreams."""
 
-from .engine import (
+from gypsumrelay_standins.engine import (
     Engine,
     EngineSettings,
     Kv,
@@ -10,30 +10,32 @@
     prefix_digests,
     word_for,
 )
-from .instance_list import (
+from gypsumrelay_standins.instance_list import (
     InstanceList,
 )
-from .log_service import (
+from gypsumrelay_standins.log_service import (
     LogFaults,
     LogService,
 )
-from .service import (
+from gypsumrelay_standins.service import (
     PlainService,
 )
-from .serving import (
+from gypsumrelay_standins.serving import (
+    Handler,
     Request,
     Response,
     application,
     serve,
     start,
 )
-from .weight_store import (
+from gypsumrelay_standins.weight_store import (
     WeightStore,
 )
 
 __all__ = (
     'Engine',
     'EngineSettings',
+    'Handler',
     'InstanceList',
     'Kv',
     'LogFaults',
--- a/libs/wire/src/gypsumrelay_wire/__init__.py
+++ b/libs/wire/src/gypsumrelay_wire/__init__.py
@@ -1,21 +1,22 @@
 """Messages and authenticated links between processes."""
 
-from .codec import (
+from gypsumrelay_wire.codec import (
     decode,
     encode,
 )
-from .deadlines import (
+from gypsumrelay_wire.deadlines import (
     to_deadline,
     to_remaining_ms,
     to_retry_at,
     to_retry_ms,
 )
-from .frames import (
+from gypsumrelay_wire.frames import (
+    FrameFault,
     FrameReader,
     FrameWriter,
     new_unpacker,
 )
-from .handshake import (
+from gypsumrelay_wire.handshake import (
     Hello,
     Identity,
     SessionKeys,
@@ -26,14 +27,17 @@
     proof,
     session_keys,
 )
-from .link import (
+from gypsumrelay_wire.link import (
+    Address,
     Endpoint,
     Link,
     Listener,
+    OnClose,
+    OnMessage,
     dial,
     listen,
 )
-from .messages import (
+from gypsumrelay_wire.messages import (
     AnswerBody,
     AnswerStart,
     Call,
@@ -62,6 +66,7 @@
 )
 
 __all__ = (
+    'Address',
     'AnswerBody',
     'AnswerStart',
     'Call',
@@ -78,6 +83,7 @@
     'Endpoint',
     'Failed',
     'Finished',
+    'FrameFault',
     'FrameReader',
     'FrameWriter',
     'Heartbeat',
@@ -87,6 +93,8 @@
     'Listener',
     'LoadReport',
     'Message',
+    'OnClose',
+    'OnMessage',
     'Prefill',
     'Prefilled',
     'Reserve',
--- a/libs/wire/src/gypsumrelay_wire/messages.py
+++ b/libs/wire/src/gypsumrelay_wire/messages.py
@@ -104,7 +104,10 @@
 
 @attrs.frozen
 class Decode(Message):
-    """Starts the decode of a reserved request at a token index."""
+    """Starts the decode of a reserved request at a token index.
+
+    With a prompt, the decode upstream computes the prefill itself.
+    """
 
     tag: ClassVar[int] = 7
     request_id: str
@@ -115,6 +118,7 @@
     max_tokens: int
     priority: int
     remaining_ms: int
+    prompt: str = ''
 
 
 @attrs.frozen
