Add the reservation ledger, reconciliation and cold ramp of an agent

Cause: an agent needs one tested place that decides which work its engine gets, so that no memory stays allocated and no cold engine is overloaded.

Change: gypsumrelay_upstreams has the ledger of reservations, the comparison with the engine's list of held runs, and the concurrency limit after a cold start. All are pure functions of state, event and time. An ended run counts against slots and blocks until the engine is known to have freed it.

--- /dev/null
+++ b/libs/upstreams/src/gypsumrelay_upstreams/capacity.py
@@ -0,0 +1,112 @@
+"""Slots and memory blocks that are taken and free."""
+
+from __future__ import annotations
+
+import math
+
+from gypsumrelay_upstreams.reservations import (
+    Footprint,
+    Ledger,
+    LedgerSettings,
+    Phase,
+    Purpose,
+    Reservation,
+    ReserveRequest,
+)
+
+
+def footprint_of(
+    settings: LedgerSettings,
+    request: ReserveRequest,
+) -> Footprint:
+    """Return the memory that a request takes.
+
+    Only blocks that the prompt fills can be shared.
+    """
+    tokens = request.prompt_tokens
+    if request.purpose is not Purpose.prefill:
+        tokens += request.max_tokens
+    pieces = math.ceil(tokens / settings.piece_tokens)
+    if not settings.shares_prefixes:
+        return Footprint(pieces)
+    full = request.prompt_tokens // settings.piece_tokens
+    shared = frozenset(request.prefixes[:full])
+    return Footprint(pieces - len(shared), shared)
+
+
+def used_pieces(ledger: Ledger) -> int:
+    """Return the blocks that are taken; shared ones count once."""
+    footprints = _footprints(ledger)
+    shared = frozenset[bytes]().union(*(taken.shared for taken in footprints))
+    private = sum(taken.private for taken in footprints)
+    return private + len(shared) + ledger.unowned_pieces
+
+
+def free_pieces(ledger: Ledger) -> int:
+    """Return the blocks that are free."""
+    return max(0, ledger.settings.pieces - used_pieces(ledger))
+
+
+def used_slots(ledger: Ledger) -> int:
+    """Return the slots that are reserved, in use or not yet freed."""
+    return len(ledger.places) + len(ledger.freeing) + len(ledger.unowned)
+
+
+def at_engine(ledger: Ledger) -> int:
+    """Return the runs that the engine may hold."""
+    running = sum(
+        place.phase is Phase.running for place in ledger.places.values()
+    )
+    return running + len(ledger.freeing) + len(ledger.unowned)
+
+
+def free_slots(ledger: Ledger) -> int:
+    """Return the slots that a new reservation can get now."""
+    if ledger.draining or ledger.superseded or not ledger.is_known:
+        return 0
+    return max(0, _limit(ledger) - used_slots(ledger))
+
+
+def fits(ledger: Ledger, reservation: Reservation) -> bool:
+    """Return whether a waiting reservation can have a place now."""
+    if ledger.superseded or not ledger.is_known:
+        return False
+    if used_slots(ledger) >= _limit(ledger) or _one_is_alone(ledger):
+        return False
+    if reservation.request.alone and used_slots(ledger):
+        return False
+    return added_pieces(ledger, reservation) <= free_pieces(ledger)
+
+
+def may_start(ledger: Ledger) -> bool:
+    """Return whether one more run keeps the limit.
+
+    The limit may have fallen since the place was granted.
+    """
+    return not ledger.superseded and at_engine(ledger) < _limit(ledger)
+
+
+def added_pieces(ledger: Ledger, reservation: Reservation) -> int:
+    """Return the blocks that a reservation takes beside the others."""
+    footprint = reservation.footprint
+    present = frozenset[bytes]().union(
+        *(taken.shared for taken in _footprints(ledger)),
+    )
+    return footprint.private + len(footprint.shared - present)
+
+
+def _limit(ledger: Ledger) -> int:
+    return min(ledger.limit, ledger.settings.slots)
+
+
+def _footprints(ledger: Ledger) -> list[Footprint]:
+    return [
+        *(place.footprint for place in ledger.places.values()),
+        *(freeing.footprint for freeing in ledger.freeing.values()),
+    ]
+
+
+def _one_is_alone(ledger: Ledger) -> bool:
+    return any(place.request.alone for place in ledger.places.values()) or any(
+        freeing.alone for freeing in ledger.freeing.values()
+    )
--- /dev/null
+++ b/libs/upstreams/src/gypsumrelay_upstreams/coldstart.py
@@ -0,0 +1,112 @@
+"""Concurrency limit of an upstream that may be cold.
+
+A cold engine fails under full load and says so late or not at all, so the
+limit grows only by completions, and slow completions lower it.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Final
+
+from gypsumrelay_upstreams.ramp import ColdRamp, RampSettings
+
+QUARTILE: Final = 0.25
+
+
+def new_ramp(settings: RampSettings, now: float) -> ColdRamp:
+    """Return the ramp of an agent that has just started."""
+    return ColdRamp(settings, settings.cold_limit, now)
+
+
+def restart(ramp: ColdRamp, now: float) -> None:
+    """Take note that the engine restarted or got other weights."""
+    ramp.baseline = 0
+    ramp.warm_count = 0
+    _fall(ramp, now)
+
+
+def is_cold(ramp: ColdRamp) -> bool:
+    """Return whether the engine is cold as far as is known."""
+    if not ramp.settings.reports_cold:
+        return False
+    return ramp.warm_count < ramp.settings.warm_reports
+
+
+def observe_report(
+    ramp: ColdRamp,
+    *,
+    cold: bool,
+    asked_at: float,
+    now: float,
+) -> None:
+    """Take over what the engine says, unless it was asked too early."""
+    if cold:
+        if not is_cold(ramp) or ramp.limit > ramp.settings.cold_limit:
+            _fall(ramp, now)
+        ramp.warm_count = 0
+    elif asked_at >= ramp.fell_at:
+        ramp.warm_count = min(
+            ramp.warm_count + 1,
+            ramp.settings.warm_reports,
+        )
+
+
+def observe_foreign_runs(ramp: ColdRamp, now: float) -> None:
+    """Take note of another agent beside the same upstream.
+
+    The other agent's limit is unknown here, so this one starts again; the
+    ledger counts the other's runs against the limit.
+    """
+    _fall(ramp, now)
+
+
+def observe_completion(
+    ramp: ColdRamp,
+    seconds_per_unit: float,
+    started_at: float,
+    now: float,
+) -> None:
+    """Raise or lower the limit by one completed request.
+
+    Args:
+        ramp: The ramp.
+        seconds_per_unit: Time per output token, or per uncached prompt
+            token of a prefill.
+        started_at: Instant at which the request was sent to the engine.
+        now: The present instant.
+    """
+    if started_at < ramp.fell_at or not _is_valid(seconds_per_unit):
+        return
+    if not ramp.baseline:
+        ramp.baseline = seconds_per_unit
+    ratio = seconds_per_unit / ramp.baseline
+    _move_baseline(ramp, seconds_per_unit)
+    if ratio > ramp.settings.slow_factor:
+        ramp.slow_count += 1
+    else:
+        ramp.slow_count = 0
+    if ramp.slow_count >= ramp.settings.slow_in_row:
+        _fall(ramp, now)
+    elif ratio <= ramp.settings.calm_factor and not is_cold(ramp):
+        ramp.limit = min(ramp.limit + 1, ramp.settings.slots)
+
+
+def _fall(ramp: ColdRamp, now: float) -> None:
+    ramp.limit = ramp.settings.cold_limit
+    ramp.fell_at = now
+    ramp.slow_count = 0
+
+
+def _move_baseline(ramp: ColdRamp, seconds: float) -> None:
+    """Move the estimate of the lower quartile by a bounded step."""
+    step = ramp.settings.baseline_step
+    if seconds > ramp.baseline:
+        ramp.baseline = min(seconds, ramp.baseline * (1 + step * QUARTILE))
+    else:
+        lower = ramp.baseline * (1 - step * (1 - QUARTILE))
+        ramp.baseline = max(seconds, lower)
+
+
+def _is_valid(seconds: float) -> bool:
+    return math.isfinite(seconds) and seconds > 0
--- /dev/null
+++ b/libs/upstreams/tests/steps/ledger_machine.py
@@ -0,0 +1,433 @@
+"""A stateful comparison of the ledger with a model engine."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import attrs
+from gypsumrelay_upstreams import (
+    CancelRun,
+    ColdRamp,
+    Delivered,
+    Ended,
+    EngineReport,
+    EngineRestarted,
+    Granted,
+    Key,
+    Ledger,
+    LedgerSettings,
+    RampSettings,
+    Refused,
+    ReserveRequest,
+    StartRun,
+    coldstart,
+    ledger,
+    reconciliation,
+)
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+SLOTS = 4
+COLD_LIMIT = 1
+PIECES = 8
+PIECE_TOKENS = 100
+REQUESTS = 6
+RECONCILIATIONS = 4
+SIZES = st.sampled_from([50, 150, 250, 350])
+NUMBERS = st.integers(0, 5)
+
+
+@attrs.define
+class ModelEngine:
+    """Runs with their blocks, private and shared."""
+
+    sharing: bool
+    held: dict[str, tuple[int, frozenset[bytes]]] = attrs.field(factory=dict)
+    incarnation: int = 0
+    cold: bool = True
+
+    def pieces(self) -> int:
+        """Return the blocks in use."""
+        shared = frozenset[bytes]().union(
+            *(blocks for _, blocks in self.held.values()),
+        )
+        return sum(own for own, _ in self.held.values()) + len(shared)
+
+    def land(self, run_id: str, request: ReserveRequest) -> None:
+        """Take a run in; the agent must have left room for it."""
+        tokens = request.prompt_tokens + request.max_tokens
+        blocks = math.ceil(tokens / PIECE_TOKENS)
+        full = request.prompt_tokens // PIECE_TOKENS
+        shared = frozenset(request.prefixes[:full] if self.sharing else ())
+        self.held[run_id] = (blocks - len(shared), shared)
+        assert len(self.held) <= SLOTS, 'more runs than slots'
+        assert self.pieces() <= PIECES, 'more blocks than the engine has'
+
+    def report(self, now: float) -> EngineReport:
+        """Return the state at this instant."""
+        return EngineReport(
+            frozenset(self.held),
+            self.pieces(),
+            self.cold,
+            str(self.incarnation),
+            now,
+        )
+
+
+@attrs.define
+class Seen:
+    """What the oracle has seen of one agent's work."""
+
+    newest: dict[str, int] = attrs.field(factory=dict)
+    dead: set[Key] = attrs.field(factory=set)
+    started: set[Key] = attrs.field(factory=set)
+    granted: set[Key] = attrs.field(factory=set)
+    next_index: dict[Key, int] = attrs.field(factory=dict)
+    run_ids: dict[str, Key] = attrs.field(factory=dict)
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Drives agent, engine and entries through failures in any order."""
+
+    sharing = False
+
+    def __init__(self) -> None:
+        """Start an agent at a cold engine."""
+        super().__init__()
+        self.now = 100.0
+        self.engine = ModelEngine(self.sharing)
+        self.agents = 0
+        self.newest_link = 0
+        self.requests: dict[Key, ReserveRequest] = {}
+        self.new_agent()
+
+    def new_agent(self) -> None:
+        """Start an agent with an empty ledger."""
+        self.agents += 1
+        self.state = Ledger(
+            LedgerSettings(
+                SLOTS,
+                PIECES,
+                PIECE_TOKENS,
+                shares_prefixes=self.sharing,
+            ),
+            f'agent{self.agents}',
+        )
+        self.ramp: ColdRamp = coldstart.new_ramp(
+            RampSettings(SLOTS, COLD_LIMIT),
+            self.now,
+        )
+        self.known_cold = True
+        self.starting: dict[str, tuple[Key, float]] = {}
+        self.cancels: list[str] = []
+        self.reports: list[EngineReport] = []
+        self.seen = Seen()
+        self.act(ledger.set_limit(self.state, self.ramp.limit, self.now))
+
+    @initialize()
+    def open_first_link(self) -> None:
+        """Open a link and look at the engine once."""
+        self.open_link()
+
+    def act(self, found: list[Any]) -> None:
+        """Check each action against the oracle and carry it out."""
+        for action in found:
+            if isinstance(action, StartRun):
+                self.check_start(action)
+            elif isinstance(action, Delivered):
+                self.check_tokens(action)
+            elif isinstance(action, CancelRun):
+                self.cancels.append(action.run_id)
+            else:
+                self.note(action)
+
+    def note(self, action: object) -> None:
+        """Note what the action says of a reservation or the engine."""
+        if isinstance(action, Granted):
+            self.seen.granted.add(action.key)
+        elif isinstance(action, (Ended, Refused)):
+            self.seen.dead.add(action.key)
+        elif isinstance(action, EngineRestarted):
+            coldstart.restart(self.ramp, self.now)
+
+    def check_start(self, action: StartRun) -> None:
+        """Check that the start is allowed."""
+        key = action.key
+        newest = self.seen.newest.get(key.request_id, 0)
+        assert key.attempt >= newest, 'an old attempt starts'
+        assert key not in self.seen.dead, 'an ended attempt starts'
+        assert key not in self.seen.started, 'an attempt starts twice'
+        self.seen.started.add(key)
+        self.seen.run_ids[action.run_id] = key
+        self.starting[action.run_id] = (key, self.now)
+        present = len(set(self.engine.held) | set(self.starting))
+        if self.known_cold:
+            assert present <= COLD_LIMIT, 'a cold engine is overloaded'
+        assert present <= SLOTS, 'more runs than slots'
+
+    def check_tokens(self, action: Delivered) -> None:
+        """Check that tokens come once, in order, from the live attempt."""
+        key = action.key
+        assert key not in self.seen.dead, 'tokens of an ended attempt'
+        newest = self.seen.newest.get(key.request_id, 0)
+        assert key.attempt >= newest, 'tokens of an old attempt'
+        assert action.first_index == self.seen.next_index.get(key, 0)
+        self.seen.next_index[key] = action.first_index + action.count
+
+    def key_near(self, name: str, change: int) -> Key:
+        """Return an attempt near the newest one of a request."""
+        newest = self.seen.newest.get(name, 0)
+        return Key(name, max(1, newest + change))
+
+    def see(self, key: Key) -> None:
+        """Note the attempt of a message before the agent handles it."""
+        newest = self.seen.newest.get(key.request_id, 0)
+        self.seen.newest[key.request_id] = max(newest, key.attempt)
+
+    @rule(
+        number=NUMBERS,
+        change=st.sampled_from([1, 1, 0, 0, -1]),
+        size=SIZES,
+        keyed=st.booleans(),
+        alone=st.sampled_from([False, False, False, True]),
+        blocks=st.integers(0, 2),
+    )
+    def reserve(
+        self,
+        number: int,
+        change: int,
+        size: int,
+        keyed: bool,
+        alone: bool,
+        blocks: int,
+    ) -> None:
+        """Send a new, repeated or old reservation."""
+        name = str(number % REQUESTS)
+        key = self.key_near(name, change)
+        request = ReserveRequest(
+            key,
+            'account',
+            self.now + 60,
+            prompt_tokens=size,
+            max_tokens=50,
+            prefixes=tuple(b'%d' % block for block in range(blocks)),
+            keyed=keyed,
+            alone=alone,
+        )
+        request = self.requests.setdefault(key, request)
+        if str(self.newest_link) in self.state.links:
+            self.see(key)
+        link = str(self.newest_link)
+        self.act(ledger.reserve(self.state, request, link, self.now))
+
+    @rule(number=NUMBERS)
+    def start_granted(self, number: int) -> None:
+        """Start some attempt, granted or not, live or not."""
+        keys = sorted(self.seen.granted | set(self.requests), key=str)
+        waiting = sorted(
+            self.seen.granted - self.seen.dead - self.seen.started, key=str
+        )
+        keys = waiting or keys
+        if keys:
+            key = keys[number % len(keys)]
+            self.see(key)
+            self.act(
+                ledger.start(self.state, key, 0, self.now + 100, self.now),
+            )
+
+    @rule(number=NUMBERS, ahead=st.integers(0, 1))
+    def cancel(self, number: int, ahead: int) -> None:
+        """Cancel an attempt, also one that was not seen yet."""
+        name = str(number % REQUESTS)
+        key = self.key_near(name, ahead)
+        self.see(key)
+        self.act(ledger.cancel(self.state, key, self.now))
+        self.seen.dead.add(key)
+
+    @precondition(lambda machine: machine.starting)
+    @rule(lost=st.sampled_from([False, False, False, True]))
+    def land_start(self, lost: bool) -> None:
+        """Let the oldest start reach the engine, or lose it."""
+        run_id, (key, _) = next(iter(self.starting.items()))
+        self.starting.pop(run_id)
+        if not lost:
+            self.engine.land(run_id, self.requests[key])
+
+    @precondition(lambda machine: machine.cancels)
+    @rule(outcome=st.sampled_from(['done', 'response lost', 'lost']))
+    def land_cancel(self, outcome: str) -> None:
+        """Let a cancel reach the engine; it or its response may be lost."""
+        run_id = self.cancels.pop(0)
+        if outcome == 'lost':
+            return
+        was_held = self.engine.held.pop(run_id, None) is not None
+        if was_held and outcome == 'done':
+            self.act(ledger.confirm_freed(self.state, run_id, self.now))
+
+    @precondition(lambda machine: machine.engine.held)
+    @rule(
+        number=NUMBERS,
+        outcome=st.sampled_from(['done', 'done', 'broken', 'lost']),
+    )
+    def finish_run(self, number: int, outcome: str) -> None:
+        """End a run in the engine; the response may be lost or broken."""
+        run_id = sorted(self.engine.held)[number % len(self.engine.held)]
+        self.engine.held.pop(run_id)
+        key = self.seen.run_ids.get(run_id)
+        if key is None or outcome == 'lost':
+            return
+        place = self.state.places.get(key)
+        if place is not None and place.run_id == run_id:
+            coldstart.observe_completion(
+                self.ramp,
+                1.0,
+                place.started_at,
+                self.now,
+            )
+        done = outcome == 'done'
+        self.act(ledger.release(self.state, key, self.now, finished=done))
+        self.act(ledger.set_limit(self.state, self.ramp.limit, self.now))
+
+    @precondition(lambda machine: machine.engine.held)
+    @rule(number=NUMBERS)
+    def break_stream(self, number: int) -> None:
+        """Lose the connection to a run that goes on in the engine."""
+        run_id = sorted(self.engine.held)[number % len(self.engine.held)]
+        key = self.seen.run_ids.get(run_id)
+        if key is not None:
+            self.act(
+                ledger.release(self.state, key, self.now, finished=False),
+            )
+
+    @precondition(lambda machine: machine.seen.run_ids)
+    @rule(number=NUMBERS, behind=st.sampled_from([0, 0, 0, 1]))
+    def send_tokens(self, number: int, behind: int) -> None:
+        """Pass on tokens of some run, also late or repeated ones."""
+        keys = sorted(self.seen.run_ids.values(), key=str)
+        key = keys[-1 - number % len(keys)]
+        first = max(0, self.seen.next_index.get(key, 0) - behind)
+        self.act(ledger.progress(self.state, key, first, 2))
+
+    @rule()
+    def take_report(self) -> None:
+        """Ask the engine for its state; the answer is under way."""
+        self.advance(0.01)
+        self.reports.append(self.engine.report(self.now))
+
+    @precondition(lambda machine: machine.reports)
+    @rule(number=NUMBERS)
+    def deliver_report(self, number: int) -> None:
+        """Deliver one of the reports under way, in any order."""
+        report = self.reports.pop(number % len(self.reports))
+        is_new = report.asked_at > self.state.asked_at
+        self.act(reconciliation.reconcile(self.state, report, self.now))
+        if is_new:
+            self.known_cold = report.cold
+            coldstart.observe_report(
+                self.ramp,
+                cold=report.cold,
+                asked_at=report.asked_at,
+                now=self.now,
+            )
+        self.act(ledger.set_limit(self.state, self.ramp.limit, self.now))
+
+    @rule(cold=st.sampled_from([False, False, True]))
+    def change_temperature(self, cold: bool) -> None:
+        """Warm the engine up, or let it fall cold silently."""
+        self.engine.cold = cold
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 1.0, 2.5]))
+    def advance(self, seconds: float) -> None:
+        """Let time pass; no start is under way longer than allowed."""
+        self.now += seconds
+        settling = self.state.settings.settling_seconds
+        for run_id, (_, sent_at) in list(self.starting.items()):
+            if sent_at + settling <= self.now:
+                self.starting.pop(run_id)
+        self.reports = [
+            report
+            for report in self.reports
+            if report.asked_at + settling > self.now
+        ]
+        if self.now % 2 < 1:
+            ledger.heartbeat(self.state, str(self.newest_link), self.now)
+        self.act(ledger.expire(self.state, self.now))
+
+    @rule()
+    def open_link(self) -> None:
+        """Connect an entry anew; the old link goes silent."""
+        self.newest_link += 1
+        ledger.open_link(self.state, str(self.newest_link), self.now)
+
+    @rule(back=st.integers(0, 1))
+    def lose_link(self, back: int) -> None:
+        """Lose a link, and resume kept work on the newest one."""
+        lost = str(self.newest_link - back)
+        self.act(ledger.lose_link(self.state, lost, self.now))
+        for key in list(self.state.places):
+            self.act(
+                ledger.adopt(
+                    self.state,
+                    key,
+                    str(self.newest_link),
+                    self.now,
+                ),
+            )
+
+    @rule()
+    def restart_engine(self) -> None:
+        """Lose all that the engine holds."""
+        self.engine.held.clear()
+        self.engine.incarnation += 1
+        self.engine.cold = True
+
+    @rule(landing=st.booleans())
+    def restart_agent(self, landing: bool) -> None:
+        """Replace the agent; its starts have reached the engine or not."""
+        for run_id, (key, _) in list(self.starting.items()):
+            if landing:
+                self.engine.land(run_id, self.requests[key])
+        self.requests.clear()
+        self.new_agent()
+        self.open_link()
+
+    @invariant()
+    def bookkeeping_matches(self) -> None:
+        """Check that nothing ended is still counted as live."""
+        live = set(self.state.places) | set(self.state.waiting)
+        assert not live & self.seen.dead, 'an ended reservation is live'
+        assert len(self.state.places) <= SLOTS
+
+    def teardown(self) -> None:
+        """Let all requests go; the engine must be empty soon after."""
+        for link in list(self.state.links):
+            self.act(ledger.lose_link(self.state, link, self.now))
+        for run_id, (key, _) in list(self.starting.items()):
+            self.engine.land(run_id, self.requests[key])
+        self.starting.clear()
+        self.now += 40
+        self.act(ledger.expire(self.state, self.now))
+        for _ in range(RECONCILIATIONS):
+            self.now += 1
+            report = self.engine.report(self.now)
+            self.cancels.clear()
+            self.act(reconciliation.reconcile(self.state, report, self.now))
+            for run_id in self.cancels:
+                self.engine.held.pop(run_id, None)
+        assert not self.engine.held, 'engine memory stays allocated'
+        assert not self.state.places
+        assert not self.state.waiting
+        assert not self.state.freeing, 'the ledger counts what is gone'
+
+
+class SharingMachine(LedgerMachine):
+    """The same with an engine that keeps common prefixes once."""
+
+    sharing = True
