--- /dev/null
+++ b/libs/limits/tests/drawers.feature
@@ -0,0 +1,94 @@
+Feature: A request gets its tokens wherever the shares together have them
+
+  The account's two shares have a rate of 5 and a burst of 20 tokens each.
+
+  Scenario: A share that covers the amount alone is enough
+    Guards against needless messages on the way to the first token.
+    Given a fleet with full shares
+    When an agent draws 20 tokens as "a"
+    Then "a" is admitted after 2 messages
+
+  Scenario: Parts of several shares make up one amount
+    Guards against rejections while the account's tokens are split.
+    Given a fleet with full shares
+    When an agent draws 33 tokens as "a"
+    Then "a" is admitted
+
+  Scenario: An amount that cannot be completed costs nothing
+    Guards against parts that stay charged after a rejection.
+    Given a fleet with full shares
+    When an agent draws 10 tokens as "a"
+    And an agent draws 35 tokens as "b"
+    Then "b" is rejected with "rate_exceeded" and 0.5 seconds to wait
+    When an agent draws 30 tokens as "c"
+    Then "c" is admitted
+
+  Scenario: A lost reply does not charge twice
+    Guards against a second charge by the repeated message.
+    Given a fleet with full shares
+    When an agent draws 15 tokens as "a" and the first reply is lost
+    Then "a" is admitted
+    And 25 tokens are left in all shares
+
+  Scenario: A draw without any reply ends at its deadline
+    Guards against requests that wait for ever, and against charges that
+    nobody settles when the replies come late.
+    Given a fleet with full shares
+    When an agent draws 15 tokens as "a" and replies take 2 seconds
+    Then "a" is rejected with "deadline_unreachable"
+    And 40 tokens are left in all shares
+
+  Scenario: A retry by another agent uses the draw of the first
+    Guards against a second charge for one request.
+    Given a fleet with full shares
+    When an agent draws 33 tokens as "a"
+    And the agent crashes and another retries "a"
+    Then "a" is admitted
+    And 7 tokens are left in all shares
+
+  Scenario: A retry after the settlement draws anew
+    Guards against work that runs on tokens that were refunded.
+    Given a fleet with full shares
+    When an agent draws 15 tokens as "a"
+    And "a" ends with 5 tokens used and is retried
+    Then "a" is admitted
+    And 20 tokens are left in all shares
+
+  Scenario: Of two draws that collect parts at once one is admitted
+    Guards against two draws that each hold a part and both give up.
+    Given a fleet with full shares
+    When two agents draw 30 tokens each in any of 200 message orders
+    Then every time exactly one is admitted
+
+  Scenario: An amount above the burst is rejected at once
+    Guards against a request that waits for what never comes.
+    Given a fleet with full shares
+    When an agent draws 41 tokens as "a"
+    Then "a" is rejected with "tokens_out_of_range"
+
+  Scenario: A settlement lost with its link is sent again
+    Guards against unused tokens that stay charged.
+    Given a fleet with full shares
+    When an agent draws 15 tokens as "a"
+    And "a" ends with 0 tokens used and the link loses the settlement
+    Then 40 tokens are left in all shares
+
+  Scenario: Unused tokens return to the shares that gave them
+    Guards against refunds above what a share gave.
+    Given a fleet with full shares
+    When an agent draws 33 tokens as "a"
+    And "a" ends with 25 tokens used
+    Then 15 tokens are left in all shares
+
+  Scenario: An account that uses less than its rate is not rejected
+    Guards against shares that run dry one by one.
+    Given a fleet with full shares
+    When agents draw 4 tokens 600 times at 0.9 of the rate
+    Then nothing is rejected
+
+  Scenario: Rate and burst hold under any faults
+    Guards against grants beyond the contract, work without a charge, and
+    rejections that one perfect counter would not have made, under crashes,
+    pauses, lost, copied and reordered messages, moved shares and changed
+    contracts.
+    Then 150 runs of 50 random steps hold against the oracle
--- /dev/null
+++ b/libs/limits/tests/fleet_model.py
@@ -0,0 +1,571 @@
+"""A fleet of agents that share one account, with faults, and its oracle."""
+
+from __future__ import annotations
+
+import bisect
+from collections import Counter
+from typing import Any
+
+import attrs
+from gypsumrelay_configuration import (
+    Accepted,
+    Contract,
+    ContractPut,
+    ShareAssigned,
+    ShareReleased,
+    State,
+    apply,
+)
+from gypsumrelay_errors import RateExceeded
+from gypsumrelay_limits import (
+    Admitted,
+    Agent,
+    Draw,
+    Drawer,
+    DrawOrder,
+    Granted,
+    Holder,
+    ListRead,
+    LogRead,
+    Member,
+    Placement,
+    Refused,
+    Rejected,
+    SendDraw,
+    assign,
+    confirm_list,
+    expire,
+    finish,
+    forget_drawer,
+    grant,
+    observe_account,
+    observe_list,
+    observe_share,
+    on_link_lost,
+    on_reply,
+    propose,
+    renew_evidence,
+    resize,
+    settle,
+    share_size,
+    start,
+    stop_granting,
+    tick,
+    void,
+)
+from gypsumrelay_settings import EvidenceSettings
+
+ACCOUNT = 'ikeja-post'
+SHARES = 2
+EVIDENCE = EvidenceSettings(
+    share_evidence_seconds=5,
+    list_lag_seconds=3,
+)
+ZONES = ('ikeja', 'lekki', 'yaba')
+# A share at one holder in one epoch.
+Place = tuple[Member, int]
+Levels = dict[int, tuple[Place, float]]
+# Tokens; above the sum of rounding errors, below any whole token.
+TOLERANCE = 0.01
+
+
+@attrs.define
+class Charge:
+    """A grant as the oracle saw it."""
+
+    at: float
+    tokens: int
+    request: str
+    share: int
+    place: Place
+    refunded: float = 0
+
+
+@attrs.define
+class Request:
+    """A request as the oracle saw it."""
+
+    agent: Member
+    order: DrawOrder
+    started_at: float
+    held_at_start: Levels
+    admitted: bool = False
+    ended: bool = False
+    ran: int | None = None
+    failure: Any = None
+
+
+class Process:
+    """One agent: its libraries and what it has read."""
+
+    def __init__(self, member: Member, zone: str) -> None:
+        """Start with nothing read."""
+        self.agent = Agent(member, zone)
+        self.member = member
+        self.holder = Holder(EVIDENCE)
+        self.drawer = Drawer(member)
+        self.placement = Placement(member, EVIDENCE)
+        self.state = State()
+        self.list_version = -1
+        self.listed: set[Member] = set()
+        self.paused = False
+        self.log_cut = False
+        self.list_cut = False
+
+
+class Fleet:
+    """Processes, platform, network and the oracle's records."""
+
+    def __init__(self, rate: int = 10, burst: int = 40) -> None:
+        """Start four agents in three zones."""
+        self.now = 100.0
+        self.log: list[tuple[float, Any]] = []
+        self.lists: list[tuple[float, tuple[Agent, ...]]] = []
+        self.platform = State()
+        self.network: list[tuple[Member, Member, Any]] = []
+        self.processes: dict[Member, Process] = {}
+        self.requests: dict[str, Request] = {}
+        self.charges: dict[tuple[str, Place], Charge] = {}
+        self.terms: list[tuple[float, float, float]] = []
+        self.started = 0
+        self.log_is_down = False
+        self.counts: Counter[str] = Counter()
+        self.put_contract(rate, burst)
+        for index in range(4):
+            self.add_process(ZONES[index % len(ZONES)])
+
+    # Platform
+
+    def append(self, record: Any) -> bool:
+        """Append a record; return whether the reducer accepts it."""
+        if self.log_is_down:
+            return False
+        self.log.append((self.now, record))
+        verdict = apply(self.platform, len(self.log) - 1, record)
+        return isinstance(verdict, Accepted)
+
+    def put_contract(self, rate: int, burst: int) -> None:
+        """Change the contract."""
+        version = self.platform.contract_versions.get(ACCOUNT, 0)
+        contract = Contract(ACCOUNT, rate, burst)
+        self.append(ContractPut('c', version, contract))
+
+    def add_process(self, zone: str) -> Process:
+        """Start an agent and list it."""
+        self.started += 1
+        member = Member(f'{zone}-{self.started}', '1')
+        process = Process(member, zone)
+        self.processes[member] = process
+        self.set_list((*self.newest_list(), process.agent))
+        return process
+
+    def newest_list(self) -> tuple[Agent, ...]:
+        """Return the true list."""
+        return self.lists[-1][1] if self.lists else ()
+
+    def set_list(self, agents: tuple[Agent, ...]) -> None:
+        """Publish a version of the list."""
+        self.lists.append((self.now, agents))
+
+    def unlist(self, process: Process) -> None:
+        """Take an agent out of the list, whether it still runs or not."""
+        rest = [one for one in self.newest_list() if one != process.agent]
+        self.set_list(tuple(rest))
+
+    def crash(self, process: Process) -> None:
+        """End a process with everything in its memory."""
+        self.processes.pop(process.member)
+        self.unlist(process)
+
+    # Reads
+
+    def read_log(self, process: Process, delay: float = 0) -> None:
+        """Let a read of the log end now that started `delay` ago."""
+        started_at = self.now - delay
+        known = process.state.offset
+        times = [at for at, _ in self.log]
+        end = bisect.bisect_right(times, started_at)
+        for offset in range(known + 1, end):
+            self.apply_record(process, offset, self.log[offset][1])
+        renew_evidence(process.holder, LogRead(started_at), self.now)
+        self.note_terms()
+
+    def apply_record(self, process: Process, offset: int, record: Any) -> None:
+        """Apply a record as the agent program does."""
+        before = dict(process.state.shares)
+        if not isinstance(apply(process.state, offset, record), Accepted):
+            return
+        contract = process.state.contracts[ACCOUNT]
+        if isinstance(record, ContractPut):
+            resize(process.holder, contract, SHARES, self.now)
+            observe_account(process.placement, ACCOUNT, SHARES, self.now)
+            return
+        name = f'{ACCOUNT}/{record.number}'
+        share = process.state.shares[name]
+        earlier = before.get(name)
+        observe_share(process.placement, share, self.now)
+        if Member(share.holder, share.incarnation) == process.member:
+            assign(
+                process.holder,
+                share,
+                share_size(contract, SHARES, share.number),
+                self.now,
+                released=earlier is None or not earlier.holder,
+            )
+        else:
+            void(process.holder, share)
+
+    def read_list(
+        self,
+        process: Process,
+        lag: float = 0,
+        delay: float = 0,
+    ) -> None:
+        """Let a read of the list end now; it shows the past by its lag."""
+        started_at = self.now - delay
+        seen_at = started_at - min(lag, EVIDENCE.list_lag_seconds)
+        times = [at for at, _ in self.lists]
+        version = max(0, bisect.bisect_right(times, seen_at) - 1)
+        if version > process.list_version:
+            process.list_version = version
+            agents = self.lists[version][1]
+            members = {agent.member for agent in agents}
+            for member in process.listed - members:
+                forget_drawer(process.holder, member)
+            process.listed = members
+            observe_list(process.placement, agents, started_at, self.now)
+        elif version == process.list_version:
+            confirm_list(process.placement, started_at, self.now)
+        else:
+            return
+        live = process.member in process.listed
+        renew_evidence(process.holder, ListRead(started_at, live), self.now)
+
+    def note_terms(self) -> None:
+        """Record the greatest terms that any holder of a share applies."""
+        applied = [
+            process.state.contracts[ACCOUNT]
+            for process in self.processes.values()
+            if process.holder.shares
+        ] or [self.platform.contracts[ACCOUNT]]
+        rate = max(contract.tokens_per_second for contract in applied)
+        burst = max(contract.burst_tokens for contract in applied)
+        last = self.terms[-1][1:] if self.terms else None
+        if last != (rate, burst):
+            self.terms.append((self.now, rate, burst))
+
+    # Work
+
+    def request(
+        self,
+        process: Process,
+        tokens: int,
+        seconds: float = 1,
+        name: str = '',
+    ) -> str:
+        """Start a draw; a name given before is a retry elsewhere."""
+        draw_id = name or f'r{len(self.requests)}'
+        holders: list[Member | None] = [None for _ in range(SHARES)]
+        for share in process.state.shares.values():
+            if share.holder:
+                member = Member(share.holder, share.incarnation)
+                holders[share.number] = member
+        contract = process.state.contracts.get(ACCOUNT)
+        if contract is None:
+            return draw_id
+        order = DrawOrder(
+            draw_id,
+            contract,
+            tuple(holders),
+            tokens,
+            self.now + seconds,
+            retry=bool(name),
+        )
+        self.requests[draw_id] = Request(
+            process.member,
+            order,
+            self.now,
+            self.held(order.holders),
+        )
+        self.act(process, start(process.drawer, order, self.now))
+        return draw_id
+
+    def held(self, holders: tuple[Member | None, ...]) -> Levels:
+        """Return what a perfect counter sees at each reachable share."""
+        found = {}
+        for number, member in enumerate(holders):
+            process = self.processes.get(member) if member else None
+            if member is None or process is None or process.paused:
+                continue
+            share = process.holder.shares.get((ACCOUNT, number))
+            if share is None or process.holder.draining:
+                continue
+            level = self.level(process, number)
+            place = (member, share.epoch)
+            collecting = self.charges.get((share.collecting, place))
+            # Tokens of a draw that may still be given up count as there.
+            if collecting and self.now < share.collecting_until:
+                level += collecting.tokens
+            found[number] = (place, level)
+        return found
+
+    def end(self, draw_id: str, used: int) -> None:
+        """Finish a request with some use of its tokens."""
+        request = self.requests[draw_id]
+        process = self.processes.get(request.agent)
+        if process is None or request.ended:
+            return
+        request.ended = True
+        if request.admitted:
+            request.ran = min(used, request.order.tokens)
+        ran = request.ran or 0
+        self.act(process, finish(process.drawer, draw_id, ran, self.now))
+
+    def act(self, process: Process, actions: list[Any]) -> None:
+        """Carry out a drawer's actions."""
+        for action in actions:
+            if isinstance(action, Admitted):
+                request = self.requests[action.draw_id]
+                request.admitted = True
+                self.counts['admitted'] += 1
+                self.check_charged(action.draw_id)
+            elif isinstance(action, Rejected):
+                self.requests[action.draw_id].ended = True
+                self.requests[action.draw_id].failure = action.failure
+                self.counts[type(action.failure).__name__] += 1
+                self.check_rejected(action)
+            elif isinstance(action, SendDraw):
+                self.post(process.member, action.holder, action.draw)
+            else:
+                self.post(process.member, action.holder, action.settlement)
+
+    def post(self, sender: Member, receiver: Member, message: Any) -> None:
+        """Put a message on the network."""
+        self.network.append((sender, receiver, message))
+
+    def deliver(self, index: int = 0, *, keep: bool = False) -> None:
+        """Deliver one message; `keep` leaves a copy on the network."""
+        sender, receiver, message = self.network[index]
+        if not keep:
+            self.network.pop(index)
+        process = self.processes.get(receiver)
+        if process is None:
+            return
+        self.counts['messages'] += 1
+        if process.paused:
+            self.network.append((sender, receiver, message))
+        elif isinstance(message, (Granted, Refused)):
+            reply = on_reply(process.drawer, message, self.now)
+            self.act(process, reply)
+        elif isinstance(message, Draw):
+            answer = self.grant(process, message)
+            self.post(receiver, sender, answer)
+        else:
+            self.settle(process, message)
+
+    def deliver_all(self) -> None:
+        """Deliver in order until nothing moves."""
+        for _ in range(400):
+            movable = [
+                index
+                for index, (_, receiver, _) in enumerate(self.network)
+                if receiver not in self.processes
+                or not self.processes[receiver].paused
+            ]
+            if not movable:
+                return
+            self.deliver(movable[0])
+        raise AssertionError('messages never end')
+
+    def grant(self, process: Process, message: Draw) -> Granted | Refused:
+        """Let a holder answer a draw, and record a new charge."""
+        answer = grant(process.holder, message, self.now)
+        share = process.holder.shares.get((ACCOUNT, message.key.share))
+        if not isinstance(answer, Granted) or share is None:
+            return answer
+        place = (process.member, share.epoch)
+        known = self.charges.get((message.key.draw_id, place))
+        if known is None:
+            self.charges[message.key.draw_id, place] = Charge(
+                self.now,
+                answer.tokens,
+                message.key.draw_id.partition('~')[0],
+                message.key.share,
+                place,
+            )
+        else:
+            assert known.tokens == answer.tokens, 'a repeat changed the grant'
+        self.check_share(process)
+        return answer
+
+    def settle(self, process: Process, message: Any) -> None:
+        """Let a holder settle a draw, and record the refund."""
+        share = process.holder.shares.get((ACCOUNT, message.key.share))
+        before = self.level(process, message.key.share)
+        settle(process.holder, message, self.now)
+        refund = self.level(process, message.key.share) - before
+        if share is None or refund <= 0:
+            return
+        known = self.charges[message.key.draw_id, (process.member, share.epoch)]
+        known.refunded += refund
+        assert known.refunded <= known.tokens + TOLERANCE, 'refunded twice'
+        self.check_charged(known.request)
+
+    def level(self, process: Process, number: int) -> float:
+        """Return a share's level now."""
+        share = process.holder.shares.get((ACCOUNT, number))
+        if share is None:
+            return 0
+        elapsed = max(0, self.now - share.bucket.refilled_at)
+        grown = share.bucket.level + elapsed * share.bucket.size.rate
+        return min(grown, share.bucket.size.burst)
+
+    def step(self, seconds: float) -> None:
+        """Let time pass and every running process do its regular work."""
+        self.now += seconds
+        for process in list(self.processes.values()):
+            if process.paused:
+                continue
+            if not (process.log_cut or self.log_is_down):
+                self.read_log(process)
+            if not process.list_cut:
+                self.read_list(process)
+            self.propose(process)
+            self.act(process, tick(process.drawer, self.now))
+            expire(process.holder, self.now)
+
+    def propose(self, process: Process) -> None:
+        """Let an agent propose itself."""
+        for proposal in propose(process.placement, self.now):
+            member = process.member
+            record = ShareAssigned(
+                'p',
+                proposal.client_account,
+                proposal.number,
+                proposal.epoch,
+                member.name,
+                member.incarnation,
+            )
+            self.counts['assigned'] += self.append(record)
+
+    def release(self, process: Process) -> None:
+        """Shut a holder down gracefully."""
+        stop_granting(process.holder)
+        for (_, number), share in process.holder.shares.items():
+            self.append(ShareReleased('r', ACCOUNT, number, share.epoch))
+
+    def lose_link(self, one: Process, other: Member) -> None:
+        """Lose all messages between two agents."""
+        pair = {one.member, other}
+        self.network = [
+            entry for entry in self.network if {entry[0], entry[1]} != pair
+        ]
+        self.act(one, on_link_lost(one.drawer, other, self.now))
+
+    # Oracle
+
+    def ran(self, draw_id: str) -> int:
+        """Return the tokens that a request may have run."""
+        request = self.requests[draw_id]
+        if not request.admitted:
+            return 0
+        return request.order.tokens if request.ran is None else request.ran
+
+    def check_charged(self, draw_id: str) -> None:
+        """Check that a request's tokens are charged and not refunded."""
+        net = sum(
+            charge.tokens - charge.refunded
+            for charge in self.charges.values()
+            if charge.request == draw_id
+        )
+        ran = self.ran(draw_id)
+        assert net >= ran - TOLERANCE, f'{draw_id}: {ran} ran, {net} charged'
+
+    def check_share(self, process: Process) -> None:
+        """Check that no share can give more than its burst."""
+        for share in process.holder.shares.values():
+            bucket = share.bucket
+            total = bucket.level + sum(bucket.refundable.values())
+            assert total <= bucket.size.burst + TOLERANCE, total
+
+    def check_bound(self) -> None:
+        """Check rate and burst over every interval between grants.
+
+        A request's tokens count at the instants of its grants, as many of
+        each part as it ran, in the order that lets the most count late.
+        """
+        grants = sorted(self.spent())
+        for first, (begin, _) in enumerate(grants):
+            total = float(0)
+            for at, tokens in grants[first:]:
+                total += tokens
+                allowed = self.allowed(begin, at)
+                assert total <= allowed + TOLERANCE, (
+                    f'{total} ran in {begin}..{at}, {allowed} allowed'
+                )
+
+    def spent(self) -> list[tuple[float, float]]:
+        """Return when and how many tokens ran."""
+        found: list[tuple[float, float]] = []
+        for draw_id in self.requests:
+            left = self.ran(draw_id)
+            for charge in self.charges.values():
+                if charge.request == draw_id and left > 0:
+                    part = min(left, charge.tokens - charge.refunded)
+                    found.append((charge.at, part))
+                    left -= part
+        return found
+
+    def allowed(self, begin: float, end: float) -> float:
+        """Return rate x length + burst over an interval."""
+        total = float(0)
+        burst = float(0)
+        after = [*self.terms[1:], (float('inf'), 0, 0)]
+        for term, (until, _, _) in zip(self.terms, after, strict=True):
+            seconds = min(until, end) - max(term[0], begin)
+            if seconds >= 0:
+                total += term[1] * seconds
+                burst = burst or term[2]
+        return total + burst
+
+    def check_rejected(self, action: Rejected) -> None:
+        """Check that no perfect counter had admitted a rejected request.
+
+        The counter knows the shares that the request could reach, decides
+        at the start of the draw, and has to leave what others then took.
+        """
+        request = self.requests[action.draw_id]
+        if not isinstance(action.failure, RateExceeded):
+            return
+        drawer = self.processes[request.agent].drawer
+        draw = drawer.draws[drawer.newest[action.draw_id]]
+        counted = {
+            share: found
+            for share, found in request.held_at_start.items()
+            if share not in draw.lost
+        }
+        places = {place for place, _ in counted.values()}
+        taken = sum(
+            charge.tokens
+            for charge in self.charges.values()
+            if charge.place in places
+            and charge.request != action.draw_id
+            and charge.at >= request.started_at
+            and self.is_complete(charge.request)
+        )
+        there = sum(level for _, level in counted.values())
+        # Shares grant whole tokens, so each may keep a fraction.
+        wanted = request.order.tokens + len(counted)
+        self.counts['checked rejections'] += 1
+        assert there - taken < wanted, (
+            f'{request.order.tokens} rejected, {there} - {taken} there'
+        )
+
+    def is_complete(self, draw_id: str) -> bool:
+        """Return whether a perfect counter had charged another request."""
+        charged = sum(
+            charge.tokens
+            for charge in self.charges.values()
+            if charge.request == draw_id
+        )
+        return charged >= self.requests[draw_id].order.tokens
--- /dev/null
+++ b/libs/limits/tests/machine.py
@@ -0,0 +1,227 @@
+"""Stateful check of the whole exchange against the fleet's oracle."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from fleet_model import ZONES, Fleet, Process
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+# Figures of all runs, for the report of the suite.
+TOTALS: Counter[str] = Counter()
+INDEX = st.integers(min_value=0, max_value=40)
+FLAG = st.booleans()
+SHARE = st.integers(min_value=0, max_value=1)
+MOVE_STEPS = st.sampled_from([16, 18, 24, 32])
+RATE = st.sampled_from([4, 10, 20])
+BURST = st.sampled_from([21, 40, 60])
+CLEAN_SECONDS = 20
+MOST_PROCESSES = 6
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Any order of work, faults, reads and deliveries."""
+
+    def __init__(self) -> None:
+        """Start a fleet whose shares have holders and are full."""
+        super().__init__()
+        self.fleet = Fleet()
+
+    @initialize(order=FLAG)
+    def settle_in(self, order: bool) -> None:
+        """Let the shares find holders and fill."""
+        for _ in range(CLEAN_SECONDS):
+            self.fleet.step(1)
+        if order:
+            self.fleet.now += 0.5
+
+    def pick(self, index: int) -> Process:
+        """Return one process."""
+        processes = list(self.fleet.processes.values())
+        return processes[index % len(processes)]
+
+    def holder(self, number: int) -> Process | None:
+        """Return a process that believes it holds a share."""
+        for process in self.fleet.processes.values():
+            if ('ikeja-post', number) in process.holder.shares:
+                return process
+        return None
+
+    @rule(index=INDEX, tokens=st.sampled_from([1, 4, 12, 20, 27, 40]))
+    def request(self, index: int, tokens: int) -> None:
+        """Start a draw."""
+        process = self.pick(index)
+        if not process.paused:
+            self.fleet.request(process, tokens)
+
+    @rule(index=INDEX, tokens=st.sampled_from([3, 7, 20]))
+    def load(self, index: int, tokens: int) -> None:
+        """Draw until a share runs dry."""
+        process = self.pick(index)
+        for _ in range(6):
+            if not process.paused:
+                self.fleet.request(process, tokens)
+                self.fleet.deliver_all()
+
+    @rule(index=INDEX, other=INDEX)
+    def retry(self, index: int, other: int) -> None:
+        """Retry a request of a crashed agent."""
+        names = list(self.fleet.requests)
+        process = self.pick(other)
+        if not names or process.paused:
+            return
+        name = names[index % len(names)]
+        before = self.fleet.requests[name]
+        if before.agent in self.fleet.processes or before.ran is not None:
+            return
+        if before.ended:
+            return
+        self.fleet.request(process, before.order.tokens, name=name)
+
+    @rule(index=INDEX, used=st.integers(min_value=0, max_value=40))
+    def finish(self, index: int, used: int) -> None:
+        """End a recent request."""
+        names = list(self.fleet.requests)
+        if names:
+            self.fleet.end(names[-1 - index % len(names)], used)
+
+    @rule(index=INDEX, fault=st.sampled_from(['', '', 'copy', 'loss']))
+    def deliver(self, index: int, fault: str) -> None:
+        """Deliver, copy or lose any message."""
+        if not self.fleet.network:
+            return
+        index %= len(self.fleet.network)
+        if fault == 'loss':
+            self.fleet.network.pop(index)
+        else:
+            self.fleet.deliver(index, keep=bool(fault))
+
+    @rule()
+    def deliver_all(self) -> None:
+        """Let the network come to rest."""
+        self.fleet.deliver_all()
+
+    @rule(seconds=st.sampled_from([0.01, 0.1, 0.5, 1, 1, 2, 4]))
+    def wait(self, seconds: float) -> None:
+        """Let a short time pass."""
+        self.fleet.step(seconds)
+
+    @rule(seconds=st.sampled_from([4, 9, 16]))
+    def wait_long(self, seconds: int) -> None:
+        """Let evidence expire and shares move."""
+        for _ in range(seconds):
+            self.fleet.step(1)
+
+    @rule(index=INDEX, delay=st.sampled_from([0, 2, 4.9]))
+    def read_late(self, index: int, delay: float) -> None:
+        """End reads that started before a pause."""
+        process = self.pick(index)
+        self.fleet.read_log(process, delay)
+        self.fleet.read_list(process, lag=3, delay=delay)
+
+    @rule(number=SHARE, log=FLAG, listing=FLAG)
+    def cut_holder(self, number: int, log: bool, listing: bool) -> None:
+        """Cut a holder off the log or the list."""
+        process = self.holder(number)
+        if process is not None:
+            process.log_cut = log
+            process.list_cut = listing
+
+    @rule(number=SHARE)
+    def unlist_holder(self, number: int) -> None:
+        """Take a running holder out of the list."""
+        process = self.holder(number)
+        if process is not None and len(self.fleet.processes) > 1:
+            self.fleet.unlist(process)
+            process.list_cut = True
+
+    @rule(number=SHARE, steps=MOVE_STEPS)
+    def move_share(self, number: int, steps: int) -> None:
+        """Take a running holder out of the list and cut it off late."""
+        process = self.holder(number)
+        if process is None:
+            return
+        self.fleet.unlist(process)
+        process.list_cut = True
+        assigned = self.fleet.counts['assigned']
+        for _ in range(steps):
+            if self.fleet.counts['assigned'] == assigned:
+                self.fleet.step(0.5)
+        process.log_cut = True
+
+    @rule(index=INDEX)
+    def pause(self, index: int) -> None:
+        """Pause or resume a process."""
+        process = self.pick(index)
+        process.paused = not process.paused
+
+    @precondition(lambda machine: len(machine.fleet.processes) > 2)
+    @rule(index=INDEX)
+    def crash(self, index: int) -> None:
+        """Crash a process."""
+        self.fleet.crash(self.pick(index))
+
+    @precondition(lambda machine: len(machine.fleet.processes) < MOST_PROCESSES)
+    @rule(index=INDEX)
+    def join(self, index: int) -> None:
+        """Start a process."""
+        self.fleet.add_process(ZONES[index % len(ZONES)])
+
+    @rule(number=SHARE)
+    def release(self, number: int) -> None:
+        """Shut a holder down gracefully."""
+        process = self.holder(number)
+        if process is not None and not self.fleet.log_is_down:
+            self.fleet.release(process)
+
+    @rule(down=FLAG)
+    def change_log(self, down: bool) -> None:
+        """Let the log fail or come back."""
+        self.fleet.log_is_down = down
+
+    @rule(rate=RATE, burst=BURST)
+    def put_contract(self, rate: int, burst: int) -> None:
+        """Change the contract."""
+        # A rejection is not compared while the share sizes change.
+        if not self.fleet.network:
+            self.fleet.put_contract(rate, burst)
+
+    @rule(index=INDEX, other=INDEX)
+    def lose_link(self, index: int, other: int) -> None:
+        """Lose all messages between two agents."""
+        one = self.pick(index)
+        if not one.paused:
+            self.fleet.lose_link(one, self.pick(other).member)
+
+    def teardown(self) -> None:
+        """Compare the whole run with the oracle."""
+        self.fleet.check_bound()
+        for draw_id in self.fleet.requests:
+            self.fleet.check_charged(draw_id)
+        TOTALS.update(self.fleet.counts)
+        TOTALS['runs'] += 1
+
+
+def run(examples: int, steps: int) -> Counter[str]:
+    """Run the machine and return what its runs did."""
+    TOTALS.clear()
+    run_state_machine_as_test(
+        FleetMachine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=steps,
+            derandomize=True,
+            database=None,
+            deadline=None,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+    return TOTALS
--- /dev/null
+++ b/libs/limits/tests/steps/drawers.py
@@ -0,0 +1,178 @@
+"""Steps for draws over the shares of an account."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import machine
+from behave import given, then, when
+from fleet_model import Fleet, Process
+
+
+@given('a fleet with full shares')
+def start_fleet(context: Any) -> None:
+    context.fleet = Fleet()
+    for _ in range(20):
+        context.fleet.step(1)
+    assert len(context.fleet.platform.shares) == 2
+    context.agent = agent(context.fleet)
+
+
+def agent(fleet: Fleet, index: int = 0) -> Process:
+    """Return an agent without shares."""
+    idle = [one for one in fleet.processes.values() if not one.holder.shares]
+    return idle[index]
+
+
+def left(fleet: Fleet) -> float:
+    return sum(
+        fleet.level(process, number)
+        for process in fleet.processes.values()
+        for number in range(2)
+    )
+
+
+@when('an agent draws {tokens:d} tokens as "{name}"')
+def draw(context: Any, tokens: int, name: str) -> None:
+    fleet = context.fleet
+    context.names = getattr(context, 'names', {})
+    context.names[name] = fleet.request(context.agent, tokens)
+    fleet.deliver_all()
+
+
+@when(
+    'an agent draws {tokens:d} tokens as "{name}" and the first reply is lost'
+)
+def draw_lossy(context: Any, tokens: int, name: str) -> None:
+    fleet = context.fleet
+    context.names = {name: fleet.request(context.agent, tokens)}
+    fleet.deliver()
+    assert len(fleet.network) == 1
+    fleet.network.clear()
+    fleet.step(0.1)
+    fleet.deliver_all()
+
+
+@when('an agent draws {tokens:d} tokens as "{name}" and replies take 2 seconds')
+def draw_late(context: Any, tokens: int, name: str) -> None:
+    fleet = context.fleet
+    context.names = {name: fleet.request(context.agent, tokens, 0.25)}
+    fleet.deliver()
+    for _ in range(20):
+        fleet.step(0.1)
+    fleet.deliver_all()
+
+
+@when('the agent crashes and another retries "{name}"')
+def retry_elsewhere(context: Any, name: str) -> None:
+    other = agent(context.fleet, 1)
+    context.fleet.crash(context.agent)
+    request_id = context.names[name]
+    request = context.fleet.requests[request_id]
+    context.fleet.request(other, request.order.tokens, name=request_id)
+    context.fleet.deliver_all()
+
+
+@when('"{name}" ends with {used:d} tokens used')
+def end(context: Any, name: str, used: int) -> None:
+    context.fleet.end(context.names[name], used)
+    context.fleet.deliver_all()
+
+
+@when('"{name}" ends with {used:d} tokens used and is retried')
+def end_and_retry(context: Any, name: str, used: int) -> None:
+    end(context, name, used)
+    request_id = context.names[name]
+    other = agent(context.fleet, 1)
+    context.fleet.request(other, 15, name=request_id)
+    context.fleet.deliver_all()
+
+
+@when(
+    '"{name}" ends with {used:d} tokens used and the link loses the settlement'
+)
+def end_lossy(context: Any, name: str, used: int) -> None:
+    fleet = context.fleet
+    fleet.end(context.names[name], used)
+    for _, receiver, _ in list(fleet.network):
+        fleet.lose_link(context.agent, receiver)
+    fleet.deliver_all()
+
+
+@when(
+    'two agents draw {tokens:d} tokens each in any of {orders:d} message orders'
+)
+def draw_at_once(context: Any, tokens: int, orders: int) -> None:
+    context.admitted = []
+    for seed in range(orders):
+        rng = random.Random(seed)  # noqa: S311 - reproducible order
+        start_fleet(context)
+        fleet = context.fleet
+        fleet.request(context.agent, tokens)
+        fleet.request(agent(fleet, 1), tokens)
+        for _ in range(60):
+            while fleet.network:
+                fleet.deliver(rng.randrange(len(fleet.network)))
+            fleet.step(0.02)
+        context.admitted.append(fleet.counts['admitted'])
+
+
+@when('agents draw {tokens:d} tokens {count:d} times at {part:g} of the rate')
+def draw_in_rate(context: Any, tokens: int, count: int, part: float) -> None:
+    for number in range(count):
+        process = agent(context.fleet, number % 2)
+        name = context.fleet.request(process, tokens)
+        context.fleet.deliver_all()
+        context.fleet.end(name, tokens)
+        context.fleet.step(tokens / part / 10)
+
+
+@then('"{name}" is admitted')
+def check_admitted(context: Any, name: str) -> None:
+    assert context.fleet.requests[context.names[name]].admitted
+
+
+@then('"{name}" is admitted after {count:d} messages')
+def check_short(context: Any, name: str, count: int) -> None:
+    check_admitted(context, name)
+    assert context.fleet.counts['messages'] == count, context.fleet.counts
+
+
+@then('"{name}" is rejected with "{code}"')
+def check_rejected(context: Any, name: str, code: str) -> None:
+    failure = context.fleet.requests[context.names[name]].failure
+    assert failure.code == code, failure
+    assert failure.outcome.value == 'not_run'
+
+
+@then('"{name}" is rejected with "{code}" and {seconds:g} seconds to wait')
+def check_retry(context: Any, name: str, code: str, seconds: float) -> None:
+    check_rejected(context, name, code)
+    request = context.fleet.requests[context.names[name]]
+    assert request.failure.retry_at == context.fleet.now + seconds
+
+
+@then('{tokens:d} tokens are left in all shares')
+def check_left(context: Any, tokens: int) -> None:
+    assert round(left(context.fleet)) == tokens, left(context.fleet)
+
+
+@then('every time exactly one is admitted')
+def check_one(context: Any) -> None:
+    assert set(context.admitted) == {1}, context.admitted
+
+
+@then('nothing is rejected')
+def check_none_rejected(context: Any) -> None:
+    assert context.fleet.counts['admitted'] == 600, context.fleet.counts
+
+
+@then('{runs:d} runs of {steps:d} random steps hold against the oracle')
+def check_machine(context: Any, runs: int, steps: int) -> None:
+    totals = machine.run(runs, steps)
+    # Runs that reject or admit nothing would check nothing.
+    assert totals['runs'] >= runs
+    assert totals['admitted'] > runs, totals
+    assert totals['checked rejections'] > runs, totals
+    assert totals['assigned'] > runs * 2, totals
--- /dev/null
+++ b/libs/limits/tests/steps/holders.py
@@ -0,0 +1,168 @@
+"""Steps for the holder of a share."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given, then, when
+from gypsumrelay_configuration import Contract, Share
+from gypsumrelay_limits import (
+    Draw,
+    DrawKey,
+    Granted,
+    Holder,
+    LogRead,
+    Member,
+    Refused,
+    Settlement,
+    assign,
+    expire,
+    forget_drawer,
+    grant,
+    renew_evidence,
+    resize,
+    settle,
+    share_size,
+    stop_granting,
+)
+from gypsumrelay_settings import EvidenceSettings
+
+DRAWER = Member('lekki-1', '1')
+SIZE = share_size(Contract('a', 10, 40), 2, 0)
+
+
+def key(name: str) -> DrawKey:
+    return DrawKey(name, 'a', 0)
+
+
+@given('a share that its earlier holder did not release')
+def start_holder(context: Any, *, released: bool = False) -> None:
+    context.now = 100.0
+    context.holder = Holder(EvidenceSettings(share_evidence_seconds=5))
+    share = Share('a', 0, 2, 'ikeja-1', '1')
+    assign(context.holder, share, SIZE, context.now, released=released)
+
+
+@given('a full share')
+def start_full(context: Any) -> None:
+    start_holder(context, released=True)
+    context.now += 4
+    renew_evidence(context.holder, LogRead(context.now), context.now)
+
+
+@when('the draw "{name}" for {tokens:d} tokens comes')
+def draw(context: Any, name: str, tokens: int, drawer: Any = DRAWER) -> None:
+    message = Draw(key(name), drawer, tokens, tokens, context.now + 1)
+    context.answer = grant(context.holder, message, context.now)
+
+
+@when('the draw "{name}" for {tokens:d} tokens comes twice')
+def draw_twice(context: Any, name: str, tokens: int) -> None:
+    draw(context, name, tokens)
+    context.first = context.answer
+    draw(context, name, tokens)
+
+
+@when('another agent asks for the draw "{name}" again')
+def draw_elsewhere(context: Any, name: str) -> None:
+    draw(context, name, 0, Member('yaba-1', '1'))
+
+
+@when('"{name}" is settled with {used:d} used')
+def end(context: Any, name: str, used: int) -> None:
+    settlement = Settlement(key(name), DRAWER, used)
+    settle(context.holder, settlement, context.now)
+
+
+@when('"{name}" is settled with {used:d} used twice')
+def end_twice(context: Any, name: str, used: int) -> None:
+    end(context, name, used)
+    end(context, name, used)
+
+
+@when('{seconds:g} seconds pass')
+def wait(context: Any, seconds: float) -> None:
+    context.now += seconds
+
+
+@when('{seconds:g} seconds pass with fresh evidence')
+def wait_fresh(context: Any, seconds: float) -> None:
+    wait(context, seconds)
+    renew_evidence(context.holder, LogRead(context.now), context.now)
+
+
+@when('a read of the log ends that started {seconds:g} seconds ago')
+def read_log(context: Any, seconds: float) -> None:
+    evidence = LogRead(context.now - seconds)
+    renew_evidence(context.holder, evidence, context.now)
+
+
+@when('the drawer is gone')
+def lose_drawer(context: Any) -> None:
+    assert forget_drawer(context.holder, DRAWER) == 1
+
+
+@when('the contract changes to rate {rate:d} and burst {burst:d}')
+def change_contract(context: Any, rate: int, burst: int) -> None:
+    resize(context.holder, Contract('a', rate, burst), 2, context.now)
+
+
+@when('the holder stops granting')
+def stop(context: Any) -> None:
+    stop_granting(context.holder)
+
+
+@when('{count:d} draws come and are settled')
+def draw_many(context: Any, count: int) -> None:
+    for number in range(count):
+        draw(context, f'd{number}', 1)
+        assert isinstance(context.answer, Granted)
+        end(context, f'd{number}', 0)
+
+
+@then('both times {tokens:d} tokens are granted')
+def check_both(context: Any, tokens: int) -> None:
+    assert context.first == context.answer == Granted(key('a'), tokens)
+
+
+@then('{tokens:d} tokens are granted')
+def check_granted(context: Any, tokens: int) -> None:
+    assert isinstance(context.answer, Granted), context.answer
+    assert context.answer.tokens == tokens
+
+
+@then('it is refused as {reason:w}')
+def check_refused(context: Any, reason: str) -> None:
+    assert isinstance(context.answer, Refused), context.answer
+    assert context.answer.reason.value == reason
+
+
+@then(
+    'it is refused as {reason:w} with {available:d} available '
+    'in {seconds:g} seconds',
+)
+def check_refusal(
+    context: Any,
+    reason: str,
+    available: int,
+    seconds: float,
+) -> None:
+    check_refused(context, reason)
+    assert context.answer.available == available
+    assert context.answer.retry_at == context.now + seconds
+
+
+@then('{tokens:d} tokens are left')
+def check_left(context: Any, tokens: int) -> None:
+    wait_fresh(context, 0)
+    context.holder.draining = False
+    draw(context, 'probe', 10_000)
+    assert context.answer.available == tokens, context.answer
+
+
+@then('the holder remembers {count:d} draws')
+def check_memory(context: Any, count: int) -> None:
+    assert len(context.holder.shares['a', 0].charges) == 500
+    expire(context.holder, context.now)
+    assert len(context.holder.shares['a', 0].charges) == count
+    assert len(context.holder.expiries) == len(context.holder.drawn_by) == 0
--- a/libs/wire/src/gypsumrelay_wire/messages.py
+++ b/libs/wire/src/gypsumrelay_wire/messages.py
@@ -207,7 +207,11 @@
 
 @attrs.frozen
 class Draw(Message):
-    """Asks the holder of an account's share for tokens."""
+    """Asks the holder of an account's share for tokens.
+
+    A part of the tokens is granted only down to `minimum`; with the default
+    of an older sender the holder grants all or nothing.
+    """
 
     tag: ClassVar[int] = 15
     draw_id: str
@@ -215,6 +219,7 @@
     share: int
     tokens: int
     remaining_ms: int
+    minimum: int = 0
 
 
 @attrs.frozen
@@ -230,7 +235,11 @@
 
 @attrs.frozen
 class DrawRefused(Message):
-    """Refuses a draw and says when trying again may help."""
+    """Refuses a draw and says when trying again may help.
+
+    It returns the draw's `minimum`, so that a late refusal is not taken for
+    the reply to a newer draw.
+    """
 
     tag: ClassVar[int] = 17
     draw_id: str
@@ -239,6 +248,7 @@
     code: str
     retry_ms: int
     available: int = 0
+    minimum: int = 0
 
 
 @attrs.frozen
