Draw tokens from the account's shares before work runs

An agent draws the upper bound of a request's tokens from the holders of the account's shares when it grants a place, and settles what was used when the work ends. Agents propose themselves for shares without a holder through the log and release them on shutdown.

--- a/libs/agent/src/gypsumrelay_agent/acting.py
+++ b/libs/agent/src/gypsumrelay_agent/acting.py
@@ -6,15 +6,18 @@
 from functools import partial
 from typing import Any, Final
 
+from gypsumrelay_errors import Failure
 from gypsumrelay_upstreams import (
     Action,
     CancelRun,
     Dropped,
     Ended,
+    EndReason,
     EngineRestarted,
     ForeignRuns,
     Granted,
     Key,
+    Purpose,
     Refused,
     StartRun,
     coldstart,
@@ -24,6 +27,8 @@
 from logbook import Logger
 
 from gypsumrelay_agent import events
+from gypsumrelay_agent.accounts import settle_later
+from gypsumrelay_agent.drawing import begin_draw, new_order
 from gypsumrelay_agent.replies import (
     SILENT_ENDS,
     failed_from,
@@ -35,6 +40,9 @@
 
 log = Logger('agent')
 
+# Longest time to wait for the holders of an account's shares.
+DRAW_SECONDS: Final = 2.0
+
 
 def act(state: AgentState, actions: Iterable[Action]) -> None:
     """Carry out actions in their order."""
@@ -58,12 +66,48 @@
 
 
 def _granted(state: AgentState, action: Granted) -> None:
+    """Draw the tokens of a granted place before it is confirmed."""
     state.metrics.count('agent.reserved')
-    confirm(state, action.key, action.link)
+    place = state.ledger.places[action.key]
+    request = place.request
+    if request.purpose is Purpose.prefill or not request.client_account:
+        confirm(state, action.key, action.link)
+        return
+    now = now_seconds()
+    order = new_order(
+        state.accounts,
+        request.client_account,
+        action.key.request_id,
+        request.cost,
+        min(place.deadline, now + DRAW_SECONDS),
+        retry=action.key.attempt > 1,
+    )
+    if isinstance(order, Failure):
+        _refuse_draw(state, action, order)
+        return
+
+    def decided(failure: Failure | None) -> None:
+        if failure is None:
+            confirm(state, action.key, action.link)
+        else:
+            _refuse_draw(state, action, failure)
+
+    begin_draw(state.accounts, order, decided, now)
+
+
+def _refuse_draw(state: AgentState, action: Granted, failure: Failure) -> None:
+    if action.key not in state.ledger.places:
+        return
+    state.metrics.count('agent.draws_refused')
+    state.record('draw_refused', action.key)
+    send(state, action.link, failed_from(action.key, failure))
+    act(state, ledger.cancel(state.ledger, action.key, now_seconds()))
 
 
 def confirm(state: AgentState, key: Key, link: str) -> None:
     """Tell the entry that it has a place, or start a waiting call."""
+    if key not in state.ledger.places:
+        return
     if key in state.orders:
         now = now_seconds()
         act(state, ledger.start(state.ledger, key, 0, run_deadline(now), now))
@@ -119,8 +163,17 @@
 def _ended(state: AgentState, action: Ended) -> None:
     forget_order(state, action.key)
     run = state.runs.pop(action.key, None)
+    used = 0
     if run is not None:
         run.cancelled.set()
+        used = run.used_tokens
+    if action.reason is not EndReason.finished:
+        settle_later(
+            state.accounts,
+            action.key.request_id,
+            used,
+            now_seconds(),
+        )
     if action.reason not in SILENT_ENDS:
         state.record(f'ended_{action.reason.value}', action.key)
         message = failed_of_end(action.key, action.reason, run)
--- /dev/null
+++ b/libs/agent/src/gypsumrelay_agent/building.py
@@ -0,0 +1,240 @@
+"""Builds the parts of an agent process."""
+
+from __future__ import annotations
+
+import secrets
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+import pykka
+from gypsumrelay_instance import Keeper, PeerCallbacks, Peers
+from gypsumrelay_limits import Member
+from gypsumrelay_platform import Callbacks, Follower, ListClient, LogClient
+from gypsumrelay_telemetry import new_metrics
+from gypsumrelay_timeline import Recorder, Ring, Stamp
+from gypsumrelay_upstreams import (
+    ColdRamp,
+    Ledger,
+    LedgerSettings,
+    RampSettings,
+    coldstart,
+)
+from gypsumrelay_wire import (
+    Identity,
+    Link,
+    Listener,
+    LoadReport,
+    Message,
+    listen,
+)
+
+from gypsumrelay_agent import events
+from gypsumrelay_agent.accounts import AccountMeans, new_accounts
+from gypsumrelay_agent.actor import AgentActor
+from gypsumrelay_agent.engine import EngineClient, new_pool
+from gypsumrelay_agent.service import ServiceClient
+from gypsumrelay_agent.state import SERVICE, AgentState
+from gypsumrelay_agent.waitingqueue import FairWaitingQueue
+
+if TYPE_CHECKING:
+    from gypsumrelay_errors import Failure
+    from gypsumrelay_settings import AgentSettings
+
+MS_PER_SECOND: Final = 1000
+INCARNATION_BYTES: Final = 4
+# Cancellations and questions need threads beside the runs.
+HEADROOM_THREADS: Final = 16
+
+Tell = Callable[[object], None]
+
+
+@attrs.define(eq=False)
+class Parts:
+    """The running parts of an agent process."""
+
+    settings: AgentSettings
+    recorder: Recorder
+    actor: pykka.ActorRef[Any]
+    state: AgentState
+    peers: Peers
+    follower: Follower
+    listener: Listener
+
+
+def build(settings: AgentSettings) -> Parts:
+    """Build the parts of an agent; nothing follows or listens yet."""
+    recorder = _new_recorder(settings)
+    peers = _new_peers(settings, recorder)
+    log_client = LogClient(settings.platform.log_url)
+    built: list[AgentState] = []
+
+    def build_state(actor: pykka.ActorRef[Any]) -> AgentState:
+        tell = _tell(actor)
+        built.append(_new_state(settings, recorder, peers, log_client, tell))
+        return built[0]
+
+    actor = AgentActor.start(build_state)
+    tell = _tell(actor)
+    peers.keeper.listeners.append(
+        lambda: tell(events.ConfigurationChanged()),
+    )
+    peers.callbacks = _peer_callbacks(tell, built[0])
+
+    def adopt(link: Link) -> None:
+        tell(events.LinkOpened(link))
+        peers.adopt(link)
+
+    return Parts(
+        settings,
+        recorder,
+        actor,
+        built[0],
+        peers,
+        _new_follower(settings, peers.keeper, log_client, tell),
+        listen(
+            (settings.instance.host, settings.link_port),
+            peers.endpoint(),
+            adopt,
+        ),
+    )
+
+
+def _tell(actor: pykka.ActorRef[Any]) -> Tell:
+    """Return a function that tells the actor, also while it stops."""
+
+    def tell(event: object) -> None:
+        with suppress(pykka.ActorDeadError):
+            actor.tell(event)
+
+    return tell
+
+
+def _new_recorder(settings: AgentSettings) -> Recorder:
+    return Recorder(
+        settings.instance.name,
+        Ring(settings.telemetry.events_kept),
+        lambda: int(time.time() * MS_PER_SECOND),
+    )
+
+
+def _new_peers(settings: AgentSettings, recorder: Recorder) -> Peers:
+    instance = settings.instance
+    identity = Identity(
+        instance.name,
+        instance.incarnation or secrets.token_hex(INCARNATION_BYTES),
+        'agent',
+        instance.availability_zone,
+    )
+    return Peers(
+        identity=identity,
+        secret=settings.shared_secret.encode(),
+        keeper=Keeper(),
+        stamp=lambda: attrs.astuple(recorder.stamp()),
+        merge_stamp=lambda wall_ms, counter: recorder.observe(
+            Stamp(wall_ms, counter),
+        ),
+    )
+
+
+def _new_state(
+    settings: AgentSettings,
+    recorder: Recorder,
+    peers: Peers,
+    log_client: LogClient,
+    tell: Tell,
+) -> AgentState:
+    upstream = settings.upstream
+    threads = upstream.slots + HEADROOM_THREADS
+    pool = new_pool(threads)
+    ramp = _new_ramp(settings)
+    executor = ThreadPoolExecutor(threads, 'upstream')
+    accounts = new_accounts(
+        Member(peers.identity.name, peers.identity.incarnation),
+        settings.evidence,
+        AccountMeans(peers.keeper, peers, log_client, executor, tell),
+    )
+    return AgentState(
+        settings=settings,
+        keeper=peers.keeper,
+        metrics=new_metrics(settings.telemetry),
+        recorder=recorder,
+        ledger=_new_ledger(settings, peers.identity.incarnation, ramp.limit),
+        ramp=ramp,
+        executor=executor,
+        accounts=accounts,
+        engine=EngineClient(upstream.url, pool),
+        service=ServiceClient(upstream.url, pool),
+        tell=tell,
+        load=LoadReport(
+            upstream=upstream.name,
+            kind=upstream.kind,
+            serves=upstream.serves,
+            free_slots=0,
+            free_pieces=0,
+            waiting=0,
+            draining=False,
+            cold=True,
+            prefixes=[],
+        ),
+    )
+
+
+def _new_ramp(settings: AgentSettings) -> ColdRamp:
+    upstream = settings.upstream
+    ramp_settings = RampSettings(
+        slots=upstream.slots,
+        cold_limit=upstream.cold_limit,
+        reports_cold=upstream.kind != SERVICE,
+    )
+    return coldstart.new_ramp(ramp_settings, time.monotonic())
+
+
+def _new_ledger(
+    settings: AgentSettings,
+    incarnation: str,
+    limit: int,
+) -> Ledger:
+    upstream = settings.upstream
+    ledger_settings = LedgerSettings(
+        slots=upstream.slots,
+        pieces=upstream.pieces,
+        piece_tokens=upstream.piece_tokens,
+        reports_runs=upstream.kind != SERVICE,
+        grace_seconds=settings.grace_seconds,
+    )
+    return Ledger(ledger_settings, incarnation, FairWaitingQueue(), limit)
+
+
+def _peer_callbacks(tell: Tell, state: AgentState) -> PeerCallbacks:
+    def on_message(link: Link, message: Message) -> None:
+        tell(events.Received(link, message))
+
+    def on_close(link: Link, reason: Failure) -> None:
+        tell(events.LinkLost(link))
+
+    def greeting(link: Link) -> list[Message]:
+        return [state.load] if link.peer.role == 'entry' else []
+
+    return PeerCallbacks(on_message, on_close, greeting)
+
+
+def _new_follower(
+    settings: AgentSettings,
+    keeper: Keeper,
+    log_client: LogClient,
+    tell: Tell,
+) -> Follower:
+    callbacks = Callbacks(
+        on_batch=keeper.apply_batch,
+        on_listing=lambda listing, asked_at: tell(
+            events.ListingRead(listing, asked_at),
+        ),
+        next_offset=keeper.next_offset,
+        on_log_end=lambda asked_at: tell(events.LogEndRead(asked_at)),
+    )
+    list_client = ListClient(settings.platform.list_url)
+    return Follower(log_client, list_client, callbacks)
--- a/libs/agent/src/gypsumrelay_agent/events.py
+++ b/libs/agent/src/gypsumrelay_agent/events.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import attrs
+from gypsumrelay_limits import Member
 from gypsumrelay_platform import Listing
 from gypsumrelay_upstreams import EngineReport, Key
 from gypsumrelay_wire import Link
@@ -39,11 +40,26 @@
     """The platform's list was read."""
 
     listing: Listing
+    asked_at: float
 
 
 @attrs.frozen
 class ConfigurationChanged:
-    """The log had new records."""
+    """The configuration state has changed."""
+
+
+@attrs.frozen
+class LogEndRead:
+    """The log was read to its end."""
+
+    asked_at: float
+
+
+@attrs.frozen
+class PeerTried:
+    """A link to another agent was opened, or could not be."""
+
+    member: Member
 
 
 @attrs.frozen
--- a/libs/agent/src/gypsumrelay_agent/handling.py
+++ b/libs/agent/src/gypsumrelay_agent/handling.py
@@ -15,13 +15,31 @@
     Call,
     Cancel,
     Decode,
+    Draw,
+    Drawn,
+    DrawRefused,
     Prefill,
     Reserve,
+    Settle,
 )
 
 from gypsumrelay_agent import events
 from gypsumrelay_agent.acting import act
+from gypsumrelay_agent.drawing import (
+    end_draw,
+    receive_draw,
+    receive_reply,
+    receive_settlement,
+    resend,
+    tick_draws,
+)
 from gypsumrelay_agent.engine import UpstreamFault
+from gypsumrelay_agent.holding import (
+    apply_configuration,
+    note_log_read,
+    take_listing,
+    tick_shares,
+)
 from gypsumrelay_agent.probing import probe
 from gypsumrelay_agent.replies import failed_of_fault
 from gypsumrelay_agent.requests import (
@@ -143,6 +161,7 @@
             now,
         )
         state.record('finished', event.key)
+        _settle(state, event, now)
     else:
         run.link.send(failed_of_fault(run, event.fault))
         state.record('failed', event.key)
@@ -158,6 +177,57 @@
     act(state, found)
 
 
+def _settle(state: AgentState, event: events.RunEnded, now: float) -> None:
+    if not event.keeps_result:
+        end_draw(
+            state.accounts,
+            event.key.request_id,
+            event.used_tokens,
+            now,
+        )
+
+
+def _apply_configuration(
+    state: AgentState,
+    event: events.ConfigurationChanged,
+) -> None:
+    apply_configuration(state.accounts, now_seconds())
+
+
+def _take_listing(state: AgentState, event: events.ListingRead) -> None:
+    take_listing(
+        state.accounts,
+        event.listing,
+        event.asked_at,
+        now_seconds(),
+    )
+
+
+def _note_log_end(state: AgentState, event: events.LogEndRead) -> None:
+    note_log_read(state.accounts, event.asked_at, now_seconds())
+
+
+def _resend(state: AgentState, event: events.PeerTried) -> None:
+    resend(state.accounts, event.member, now_seconds())
+
+
+def _receive_draw(state: AgentState, event: events.Received) -> None:
+    receive_draw(state.accounts, event.link, event.message, now_seconds())
+
+
+def _receive_settlement(state: AgentState, event: events.Received) -> None:
+    receive_settlement(
+        state.accounts,
+        event.link,
+        event.message,
+        now_seconds(),
+    )
+
+
+def _receive_reply(state: AgentState, event: events.Received) -> None:
+    receive_reply(state.accounts, event.message, now_seconds())
+
+
 def _free_run(state: AgentState, event: events.RunFreed) -> None:
     act(state, ledger.confirm_freed(state.ledger, event.run_id, now_seconds()))
 
@@ -165,6 +235,8 @@
 def _tick(state: AgentState, event: events.Tick) -> None:
     now = now_seconds()
     act(state, ledger.expire(state.ledger, now))
+    tick_draws(state.accounts, now)
+    tick_shares(state.accounts, now)
     probe(state, now)
 
 
@@ -181,6 +253,10 @@
     events.RunEnded: _end_run,
     events.RunFreed: _free_run,
     events.Tick: _tick,
+    events.ConfigurationChanged: _apply_configuration,
+    events.ListingRead: _take_listing,
+    events.LogEndRead: _note_log_end,
+    events.PeerTried: _resend,
     events.DrainBegan: _drain,
 }
 _RECEIVERS: Final[dict[type, Callable[[AgentState, Any], None]]] = {
@@ -189,4 +265,8 @@
     Decode: _start,
     Call: _call,
     Cancel: _cancel,
+    Draw: _receive_draw,
+    Settle: _receive_settlement,
+    Drawn: _receive_reply,
+    DrawRefused: _receive_reply,
 }
--- /dev/null
+++ b/libs/agent/src/gypsumrelay_agent/holding.py
@@ -0,0 +1,168 @@
+"""Shares held here: assignments, evidence and release."""
+
+from __future__ import annotations
+
+import secrets
+from functools import partial
+from typing import TYPE_CHECKING, Final
+
+from gypsumrelay_configuration import Record, ShareAssigned, ShareReleased
+from gypsumrelay_limits import (
+    Agent,
+    ListRead,
+    LogRead,
+    Member,
+    assign,
+    confirm_list,
+    expire,
+    forget_drawer,
+    observe_account,
+    observe_list,
+    observe_share,
+    propose,
+    renew_evidence,
+    resize,
+    share_size,
+    stop_granting,
+    void,
+)
+from logbook import Logger
+
+if TYPE_CHECKING:
+    from gypsumrelay_configuration import Share
+    from gypsumrelay_platform import ListedInstance, Listing
+
+    from gypsumrelay_agent.accounts import Accounts
+
+log = Logger('limits')
+
+RECORD_ID_BYTES: Final = 8
+
+
+def apply_configuration(accounts: Accounts, now: float) -> None:
+    """Take over what changed in the contracts and shares."""
+    keeper = accounts.keeper
+    with keeper.lock:
+        contracts = dict(keeper.state.contracts)
+        shares = dict(keeper.state.shares)
+        per_account = keeper.state.configuration.shares_per_account
+    changed = per_account != accounts.shares_per_account
+    accounts.shares_per_account = per_account
+    for name in accounts.contracts.keys() - contracts.keys():
+        observe_account(accounts.placement, name, 0, now)
+    for name, contract in contracts.items():
+        known = accounts.contracts.get(name)
+        if known is None or changed:
+            observe_account(accounts.placement, name, per_account, now)
+        if known is not None and (known != contract or changed):
+            resize(accounts.holder, contract, per_account, now)
+    accounts.contracts = contracts
+    for name, share in shares.items():
+        if accounts.shares.get(name) != share:
+            _apply_share(accounts, share, accounts.shares.get(name), now)
+    accounts.shares = shares
+
+
+def take_listing(
+    accounts: Accounts,
+    listing: Listing,
+    asked_at: float,
+    now: float,
+) -> None:
+    """Take a read of the list as evidence and as the agents there are."""
+    agents = [
+        instance for instance in listing.instances if instance.role == 'agent'
+    ]
+    members = {_member(agent): agent for agent in agents}
+    for gone in accounts.addresses.keys() - members.keys():
+        forget_drawer(accounts.holder, gone)
+    accounts.addresses = {
+        member: agent.address for member, agent in members.items()
+    }
+    live = accounts.member in members
+    renew_evidence(accounts.holder, ListRead(asked_at, live), now)
+    observe_list(
+        accounts.placement,
+        [_agent(agent) for agent in agents],
+        asked_at,
+        now,
+    )
+    confirm_list(accounts.placement, asked_at, now)
+
+
+def note_log_read(accounts: Accounts, asked_at: float, now: float) -> None:
+    """Count a read of the log to its end as evidence."""
+    renew_evidence(accounts.holder, LogRead(asked_at), now)
+
+
+def tick_shares(accounts: Accounts, now: float) -> None:
+    """Propose this agent for shares without a holder."""
+    expire(accounts.holder, now)
+    if accounts.member not in accounts.addresses or accounts.holder.draining:
+        return
+    proposals: list[Record] = [
+        ShareAssigned(
+            secrets.token_hex(RECORD_ID_BYTES),
+            proposal.client_account,
+            proposal.number,
+            proposal.epoch,
+            accounts.member.name,
+            accounts.member.incarnation,
+        )
+        for proposal in propose(accounts.placement, now)
+    ]
+    if proposals:
+        accounts.executor.submit(
+            partial(accounts.log_client.append, proposals),
+        )
+
+
+def release_shares(accounts: Accounts) -> list[Record]:
+    """Stop granting; return the records that give the shares up."""
+    stop_granting(accounts.holder)
+    return [
+        ShareReleased(
+            secrets.token_hex(RECORD_ID_BYTES),
+            client_account,
+            number,
+            held.epoch,
+        )
+        for (client_account, number), held in accounts.holder.shares.items()
+    ]
+
+
+def _apply_share(
+    accounts: Accounts,
+    share: Share,
+    before: Share | None,
+    now: float,
+) -> None:
+    observe_share(accounts.placement, share, now)
+    holder = Member(share.holder, share.incarnation)
+    if holder != accounts.member:
+        void(accounts.holder, share)
+        return
+    contract = accounts.contracts.get(share.client_account)
+    if contract is None:
+        return
+    per_account = accounts.shares_per_account
+    released = share.epoch == 1 or (before is not None and not before.holder)
+    size = share_size(contract, per_account, share.number)
+    assign(accounts.holder, share, size, now, released=released)
+    log.info(
+        'Holds share {} of {}.',
+        share.number,
+        share.client_account,
+    )
+
+
+def _member(instance: ListedInstance) -> Member:
+    return Member(instance.name, instance.incarnation)
+
+
+def _agent(instance: ListedInstance) -> Agent:
+    return Agent(
+        _member(instance),
+        instance.availability_zone,
+        instance.leaving,
+    )
--- a/libs/agent/src/gypsumrelay_agent/state.py
+++ b/libs/agent/src/gypsumrelay_agent/state.py
@@ -17,6 +17,7 @@
 )
 from gypsumrelay_wire import Call, Decode, Link, LoadReport, Prefill
 
+from gypsumrelay_agent.accounts import Accounts
 from gypsumrelay_agent.engine import EngineClient
 from gypsumrelay_agent.runs import Run, Tell
 from gypsumrelay_agent.service import ServiceClient
@@ -55,6 +56,7 @@
     service: ServiceClient
     tell: Tell
     load: LoadReport
+    accounts: Accounts
     runs: dict[Key, Run] = attrs.field(factory=dict)
     orders: dict[Key, Prefill | Decode | Call] = attrs.field(factory=dict)
     deadlines: dict[Key, float] = attrs.field(factory=dict)
--- a/libs/entry/src/gypsumrelay_entry/process.py
+++ b/libs/entry/src/gypsumrelay_entry/process.py
@@ -201,10 +201,11 @@
     platform = entry.settings.platform
     callbacks = Callbacks(
         on_batch=entry.keeper.apply_batch,
-        on_listing=lambda listing: entry.actor.tell(
+        on_listing=lambda listing, asked_at: entry.actor.tell(
             events.ListingRead(listing),
         ),
         next_offset=entry.keeper.next_offset,
+        on_log_end=lambda asked_at: None,
     )
     return Follower(
         LogClient(platform.log_url),
--- a/libs/instance/src/gypsumrelay_instance/peers.py
+++ b/libs/instance/src/gypsumrelay_instance/peers.py
@@ -48,6 +48,14 @@
     greeting: Callable[[Link], list[Message]]
 
 
+# Stands in until the program that the links are for has started.
+IGNORED: Final = PeerCallbacks(
+    on_message=lambda link, message: None,
+    on_close=lambda link, reason: None,
+    greeting=lambda link: [],
+)
+
+
 @attrs.define(eq=False)
 class Peers:
     """All open links of this process."""
@@ -55,9 +63,9 @@
     identity: Identity
     secret: bytes
     keeper: Keeper
-    callbacks: PeerCallbacks
     stamp: Callable[[], tuple[int, int]]
     merge_stamp: Callable[[int, int], None]
+    callbacks: PeerCallbacks = IGNORED
     dialed: dict[Address, Link] = attrs.field(factory=dict)
     links: set[Link] = attrs.field(factory=set)
     refused_until: dict[Address, float] = attrs.field(factory=dict)
@@ -73,18 +81,20 @@
             self.on_close,
         )
 
+    def find(self, address: Address) -> Link | None:
+        """Return the open link to an address, without opening one."""
+        link = self.dialed.get(address)
+        return None if link is None or link.closed.is_set() else link
+
     def connect(self, address: Address) -> Link | Failure:
         """Return the open link to an address, or open one."""
-        link = self.dialed.get(address)
-        if link is not None and not link.closed.is_set():
+        link = self.find(address)
+        if link is not None:
             return link
         with self.lock:
             dialing = self.locks.setdefault(address, threading.Lock())
         with dialing:
-            link = self.dialed.get(address)
-            if link is not None and not link.closed.is_set():
-                return link
-            return self._dial(address)
+            return self.find(address) or self._dial(address)
 
     def adopt(self, link: Link) -> None:
         """Keep a link that a peer opened."""
--- a/libs/platform/src/gypsumrelay_platform/follower.py
+++ b/libs/platform/src/gypsumrelay_platform/follower.py
@@ -21,11 +21,19 @@
 
 @attrs.frozen
 class Callbacks:
-    """Who is told what was read; called on the follower's thread."""
+    """Who is told what was read; called on the follower's threads.
+
+    Attributes:
+        on_batch: Gets the entries that were read.
+        on_listing: Gets a list, with the instant before it was asked for.
+        next_offset: Returns the offset to read next.
+        on_log_end: Told the instant before the log was found at its end.
+    """
 
     on_batch: Callable[[Batch], None]
-    on_listing: Callable[[Listing], None]
+    on_listing: Callable[[Listing, float], None]
     next_offset: Callable[[], int]
+    on_log_end: Callable[[float], None]
 
 
 @attrs.define(eq=False)
@@ -69,6 +77,7 @@
             self.callbacks.on_batch(batch)
             if batch.at_end:
                 self.log_read_at = asked_at
+                self.callbacks.on_log_end(asked_at)
                 break
         self._note_log('')
         return True
@@ -79,7 +88,7 @@
         listing = self.list_client.read()
         if isinstance(listing, PlatformUnavailable):
             return False
-        self.callbacks.on_listing(listing)
+        self.callbacks.on_listing(listing, asked_at)
         self.list_read_at = asked_at
         return True
 
