Send new work only where no sign speaks against it

The entry combines the platform's list, agents' reports, operators' drains and broken links through the membership library, and limits its open work at an instance that has just come back.

--- a/libs/entry/src/gypsumrelay_entry/actor.py
+++ b/libs/entry/src/gypsumrelay_entry/actor.py
@@ -25,6 +25,16 @@
 )
 
 from gypsumrelay_entry import events
+from gypsumrelay_entry.members import (
+    Members,
+    begin_work,
+    end_work,
+    note_refused,
+    take_drains,
+    take_member_report,
+    take_members,
+    unusable,
+)
 
 if TYPE_CHECKING:
     from gypsumrelay_wire import Address
@@ -40,15 +50,14 @@
         name: The entry's name, by which its subset is chosen.
         view: The upstreams' reports and the entry's commitments.
         listed: The agents in the subset by upstream.
-        drained: Returns whether operators took an agent's upstream,
-            instance or zone out of service.
+        members: Which agents may get new work.
     """
 
     name: str
     view: View
     rng: random.Random
     subset_size: int
-    drained: Callable[[ListedInstance], bool]
+    members: Members = attrs.field(factory=Members)
     policy: Policy = place
     settings: PlacementSettings = attrs.field(factory=PlacementSettings)
     listed: dict[str, ListedInstance] = attrs.field(factory=dict)
@@ -74,8 +83,12 @@
     state: ViewState,
     event: events.Place,
 ) -> events.Placed | Failure:
-    request = event.request
     now = time.monotonic()
+    blocked = unusable(state.members, state.listed, now)
+    request = attrs.evolve(
+        event.request,
+        excluded=event.request.excluded | blocked,
+    )
     placement = state.policy(
         state.view,
         request,
@@ -86,11 +99,13 @@
     if isinstance(placement, Failure):
         return placement
     commit(state.view, placement, request, now)
+    begin_work(state.members, placement.upstreams)
     return _placed(state, request, placement)
 
 
 def _take_listing(state: ViewState, event: events.ListingRead) -> None:
     """Take over the agents of the entry's subset."""
+    take_members(state.members, event.listing, time.monotonic())
     pools: dict[tuple[str, str], list[ListedInstance]] = {}
     for listed in event.listing.instances:
         if listed.role == 'agent' and not listed.leaving:
@@ -112,6 +127,8 @@
     listed = state.listed.get(report.upstream)
     if listed is None or report.kind not in {kind.value for kind in Kind}:
         return
+    now = time.monotonic()
+    take_member_report(state.members, listed, report, now)
     state.view.observe(
         UpstreamReport(
             upstream=report.upstream,
@@ -124,10 +141,10 @@
             slots=report.slots,
             decode_ms=report.decode_ms,
             cold=report.cold,
-            draining=report.draining or state.drained(listed),
+            draining=report.draining,
             prefixes=tuple(report.prefixes),
         ),
-        time.monotonic(),
+        now,
     )
 
 
@@ -136,6 +153,7 @@
     for listed in state.listed.values():
         if listed.name == event.instance:
             state.view.forget(listed.upstream)
+            note_refused(state.members, listed, time.monotonic())
 
 
 def _wanted_peers(
@@ -176,8 +194,9 @@
 
 def _count_usable(state: ViewState, event: events.CountUsable) -> int:
     now = time.monotonic()
+    blocked = unusable(state.members, state.listed, now)
     return sum(
-        state.view.accepts_work(upstream, now)
+        state.view.accepts_work(upstream, now) and upstream not in blocked
         for upstream in state.view.upstreams
     )
 
@@ -188,6 +207,16 @@
 
 def _release(state: ViewState, event: events.AttemptEnded) -> None:
     state.view.release(event.name, event.upstreams)
+    end_work(
+        state.members,
+        event.upstreams,
+        time.monotonic(),
+        completed=event.completed,
+    )
+
+
+def _take_drains(state: ViewState, event: events.DrainsChanged) -> None:
+    take_drains(state.members, event.drains, time.monotonic())
 
 
 _HANDLERS: Final[dict[type, Callable[[ViewState, Any], Any]]] = {
@@ -199,4 +228,5 @@
     events.AttemptGranted: _confirm,
     events.AttemptEnded: _release,
     events.LinkFailed: _forget_instance,
+    events.DrainsChanged: _take_drains,
 }
--- a/libs/entry/src/gypsumrelay_entry/events.py
+++ b/libs/entry/src/gypsumrelay_entry/events.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import attrs
+from gypsumrelay_configuration import Drain
 from gypsumrelay_platform import Listing
 from gypsumrelay_routing import PlacementRequest
 from gypsumrelay_wire import Address, LoadReport
@@ -77,6 +78,14 @@
 
     name: str
     upstreams: tuple[str, ...]
+    completed: bool = False
+
+
+@attrs.frozen
+class DrainsChanged:
+    """The operators' drains as the configuration has them."""
+
+    drains: tuple[Drain, ...]
 
 
 @attrs.frozen
--- a/libs/entry/src/gypsumrelay_entry/modelrun.py
+++ b/libs/entry/src/gypsumrelay_entry/modelrun.py
@@ -42,6 +42,7 @@
     progress: Progress = attrs.field(factory=Progress)
     failed_upstreams: set[str] = attrs.field(factory=set)
     attempts: int = 0
+    completed: bool = False
 
     def run(self) -> Iterator[Tokens | Finished | Failure]:
         """Yield token batches, then the finish or the final failure."""
@@ -95,6 +96,7 @@
             for event in attempt.run():
                 if isinstance(event, AttemptFailed):
                     self._note(placed, plan, event)
+                self.completed = isinstance(event, Finished)
                 yield event
         except GeneratorExit:
             attempt.cancel()
@@ -103,7 +105,11 @@
 
     def _end(self, placed: events.Placed) -> None:
         self.entry.actor.tell(
-            events.AttemptEnded(placed.name, placed.upstreams),
+            events.AttemptEnded(
+                placed.name,
+                placed.upstreams,
+                self.completed,
+            ),
         )
 
     def _wanted(self, prefixes: list[bytes]) -> PlacementRequest:
--- a/libs/entry/src/gypsumrelay_entry/process.py
+++ b/libs/entry/src/gypsumrelay_entry/process.py
@@ -9,7 +9,6 @@
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
-from gypsumrelay_configuration import is_drained
 from gypsumrelay_instance import (
     AdminCallbacks,
     Keeper,
@@ -23,7 +22,6 @@
     Callbacks,
     Follower,
     ListClient,
-    ListedInstance,
     LogClient,
 )
 from gypsumrelay_routing import View
@@ -133,7 +131,7 @@
         lambda: int(time.time() * MS_PER_SECOND),
     )
     mailboxes = Mailboxes()
-    actor = EntryActor.start(_view_state(settings, keeper))
+    actor = EntryActor.start(_view_state(settings))
     identity = Identity(
         settings.instance.name,
         settings.instance.incarnation or secrets.token_hex(4),
@@ -150,6 +148,13 @@
             Stamp(wall_ms, counter),
         ),
     )
+
+    def tell_drains() -> None:
+        with keeper.lock:
+            drains = tuple(keeper.state.drains.values())
+        actor.tell(events.DrainsChanged(drains))
+
+    keeper.listeners.append(tell_drains)
     return Entry(
         settings,
         keeper,
@@ -161,22 +166,13 @@
     )
 
 
-def _view_state(settings: EntrySettings, keeper: Keeper) -> ViewState:
-    def drained(listed: ListedInstance) -> bool:
-        state = keeper.state
-        return (
-            is_drained(state, 'zone', listed.availability_zone)
-            or is_drained(state, 'instance', listed.name)
-            or is_drained(state, 'upstream', listed.upstream)
-        )
-
+def _view_state(settings: EntrySettings) -> ViewState:
     return ViewState(
         settings.instance.name,
         View(settings.instance.availability_zone),
         # Entries must choose differently, so that they do not herd.
         random.Random(settings.instance.name),  # noqa: S311
         settings.routing.subset,
-        drained,
     )
 
 
--- a/libs/entry/src/gypsumrelay_entry/servicerun.py
+++ b/libs/entry/src/gypsumrelay_entry/servicerun.py
@@ -93,7 +93,11 @@
             raise
         finally:
             self.entry.actor.tell(
-                events.AttemptEnded(placed.name, placed.upstreams),
+                events.AttemptEnded(
+                    placed.name,
+                    placed.upstreams,
+                    completed=self.started,
+                ),
             )
         if failure is not None:
             self.failed_upstreams.add(placed.main.upstream)
