--- a/features/steps/survival.py
+++ b/features/steps/survival.py
@@ -75,29 +75,9 @@
     context.caller.start()
 
 
-def running_decode(context: Any, tokens: int) -> str:
-    """Return the upstream that has generated some tokens and runs on."""
-    found: list[str] = []
-
-    def look() -> bool:
-        for name, node in context.system.upstreams.items():
-            if not name.startswith('decode'):
-                continue
-            record = get_json(context.system.pool, f'{node.url}/record')
-            found.extend(
-                name
-                for run in (record or {'runs': ()})['runs']
-                if run['state'] == 'running' and run['output_tokens'] >= tokens
-            )
-        return bool(found)
-
-    assert wait_until(look, 15)
-    return found[0]
-
-
 @when('the {kind} of the stream is {fault} after {tokens:d} tokens')
 def hurt(context: Any, kind: str, fault: str, tokens: int) -> None:
-    name = running_decode(context, tokens)
+    name = context.system.running_decode(tokens)
     node = {
         'decode engine': context.system.upstreams[name],
         'decode agent': context.system.agents[f'agent-{name}'],
@@ -117,7 +97,7 @@
 
 @when('the open connections go silent after {tokens:d} tokens')
 def silence(context: Any, tokens: int) -> None:
-    running_decode(context, tokens)
+    context.system.running_decode(tokens)
     for relay in context.relays:
         relay.silence()
 
--- a/libs/agent/src/gypsumrelay_agent/state.py
+++ b/libs/agent/src/gypsumrelay_agent/state.py
@@ -89,7 +89,11 @@
 
 
 def current_load(state: AgentState) -> LoadReport:
-    """Return what the upstream can take now."""
+    """Return what the upstream can take now.
+
+    The slots are those of the ramp: an idle upstream whose limit is still
+    low must look idle, or it gets no work and its limit never grows.
+    """
     upstream = state.settings.upstream
     return LoadReport(
         upstream=upstream.name,
@@ -101,7 +105,7 @@
         draining=state.ledger.draining,
         cold=coldstart.is_cold(state.ramp),
         prefixes=[],
-        slots=upstream.slots,
+        slots=min(state.ramp.limit, upstream.slots),
         decode_ms=int(state.ramp.baseline * MS_PER_SECOND),
     )
 
--- a/libs/demo/src/gypsumrelay_demo/system.py
+++ b/libs/demo/src/gypsumrelay_demo/system.py
@@ -333,6 +333,30 @@
             return 0
         return int(status['usable_upstreams'])
 
+    def running_decode(self, tokens: int) -> str:
+        """Wait for a run with some tokens; return its decode upstream."""
+        found: list[str] = []
+
+        def look() -> bool:
+            found.extend(
+                place.name
+                for place in self.deployment.upstreams
+                if place.kind == 'decode'
+                for run in self.runs_at(place.name)
+                if run['state'] == 'running' and run['output_tokens'] >= tokens
+            )
+            return bool(found)
+
+        if not wait_until(look, START_SECONDS):
+            raise TimeoutError('no decode came that far in time')
+        return found[0]
+
+    def runs_at(self, upstream: str) -> list[dict[str, Any]]:
+        """Return the runs that an upstream recorded; none if it is down."""
+        url = f'{self.upstreams[upstream].url}/record'
+        record = get_json(self.pool, url)
+        return record['runs'] if record else []
+
     def stop(self) -> None:
         """Stop all processes; none is left behind."""
         groups = (self.entries, self.agents, self.upstreams, self.platform)
--- a/libs/entry/src/gypsumrelay_entry/actor.py
+++ b/libs/entry/src/gypsumrelay_entry/actor.py
@@ -37,7 +37,7 @@
 )
 
 if TYPE_CHECKING:
-    from gypsumrelay_wire import Address
+    from gypsumrelay_wire import Address, LoadReport
 
 Policy = Callable[..., Any]
 
@@ -139,7 +139,7 @@
             free_blocks=report.free_pieces,
             waiting=report.waiting,
             slots=report.slots,
-            decode_ms=report.decode_ms,
+            decode_ms=report.decode_ms or _fastest_ms(state, report),
             cold=report.cold,
             draining=report.draining,
             prefixes=tuple(report.prefixes),
@@ -148,6 +148,20 @@
     )
 
 
+def _fastest_ms(state: ViewState, report: LoadReport) -> int:
+    """Return the speed to assume for an upstream that has none yet.
+
+    With a slower assumption than the others' speed, an upstream that has
+    come back would get no work and so never show its own.
+    """
+    known = [
+        view.report.decode_ms
+        for view in state.view.upstreams.values()
+        if view.report.serves == report.serves and view.report.decode_ms
+    ]
+    return min(known, default=0)
+
+
 def _forget_instance(state: ViewState, event: events.LinkFailed) -> None:
     """Stop using an agent until it reports again."""
     for listed in state.listed.values():
