--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -170,7 +170,8 @@
 def kill_service(context: Any) -> None:
     assert wait_until(lambda: bool(services_that_ran(context)), 10)
     context.killed = services_that_ran(context)[0]
-    context.system.upstreams[context.killed].process.kill()
+    node = context.system.upstreams[context.killed]
+    node.process.kill()
 
 
 @then('the caller is told that the outcome is "{outcome}"')
