Add claims for idempotency keys and stored responses

A non-idempotent request with an idempotency key needs a claim in the log before its dispatch, so that at most one request runs for a key. The new library holds the pure decisions: a committer that collects claims into group commits and grants only what the log shows to be first, rendezvous hashing of committers, upkeep of the log (release, expiry, compaction) and the responses that an agent keeps for repeated requests. Three record types are new in the configuration library: ClaimsReleased, ClaimsExpired and ClaimsCompacted.

--- a/libs/claims/src/gypsumrelay_claims/__init__.py
+++ b/libs/claims/src/gypsumrelay_claims/__init__.py
@@ -1,1 +1,77 @@
-"""Claims for idempotency keys and kept answers."""
+"""Claims for idempotency keys and stored responses."""
+
+from gypsumrelay_claims.actions import (
+    Action,
+    Append,
+    AppendResult,
+    Claim,
+    ClaimKey,
+    Granted,
+    LogRead,
+    ReadLog,
+    Taken,
+    Unavailable,
+)
+from gypsumrelay_claims.flushing import (
+    expire,
+    flush,
+    next_due,
+    on_append_result,
+)
+from gypsumrelay_claims.observing import observe_read
+from gypsumrelay_claims.ownership import choose_committers, committer_of
+from gypsumrelay_claims.requests import complete, release, submit
+from gypsumrelay_claims.state import Committer, CommitterSettings
+from gypsumrelay_claims.stored import (
+    Part,
+    ResponseHead,
+    ResponseRead,
+    ResponseState,
+    StoredResponses,
+    append_part,
+    begin_response,
+    expire_responses,
+    fail_response,
+    finish_response,
+    lose_response,
+    read_response,
+    set_head,
+)
+
+__all__ = (
+    'Action',
+    'Append',
+    'AppendResult',
+    'Claim',
+    'ClaimKey',
+    'Committer',
+    'CommitterSettings',
+    'Granted',
+    'LogRead',
+    'Part',
+    'ReadLog',
+    'ResponseHead',
+    'ResponseRead',
+    'ResponseState',
+    'StoredResponses',
+    'Taken',
+    'Unavailable',
+    'append_part',
+    'begin_response',
+    'choose_committers',
+    'committer_of',
+    'complete',
+    'expire',
+    'expire_responses',
+    'fail_response',
+    'finish_response',
+    'flush',
+    'lose_response',
+    'next_due',
+    'observe_read',
+    'on_append_result',
+    'read_response',
+    'release',
+    'set_head',
+    'submit',
+)
--- /dev/null
+++ b/libs/claims/src/gypsumrelay_claims/observing.py
@@ -0,0 +1,256 @@
+"""What a committer does with the records that it reads from the log."""
+
+from __future__ import annotations
+
+from gypsumrelay_configuration import (
+    ClaimBatch,
+    ClaimEntry,
+    ClaimReference,
+    ClaimsCompacted,
+    ClaimsExpired,
+    ClaimsReleased,
+    CompactedClaim,
+    Record,
+)
+
+from gypsumrelay_claims import table as tables
+from gypsumrelay_claims.actions import (
+    Action,
+    ClaimKey,
+    Granted,
+    LogRead,
+    ReadLog,
+)
+from gypsumrelay_claims.requests import taken_by
+from gypsumrelay_claims.state import (
+    Committer,
+    Replay,
+    answer_overdue,
+    drop_waiting,
+    make_pending,
+    refuse,
+    release_orphan,
+    release_orphans,
+)
+from gypsumrelay_claims.table import ClaimTable, key_of
+
+Seeds = dict[ClaimKey, tuple[int, CompactedClaim]]
+
+
+def observe_read(
+    committer: Committer,
+    read: LogRead,
+    now: float,
+) -> list[Action]:
+    """Take in the response to a read of the log.
+
+    Overdue requests are answered first, so that a committer that was
+    paused grants nothing that it must reject.
+    """
+    actions = answer_overdue(committer, now)
+    if read.oldest > committer.next_offset:
+        _start_replay(committer, read.oldest)
+    elif read.start > committer.next_offset:
+        return [*actions, ReadLog()]
+    committer.oldest = max(committer.oldest, read.oldest)
+    for offset, record in read.entries:
+        if offset >= committer.next_offset:
+            actions.extend(_observe(committer, offset, record, now))
+            committer.next_offset = offset + 1
+    committer.next_offset = max(committer.next_offset, read.next_offset)
+    if read.at_end:
+        actions.extend(_reach_end(committer, now))
+    tables.forget_expired(committer.table, committer.oldest)
+    return actions
+
+
+def _start_replay(committer: Committer, oldest: int) -> None:
+    """Begin anew; records that were never read are gone from the log."""
+    committer.replay = Replay(oldest)
+    committer.table = ClaimTable(committer.settings.claim_seconds)
+    committer.upkeep.compacting.clear()
+    committer.upkeep.expiring.clear()
+    committer.upkeep.releasing.clear()
+    committer.next_offset = oldest
+
+
+def _reach_end(committer: Committer, now: float) -> list[Action]:
+    actions: list[Action] = []
+    if committer.replay is not None:
+        replay = committer.replay
+        committer.replay = None
+        actions.extend(_apply_replay(committer, replay, now))
+    if committer.sending:
+        committer.sending.read_back = True
+    return actions
+
+
+def _apply_replay(
+    committer: Committer,
+    replay: Replay,
+    now: float,
+) -> list[Action]:
+    """Rebuild the table from compacted states and what came after them.
+
+    Committers repeat every claim before its first record is dropped, so
+    a key that no valid compaction names has all its records here.
+    """
+    seeds = _find_seeds(replay)
+    for covers, compacted in seeds.values():
+        tables.seed(committer.table, covers, compacted, now)
+    actions: list[Action] = []
+    for offset, record in replay.records:
+        actions.extend(_apply(committer, offset, record, now, seeds))
+    release_orphans(committer)
+    return actions
+
+
+def _find_seeds(replay: Replay) -> Seeds:
+    """Return the newest state of each key with all later records present."""
+    compactions = [
+        record
+        for _, record in replay.records
+        if isinstance(record, ClaimsCompacted)
+        and record.covers >= replay.start - 1
+    ]
+    seeds: Seeds = {}
+    for record in sorted(compactions, key=_covers):
+        for compacted in record.claims:
+            seeds[key_of(compacted.claim)] = (record.covers, compacted)
+    return seeds
+
+
+def _covers(record: ClaimsCompacted) -> int:
+    return record.covers
+
+
+def _observe(
+    committer: Committer,
+    offset: int,
+    record: Record,
+    now: float,
+) -> list[Action]:
+    if isinstance(record, ClaimBatch):
+        _settle_sending(committer, record)
+    if committer.replay is None:
+        return _apply(committer, offset, record, now, {})
+    if isinstance(record, _CLAIM_RECORDS):
+        committer.replay.records.append((offset, record))
+    return []
+
+
+def _settle_sending(committer: Committer, record: ClaimBatch) -> None:
+    batch = committer.sending.batch if committer.sending else None
+    if batch and batch.record_id == record.record_id:
+        committer.sending = None
+
+
+def _apply(
+    committer: Committer,
+    offset: int,
+    record: Record,
+    now: float,
+    seeds: Seeds,
+) -> list[Action]:
+    table = committer.table
+    if isinstance(record, ClaimBatch):
+        return _apply_batch(committer, offset, record, now, seeds)
+    if isinstance(record, ClaimsReleased):
+        for released in _unknown(record.claims, offset, seeds):
+            tables.apply_release(table, offset, released)
+            _forget(committer.upkeep.releasing, released)
+    if isinstance(record, ClaimsExpired):
+        for ended in _unknown(record.claims, offset, seeds):
+            tables.apply_expiry(table, offset, ended)
+            _forget(committer.upkeep.expiring, ended)
+    if isinstance(record, ClaimsCompacted):
+        _apply_compaction(committer, record)
+    return []
+
+
+def _apply_compaction(committer: Committer, record: ClaimsCompacted) -> None:
+    for compacted in record.claims:
+        tables.apply_compaction(committer.table, record.covers, compacted)
+        committer.upkeep.compacting.pop(key_of(compacted.claim), None)
+
+
+def _apply_batch(
+    committer: Committer,
+    offset: int,
+    record: ClaimBatch,
+    now: float,
+    seeds: Seeds,
+) -> list[Action]:
+    actions: list[Action] = []
+    for entry in record.claims:
+        if _is_known(seeds, offset, key_of(entry)):
+            continue
+        won = tables.apply_claim(
+            committer.table,
+            offset,
+            entry,
+            record.committer,
+            now,
+        )
+        granted = won and record.committer == committer.identity
+        actions.extend(_answer(committer, entry, granted, now))
+    return actions
+
+
+def _answer(
+    committer: Committer,
+    entry: ClaimEntry,
+    granted: bool,
+    now: float,
+) -> list[Action]:
+    """Answer the request of a claim that the log now shows.
+
+    A claim that another committer wrote is not granted here, since that
+    committer may have rejected its request.
+    """
+    release_orphan(committer, key_of(entry))
+    waiting = committer.waiting.get(entry.request_id)
+    if waiting is None:
+        return []
+    if granted:
+        drop_waiting(committer, entry.request_id)
+        return [Granted(entry.request_id)]
+    taken = taken_by(committer, waiting.claim)
+    if taken:
+        drop_waiting(committer, entry.request_id)
+        return [taken]
+    holding = committer.table.holdings.get(key_of(entry))
+    if holding and entry.request_id in holding.void:
+        drop_waiting(committer, entry.request_id)
+        return [refuse(committer, waiting.claim, 'the claim is void', now)]
+    make_pending(committer, entry.request_id, now)
+    return []
+
+
+def _is_known(seeds: Seeds, offset: int, key: ClaimKey) -> bool:
+    """Return whether a key's compacted state includes an offset."""
+    return key in seeds and offset <= seeds[key][0]
+
+
+def _unknown(
+    references: tuple[ClaimReference, ...],
+    offset: int,
+    seeds: Seeds,
+) -> list[ClaimReference]:
+    return [
+        reference
+        for reference in references
+        if not _is_known(seeds, offset, key_of(reference))
+    ]
+
+
+def _forget(
+    references: dict[ClaimKey, str],
+    reference: ClaimReference,
+) -> None:
+    key = key_of(reference)
+    if references.get(key) == reference.request_id:
+        references.pop(key)
+
+
+_CLAIM_RECORDS = (ClaimBatch, ClaimsReleased, ClaimsExpired, ClaimsCompacted)
--- /dev/null
+++ b/libs/claims/tests/steps/cluster.py
@@ -0,0 +1,537 @@
+"""Model of entries, committers and the log, with an oracle beside them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import attrs
+from gypsumrelay_claims import (
+    Append,
+    AppendResult,
+    Claim,
+    Committer,
+    CommitterSettings,
+    Granted,
+    LogRead,
+    Taken,
+    Unavailable,
+    expire,
+    flush,
+    observe_read,
+    on_append_result,
+    release,
+    submit,
+)
+from gypsumrelay_configuration import (
+    ClaimBatch,
+    ClaimsExpired,
+    ClaimsReleased,
+    Record,
+)
+
+CLAIM_SECONDS: Final = 100.0
+KEYS: Final = ('k1', 'k2', 'k3')
+NAMES: Final = ('agent-a', 'agent-b', 'agent-c')
+READ_LIMIT: Final = 4
+KEPT_RECORDS: Final = 24
+RECOVERY_ROUNDS: Final = 40
+SETTINGS: Final = CommitterSettings(
+    CLAIM_SECONDS,
+    max_batch=3,
+    compact_records=6,
+    abandon_seconds=1e6,
+    deputy_seconds=5,
+)
+
+
+@attrs.frozen
+class Bound:
+    """What the whole log says about one key."""
+
+    body: str
+    holder: str
+    writer: str
+    free: bool = False
+    used: frozenset[str] = frozenset()
+
+
+def reduce_reference(
+    known: dict[str, Bound],
+    record: Record,
+) -> dict[str, Bound]:
+    """Apply one record by the simplest rule that can be stated."""
+    after = dict(known)
+    if isinstance(record, ClaimBatch):
+        for entry in record.claims:
+            bound = after.get(entry.key_digest)
+            used = bound.used if bound else frozenset()
+            ended = bound is None or not bound.body
+            follows = (
+                bound and bound.free and bound.body == entry.request_digest
+            )
+            if entry.request_id not in used and (ended or follows):
+                after[entry.key_digest] = Bound(
+                    entry.request_digest,
+                    entry.request_id,
+                    record.committer,
+                    used=used | {entry.request_id},
+                )
+    if isinstance(record, (ClaimsReleased, ClaimsExpired)):
+        for named in record.claims:
+            bound = after.get(named.key_digest)
+            if bound is None or bound.holder != named.request_id:
+                continue
+            body = bound.body if isinstance(record, ClaimsReleased) else ''
+            after[named.key_digest] = attrs.evolve(bound, body=body, free=True)
+    return after
+
+
+@attrs.define
+class LogModel:
+    """All records ever, the state after each, and what is still readable."""
+
+    history: list[Record] = attrs.field(factory=list)
+    states: list[dict[str, Bound]] = attrs.field(factory=lambda: [{}])
+    holders: set[tuple[str, str]] = attrs.field(factory=set)
+    oldest: int = 0
+    down: bool = False
+
+    def take(self, records: tuple[Record, ...]) -> None:
+        """Append records."""
+        for record in records:
+            self.history.append(record)
+            state = reduce_reference(self.states[-1], record)
+            self.states.append(state)
+            self.holders.update((b.holder, b.writer) for b in state.values())
+
+    def read(self, start: int) -> LogRead:
+        """Return some records from an offset on."""
+        begin = max(start, self.oldest)
+        found = self.history[begin : begin + READ_LIMIT]
+        entries = tuple(enumerate(found, begin))
+        end = begin + len(found)
+        at_end = end == len(self.history)
+        return LogRead(start, entries, end, self.oldest, at_end)
+
+
+@attrs.define
+class Agent:
+    """A committer's process."""
+
+    name: str
+    incarnation: int
+    skew: float
+    committer: Committer
+    paused: bool = False
+    held_reads: list[LogRead] = attrs.field(factory=list)
+    rejected: set[str] = attrs.field(factory=set)
+    freed: set[str] = attrs.field(factory=set)
+
+
+@attrs.define
+class Request:
+    """A request at its entry."""
+
+    request_id: str
+    key: str
+    body: str
+    deadline: float
+    state: str = 'waiting'
+
+
+@attrs.define
+class Flying:
+    """An append between its committer and the log."""
+
+    agent: Agent
+    append: Append
+    landed: bool = False
+
+
+def new_agent(name: str, incarnation: int) -> Agent:
+    identity = f'{name}#{incarnation}'
+    committer = Committer(name, identity, SETTINGS, NAMES)
+    return Agent(name, incarnation, 1000.0 * incarnation, committer)
+
+
+@attrs.define
+class Cluster:
+    """Everything; each step takes two numbers that choose what happens."""
+
+    now: float = 0
+    log: LogModel = attrs.field(factory=LogModel)
+    agents: list[Agent] = attrs.field(
+        factory=lambda: [new_agent(name, 1) for name in NAMES],
+    )
+    requests: dict[str, Request] = attrs.field(factory=dict)
+    flying: list[Flying] = attrs.field(factory=list)
+    late: list[tuple[Record, ...]] = attrs.field(factory=list)
+    answers: list[Any] = attrs.field(factory=list)
+    dispatches: dict[str, tuple[str, float]] = attrs.field(factory=dict)
+    not_run: set[str] = attrs.field(factory=set)
+    counts: dict[str, int] = attrs.field(factory=dict)
+
+    # Entries
+
+    def ask(self, which: int, seed: int) -> None:
+        """A client sends a key, mostly with the same body."""
+        name = f'r{len(self.requests)}'
+        body = 'other' if seed == 0 else 'body'
+        deadline = self.now + (0.3, 1, 4)[seed % 3]
+        request = Request(name, KEYS[which % len(KEYS)], body, deadline)
+        self.requests[name] = request
+        self.submit(request, self.agents[(which + seed) % len(NAMES)])
+
+    def ask_again(self, which: int, seed: int) -> None:
+        """An entry sends a claim twice, perhaps to another committer."""
+        waiting = self.waiting()
+        if waiting:
+            request = waiting[which % len(waiting)]
+            self.submit(request, self.agents[seed % len(NAMES)])
+
+    def submit(self, request: Request, agent: Agent) -> None:
+        """Send a claim; a paused agent never sees it."""
+        if agent.paused:
+            return
+        claim = Claim(
+            'account',
+            request.key,
+            request.body,
+            request.request_id,
+            'runner',
+            True,
+            request.deadline + agent.skew,
+        )
+        actions = submit(agent.committer, claim, self.now + agent.skew)
+        self.handle(agent, actions, final=False)
+
+    def deliver(self, which: int, seed: int) -> None:
+        """An answer arrives; now and then it is lost on its link."""
+        if not self.answers:
+            return
+        action = self.answers.pop(which % len(self.answers))
+        request = self.requests[action.request_id]
+        if request.state != 'waiting' or seed == 0:
+            return
+        if request.deadline <= self.now or isinstance(action, Unavailable):
+            self.reject(request)
+        elif isinstance(action, Taken):
+            request.state = 'taken'
+        elif seed == 1:
+            # The running agent refuses the dispatch.
+            self.reject(request)
+            self.release(request, which)
+        else:
+            self.dispatch(request)
+
+    def dispatch(self, request: Request) -> None:
+        """Run the request, which must be the only one."""
+        known = self.dispatches.get(request.key)
+        assert known is None or self.now - known[1] >= CLAIM_SECONDS, (
+            f'{request} runs although {known} did'
+        )
+        assert request.request_id not in self.not_run, f'{request} was not_run'
+        self.dispatches[request.key] = (request.request_id, self.now)
+        request.state = 'ran'
+
+    def reject(self, request: Request) -> None:
+        """Tell the client not_run, which must stay true."""
+        request.state = 'rejected'
+        self.not_run.add(request.request_id)
+
+    def release(self, request: Request, which: int) -> None:
+        """The entry gives a claim up at a committer; a pause loses it."""
+        agent = self.agents[which % len(NAMES)]
+        if not agent.paused:
+            agent.freed.add(request.request_id)
+            release(
+                agent.committer,
+                ('account', request.key),
+                request.request_id,
+                self.now + agent.skew,
+            )
+
+    def crash_entry(self, which: int, seed: int) -> None:
+        """Some requests end with their entry, unanswered."""
+        waiting = self.waiting()
+        for request in waiting[which % 4 :: 2]:
+            request.state = 'gone'
+
+    def waiting(self) -> list[Request]:
+        """Return the requests without an answer."""
+        return [
+            request
+            for request in self.requests.values()
+            if request.state == 'waiting'
+        ]
+
+    # Committers
+
+    def tick(self, which: int, seed: int) -> None:
+        """A committer gets a turn."""
+        agent = self.agents[which % len(NAMES)]
+        if not agent.paused:
+            local = self.now + agent.skew
+            expire(agent.committer, local)
+            self.handle(agent, flush(agent.committer, local))
+
+    def read(self, which: int, seed: int) -> None:
+        """A committer reads some records."""
+        agent = self.agents[which % len(NAMES)]
+        if not self.log.down and not agent.paused:
+            self.observe(agent, self.log.read(agent.committer.next_offset))
+
+    def hold_read(self, which: int, seed: int) -> None:
+        """A response to a read stays under way."""
+        agent = self.agents[which % len(NAMES)]
+        if not self.log.down:
+            read = self.log.read(agent.committer.next_offset)
+            agent.held_reads.append(read)
+
+    def deliver_read(self, which: int, seed: int) -> None:
+        """A response to a read arrives late, in any order."""
+        agent = self.agents[which % len(NAMES)]
+        if agent.held_reads and not agent.paused:
+            held = agent.held_reads.pop(seed % len(agent.held_reads))
+            self.observe(agent, held)
+
+    def observe(self, agent: Agent, read: LogRead) -> None:
+        """A committer takes in a response to a read."""
+        local = self.now + agent.skew
+        self.handle(agent, observe_read(agent.committer, read, local))
+        self.check_table(agent)
+
+    def check_table(self, agent: Agent) -> None:
+        """A committer that replayed knows what the whole log says."""
+        committer = agent.committer
+        if committer.replay is not None:
+            return
+        known = {
+            key[1]: (
+                holding.entry.request_digest,
+                holding.entry.request_id,
+                holding.state.value,
+            )
+            for key, holding in committer.table.holdings.items()
+            if holding.state.value != 'expired'
+        }
+        state = self.log.states[committer.next_offset]
+        expected = {
+            key: (
+                bound.body,
+                bound.holder,
+                'released' if bound.free else 'held',
+            )
+            for key, bound in state.items()
+            if bound.body
+        }
+        assert known == expected, f'{committer.identity} is wrong about a key'
+
+    def handle(
+        self,
+        agent: Agent,
+        actions: list[Any],
+        *,
+        final: bool = True,
+    ) -> None:
+        """Carry out what a committer decided."""
+        for action in actions:
+            kind = type(action).__name__
+            self.counts[kind] = self.counts.get(kind, 0) + 1
+            if isinstance(action, Append):
+                self.flying.append(Flying(agent, action))
+            elif isinstance(action, (Granted, Taken, Unavailable)):
+                self.check_answer(agent, action)
+                self.answers.append(action)
+            if isinstance(action, Unavailable) and final:
+                agent.rejected.add(action.request_id)
+
+    def check_answer(self, agent: Agent, action: Any) -> None:
+        """Check an answer when its committer gives it."""
+        request = self.requests[action.request_id]
+        if isinstance(action, Granted):
+            assert request.request_id not in agent.rejected, (
+                f'{request} was rejected and then granted'
+            )
+            holder = (request.request_id, agent.committer.identity)
+            assert holder in self.log.holders, (
+                f'{request} was granted without being first in the log'
+            )
+        if isinstance(action, Taken):
+            holder = self.requests[action.holder_request_id]
+            assert holder.key == request.key
+            same = holder.body == request.body
+            assert action.same_body == same, f'{request} is misled by {action}'
+
+    def pause(self, which: int, seed: int) -> None:
+        """A committer stops or goes on."""
+        agent = self.agents[which % len(NAMES)]
+        agent.paused = seed % 3 == 0
+
+    def crash_agent(self, which: int, seed: int) -> None:
+        """A committer is replaced by a new incarnation."""
+        index = which % len(NAMES)
+        old = self.agents[index]
+        self.agents[index] = new_agent(old.name, old.incarnation + 1)
+
+    # The log
+
+    def resolve(self, which: int, seed: int) -> None:
+        """An append comes to some end."""
+        if not self.flying:
+            return
+        flying = self.flying.pop(which % len(self.flying))
+        records = flying.append.records
+        fate = _FATES[seed % len(_FATES)]
+        if self.log.down and fate in {'recorded', 'slow'}:
+            fate = 'refused'
+        if flying.landed and fate != 'lost':
+            fate = 'recorded'
+        if fate in {'recorded', 'lost', 'slow'} and not flying.landed:
+            self.log.take(records)
+        if fate == 'slow':
+            self.flying.append(attrs.evolve(flying, landed=True))
+            return
+        if fate == 'late':
+            self.late.append(records)
+        outcome = _OUTCOMES.get(fate, AppendResult.unknown)
+        self.report(flying, outcome)
+
+    def report(self, flying: Flying, outcome: AppendResult) -> None:
+        """Tell a committer the result of its append."""
+        agent = flying.agent
+        actions = on_append_result(
+            agent.committer,
+            flying.append.append_id,
+            outcome,
+            self.now + agent.skew,
+        )
+        if any(agent is alive for alive in self.agents):
+            self.handle(agent, actions)
+
+    def land(self, which: int, seed: int) -> None:
+        """An append takes effect long after its response was lost."""
+        if self.late:
+            self.log.take(self.late.pop(which % len(self.late)))
+
+    def switch_log(self, which: int, seed: int) -> None:
+        """The log goes down or comes back."""
+        self.log.down = seed % 3 == 0
+
+    def drop_records(self, which: int, seed: int) -> None:
+        """The log drops old records; running committers had time for it."""
+        if all(agent.paused for agent in self.agents):
+            return
+        self.settle(RECOVERY_ROUNDS)
+        self.log.oldest = max(
+            self.log.oldest,
+            len(self.log.history) - KEPT_RECORDS,
+        )
+
+    # Time
+
+    def advance(self, which: int, seed: int) -> None:
+        """Time passes; entries reject what is overdue."""
+        self.now += (0.02, 0.06, 0.2, 1.5)[seed % 4]
+        for request in self.waiting():
+            if request.deadline <= self.now:
+                self.reject(request)
+                self.release(request, which)
+
+    def pass_period(self, which: int, seed: int) -> None:
+        """All claims become older than the claim period."""
+        self.late.clear()
+        for flying in self.flying:
+            self.report(flying, AppendResult.unknown)
+        self.flying.clear()
+        self.now += CLAIM_SECONDS + 1
+        self.advance(which, 0)
+
+    def settle(self, rounds: int) -> None:
+        """The log works and every running agent gets turns."""
+        self.log.down = False
+        for _ in range(rounds):
+            self.advance(0, 2)
+            while self.late:
+                self.land(0, 0)
+            for index, _ in enumerate(self.agents):
+                self.tick(index, 0)
+                while self.flying:
+                    self.resolve(0, 0)
+                self.read(index, 0)
+            while self.answers:
+                self.deliver(0, 2)
+
+    def recover(self) -> None:
+        """Everything works again; all waiting requests get answers."""
+        for agent in self.agents:
+            agent.paused = False
+        self.settle(RECOVERY_ROUNDS)
+        assert not self.waiting(), f'no answer for {self.waiting()}'
+        for agent in self.agents:
+            assert agent.committer.replay is None, 'the replay did not end'
+            assert agent.committer.next_offset == len(self.log.history)
+        for key in KEYS:
+            self.probe(key)
+
+    def probe(self, key: str) -> None:
+        """A repeated key gets a run, or a holder that may have run."""
+        state = self.log.states[-1].get(key)
+        body = state.body if state and state.body else 'body'
+        taken = self.answer_for(key, body)
+        if isinstance(taken, Taken):
+            holder = self.log.states[-1][key]
+            for agent in self.agents:
+                mine = holder.writer == agent.committer.identity
+                assert holder.holder not in agent.freed, f'{taken} is stuck'
+                assert not mine or holder.holder not in agent.rejected, (
+                    f'{taken} was rejected and never released'
+                )
+        else:
+            assert isinstance(taken, Granted), taken
+        changed = self.answer_for(key, 'changed')
+        assert isinstance(changed, Taken), changed
+        assert not changed.same_body, 'another body was not noticed'
+
+    def answer_for(self, key: str, body: str) -> Any:
+        """Send one request through the first agent and return its answer."""
+        name = f'r{len(self.requests)}'
+        request = Request(name, key, body, self.now + 20)
+        self.requests[name] = request
+        self.submit(request, self.agents[0])
+        for _ in range(RECOVERY_ROUNDS):
+            for answer in self.answers:
+                if answer.request_id == name:
+                    self.deliver(self.answers.index(answer), 2)
+                    return answer
+            self.now += 0.1
+            self.tick(0, 0)
+            while self.flying:
+                self.resolve(0, 0)
+            self.read(0, 0)
+        return None
+
+
+_FATES: Final = (
+    'recorded',
+    'recorded',
+    'lost',
+    'refused',
+    'timeout',
+    'late',
+    'slow',
+)
+_OUTCOMES: Final = {
+    'recorded': AppendResult.recorded,
+    'refused': AppendResult.not_recorded,
+}
+STEPS: Final[tuple[Callable[[Cluster, int, int], None], ...]] = (
+    *(Cluster.ask, Cluster.ask, Cluster.ask, Cluster.ask_again),
+    *(Cluster.tick, Cluster.tick, Cluster.tick, Cluster.read, Cluster.read),
+    *(Cluster.read, Cluster.resolve, Cluster.resolve, Cluster.deliver),
+    *(Cluster.deliver, Cluster.hold_read, Cluster.deliver_read),
+    *(Cluster.advance, Cluster.advance, Cluster.land, Cluster.pause),
+    *(Cluster.crash_agent, Cluster.crash_entry, Cluster.switch_log),
+    *(Cluster.drop_records, Cluster.pass_period),
+)
--- a/libs/configuration/src/gypsumrelay_configuration/records.py
+++ b/libs/configuration/src/gypsumrelay_configuration/records.py
@@ -122,6 +122,67 @@
     claims: tuple[ClaimEntry, ...]
 
 
+@attrs.frozen
+class ClaimReference:
+    """Names one claim; it has no effect on a claim of another request."""
+
+    client_account: str
+    key_digest: str
+    request_id: str
+
+
+@attrs.frozen
+class ClaimsReleased(Record):
+    """Frees claims whose requests were never dispatched and never will be."""
+
+    committer: str
+    claims: tuple[ClaimReference, ...]
+
+
+@attrs.frozen
+class ClaimsExpired(Record):
+    """Ends claims that were remembered for the whole claim period."""
+
+    committer: str
+    claims: tuple[ClaimReference, ...]
+
+
+@attrs.frozen
+class CompactedClaim:
+    """The state of one idempotency key.
+
+    Attributes:
+        claim: The newest claim that was first for the key.
+        writer: The committer that wrote it.
+        state: `held`, `released` or `expired`.
+        void: Earlier requests whose claims were released.
+        changed_at: Offset of the record that led to the state.
+        remaining_seconds: For how much longer the claim is remembered.
+    """
+
+    claim: ClaimEntry
+    writer: str
+    state: str
+    void: tuple[str, ...]
+    changed_at: int
+    remaining_seconds: float
+
+
+@attrs.frozen
+class ClaimsCompacted(Record):
+    """Repeats the state of keys before the log drops their first records.
+
+    Attributes:
+        committer: Who wrote the record.
+        covers: Last offset that the repeated states include.
+        claims: The states.
+    """
+
+    committer: str
+    covers: int
+    claims: tuple[CompactedClaim, ...]
+
+
 @attrs.frozen
 class SnapshotWritten(Record):
     """The reduced state up to and including an offset."""
@@ -141,6 +202,9 @@
     'share_released': ShareReleased,
     'fence_taken': FenceTaken,
     'claim_batch': ClaimBatch,
+    'claims_released': ClaimsReleased,
+    'claims_expired': ClaimsExpired,
+    'claims_compacted': ClaimsCompacted,
     'snapshot_written': SnapshotWritten,
 }
 _NAMES: Final = {kind: name for name, kind in _KINDS.items()}
