Attribute upstream crashes to requests and never call a run not run

An agent that loses the connection to its upstream in mid-run asks it for its state, names the requests that ran to all entries when the crash is confirmed, and only then reports their failures. Entries ask the attribution before each attempt, run a suspect alone and refuse it after two crashes.

--- /dev/null
+++ b/features/steps/crashes.py
@@ -0,0 +1,122 @@
+"""Steps for requests that crash upstreams."""
+
+from __future__ import annotations
+
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import urllib3
+from behave import then, when
+from gypsumrelay_demo import complete
+from gypsumrelay_standins import expected_text
+
+BUSY_CODES = ('overloaded', 'no_upstream', 'deadline_unreachable')
+CRASHING = 'please crash-upstream now ' + ' '.join(f'x{n}' for n in range(300))
+
+
+@when('{count:d} healthy callers stream {tokens:d} tokens each')
+def stream_healthy(context: Any, count: int, tokens: int) -> None:
+    context.crashes = 0
+    context.stop_restarts = threading.Event()
+    context.restarter = threading.Thread(
+        target=restart_crashed,
+        args=(context,),
+        daemon=True,
+    )
+    context.restarter.start()
+    entries = list(context.system.entries.values())
+    key = next(iter(context.system.keys.values())).secret
+    pool = urllib3.PoolManager(maxsize=count)
+
+    def stream(number: int) -> tuple[str, Any]:
+        words = ' '.join(f'h{number}n{n}' for n in range(300))
+        body = {
+            'model': 'model',
+            'prompt': words,
+            'max_tokens': tokens,
+            'stream': True,
+        }
+        reply = send_until_run(pool, entries[number % 2].url, key, body)
+        return expected_text(words, tokens), reply
+
+    callers = ThreadPoolExecutor(count)
+    context.healthy = [
+        callers.submit(stream, number) for number in range(count)
+    ]
+
+
+def send_until_run(
+    pool: urllib3.PoolManager,
+    url: str,
+    key: str,
+    body: dict[str, Any],
+    context: Any = None,
+) -> Any:
+    """Send a request again as long as it is refused for lack of room."""
+    until = time.monotonic() + 30
+    while True:
+        before = context.crashes if context else 0
+        reply = complete(pool, url, key, body)
+        if context:
+            # The restarter notices a crash within its period.
+            time.sleep(0.5)
+        if context and reply.outcome == 'not_run':
+            assert context.crashes == before, 'not_run, but it ran'
+        if reply.code not in BUSY_CODES or time.monotonic() > until:
+            return reply
+        time.sleep(0.2)
+
+
+def restart_crashed(context: Any) -> None:
+    """Play the platform, which starts a crashed engine again."""
+    while not context.stop_restarts.wait(0.2):
+        for name, node in context.system.upstreams.items():
+            if not name.startswith('service') and not (
+                node.process.is_running()
+            ):
+                context.crashes += 1
+                node.process.start()
+
+
+@when('a caller sends a request that crashes engines')
+def send_crashing(context: Any) -> None:
+    context.refusals = []
+    send_one(context, 0)
+
+
+def send_one(context: Any, number: int) -> None:
+    entries = list(context.system.entries.values())
+    key = next(iter(context.system.keys.values())).secret
+    body = {'model': 'model', 'prompt': CRASHING, 'max_tokens': 5}
+    url = entries[number % len(entries)].url
+    reply = send_until_run(urllib3.PoolManager(), url, key, body, context)
+    print(number, reply.code, reply.outcome, context.crashes)
+    context.refusals.append(reply)
+
+
+@when('the caller sends it {count:d} times again through all entries')
+def send_again(context: Any, count: int) -> None:
+    for number in range(1, count + 1):
+        send_one(context, number)
+
+
+@then('the engines crashed at most twice')
+def check_crashes(context: Any) -> None:
+    time.sleep(0.5)
+    context.stop_restarts.set()
+    context.restarter.join()
+    assert 1 <= context.crashes <= 2, context.crashes
+
+
+@then('the last refusal is "{code}"')
+def check_last(context: Any, code: str) -> None:
+    assert context.refusals[-1].code == code, context.refusals
+
+
+@then('every healthy caller has its whole answer')
+def check_healthy(context: Any) -> None:
+    for future in context.healthy:
+        expected, reply = future.result(60)
+        assert reply.text == expected, reply
--- a/libs/agent/src/gypsumrelay_agent/acting.py
+++ b/libs/agent/src/gypsumrelay_agent/acting.py
@@ -132,6 +132,7 @@
         link,
         order,
         place.request.prompt_tokens,
+        state.digests.get(action.key, b''),
     )
     state.runs[action.key] = run
     state.record('started', action.key, place.request.client_account)
@@ -176,7 +177,7 @@
         )
     if action.reason not in SILENT_ENDS:
         state.record(f'ended_{action.reason.value}', action.key)
-        message = failed_of_end(action.key, action.reason, run)
+        message = failed_of_end(action, run)
         send(state, action.link, message)
 
 
@@ -196,6 +197,7 @@
     """Drop the message of a run that will not start."""
     state.orders.pop(key, None)
     state.deadlines.pop(key, None)
+    state.digests.pop(key, None)
 
 
 _ACTIONS: Final[dict[type[Action], Callable[[AgentState, Any], None]]] = {
--- /dev/null
+++ b/libs/agent/src/gypsumrelay_agent/crashes.py
@@ -0,0 +1,84 @@
+"""Crashes of the upstream and the requests that ran when they happened."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from gypsumrelay_upstreams import EngineReport
+from gypsumrelay_wire import CrashReport
+from logbook import Logger
+
+from gypsumrelay_agent.engine import UpstreamFault
+from gypsumrelay_agent.probing import probe_now
+from gypsumrelay_agent.replies import failed_of_fault
+
+if TYPE_CHECKING:
+    from gypsumrelay_agent.runs import Run
+    from gypsumrelay_agent.state import AgentState
+
+log = Logger('agent')
+
+
+@attrs.define
+class Suspected:
+    """A crash that is not confirmed yet.
+
+    Attributes:
+        incarnation: The upstream's incarnation when a connection broke.
+        digests: Digests of the requests that ran then.
+        failed: Runs whose failure waits for the confirmation.
+    """
+
+    incarnation: str
+    digests: list[bytes]
+    failed: list[tuple[Run, UpstreamFault]] = attrs.field(factory=list)
+
+
+def suspect_crash(state: AgentState, run: Run, fault: UpstreamFault) -> None:
+    """Take a broken connection as a possible crash and ask the upstream."""
+    if state.suspected is None:
+        runs = [run, *state.runs.values()]
+        digests = dict.fromkeys(one.digest for one in runs if one.digest)
+        state.suspected = Suspected(state.ledger.engine, list(digests))
+        probe_now(state)
+    state.suspected.failed.append((run, fault))
+
+
+def settle_suspicion(
+    state: AgentState,
+    report: EngineReport | UpstreamFault,
+) -> None:
+    """Report a confirmed crash, then the failures that waited for it."""
+    suspected = state.suspected
+    if suspected is None:
+        return
+    state.suspected = None
+    if _is_confirmed(suspected, report):
+        _send_report(state, suspected)
+    for run, fault in suspected.failed:
+        run.link.send(failed_of_fault(run, fault))
+
+
+def _is_confirmed(
+    suspected: Suspected,
+    report: EngineReport | UpstreamFault,
+) -> bool:
+    if isinstance(report, UpstreamFault):
+        return True
+    return report.incarnation != suspected.incarnation
+
+
+def _send_report(state: AgentState, suspected: Suspected) -> None:
+    state.crashes += 1
+    upstream = state.settings.upstream.name
+    life = state.accounts.member.incarnation
+    crash = f'{upstream}/{life}/{state.crashes}'
+    log.warning(
+        'The upstream crashed with {} requests running.',
+        len(suspected.digests),
+    )
+    report = CrashReport(crash, suspected.digests)
+    for link in list(state.links.values()):
+        if link.peer.role == 'entry':
+            link.send(report)
--- a/libs/agent/src/gypsumrelay_agent/handling.py
+++ b/libs/agent/src/gypsumrelay_agent/handling.py
@@ -25,6 +25,7 @@
 
 from gypsumrelay_agent import events
 from gypsumrelay_agent.acting import act
+from gypsumrelay_agent.crashes import settle_suspicion, suspect_crash
 from gypsumrelay_agent.drawing import (
     end_draw,
     receive_draw,
@@ -48,6 +49,7 @@
     reserve_request,
     run_deadline,
 )
+from gypsumrelay_agent.runs import Run
 from gypsumrelay_agent.state import AgentState, link_id, now_seconds
 
 # A prefill result lives under a second at the engine.
@@ -83,6 +85,7 @@
 def _reserve(state: AgentState, event: events.Received) -> None:
     now = now_seconds()
     request = reserve_request(event.message, now)
+    state.digests[request.key] = event.message.request_digest
     found = ledger.reserve(state.ledger, request, link_id(event.link), now)
     act(state, found)
 
@@ -105,6 +108,7 @@
     request = call_request(event.message, now)
     state.orders[request.key] = event.message
     state.deadlines[request.key] = request.deadline
+    state.digests[request.key] = event.message.request_digest
     found = ledger.reserve(state.ledger, request, link_id(event.link), now)
     act(state, found)
 
@@ -118,6 +122,7 @@
     now = now_seconds()
     state.probing = False
     report = event.report
+    settle_suspicion(state, report)
     if isinstance(report, UpstreamFault):
         if not state.upstream_down:
             coldstart.restart(state.ramp, now)
@@ -163,7 +168,7 @@
         state.record('finished', event.key)
         _settle(state, event, now)
     else:
-        run.link.send(failed_of_fault(run, event.fault))
+        _report_fault(state, run, event.fault)
         state.record('failed', event.key)
     kept_until = now + RESULT_SECONDS if event.keeps_result else float('-inf')
     found = ledger.release(
@@ -177,6 +182,17 @@
     act(state, found)
 
 
+def _report_fault(
+    state: AgentState,
+    run: Run,
+    fault: UpstreamFault,
+) -> None:
+    if fault.crashed:
+        suspect_crash(state, run, fault)
+    else:
+        run.link.send(failed_of_fault(run, fault))
+
+
 def _settle(state: AgentState, event: events.RunEnded, now: float) -> None:
     if not event.keeps_result:
         end_draw(
--- a/libs/agent/src/gypsumrelay_agent/probing.py
+++ b/libs/agent/src/gypsumrelay_agent/probing.py
@@ -26,14 +26,19 @@
 DOWN_PROBE_SECONDS: Final = 0.3
 
 
+def probe_now(state: AgentState) -> None:
+    """Ask the upstream for its state at once."""
+    state.probing = True
+    state.probed_at = time.monotonic()
+    state.executor.submit(_ask, state)
+
+
 def probe(state: AgentState, now: float) -> None:
     """Ask the upstream for its state when it is time."""
     period = DOWN_PROBE_SECONDS if state.upstream_down else PROBE_SECONDS
     if state.probing or now - state.probed_at < period:
         return
-    state.probing = True
-    state.probed_at = now
-    state.executor.submit(_ask, state)
+    probe_now(state)
 
 
 def _ask(state: AgentState) -> None:
--- a/libs/agent/src/gypsumrelay_agent/replies.py
+++ b/libs/agent/src/gypsumrelay_agent/replies.py
@@ -11,19 +11,21 @@
     OutcomeUnknown,
     UpstreamFailed,
 )
-from gypsumrelay_upstreams import EndReason, Key
+from gypsumrelay_upstreams import Ended, EndReason, Key
 from gypsumrelay_wire import Call, Failed, to_retry_ms
 
 from gypsumrelay_agent.engine import UpstreamFault
 from gypsumrelay_agent.runs import Run
 
-# Ends that the entry brought about or that it learns in another way.
+# Ends that the entry brought about or that it learns in another way; a
+# failed run is reported by its fault.
 SILENT_ENDS: Final = frozenset(
     (
         EndReason.finished,
         EndReason.cancelled,
         EndReason.superseded,
         EndReason.link_lost,
+        EndReason.run_failed,
     ),
 )
 
@@ -57,14 +59,14 @@
     return UpstreamFailed(fault.sentence, Outcome.failed)
 
 
-def failed_of_end(ended: Key, reason: EndReason, run: Run | None) -> Failed:
+def failed_of_end(ended: Ended, run: Run | None) -> Failed:
     """Return the message for an attempt that the ledger ended."""
     fault = UpstreamFault(
-        f'the attempt ended: {reason.value}',
-        reached=run is not None,
-        crashed=reason is EndReason.engine_restarted,
+        f'the attempt ended: {ended.reason.value}',
+        reached=ended.started,
+        crashed=ended.reason is EndReason.engine_restarted,
     )
-    if run is None:
-        failure = UpstreamFailed(fault.sentence, Outcome.not_run)
-        return failed_from(ended, failure)
-    return failed_of_fault(run, fault)
+    if run is not None:
+        return failed_of_fault(run, fault)
+    outcome = Outcome.unknown if ended.started else Outcome.not_run
+    return failed_from(ended.key, UpstreamFailed(fault.sentence, outcome))
--- a/libs/agent/src/gypsumrelay_agent/requests.py
+++ b/libs/agent/src/gypsumrelay_agent/requests.py
@@ -38,6 +38,7 @@
         weight=max(1, message.weight),
         priority=min(max(message.priority, 0), 9),
         keyed=bool(message.key_digest),
+        alone=message.alone,
     )
 
 
@@ -48,6 +49,7 @@
         client_account=message.client_account,
         deadline=to_deadline(message.remaining_ms, now),
         purpose=Purpose.call,
+        alone=message.alone,
         cost=max(1, message.cost),
         keyed=bool(message.key_digest),
     )
--- a/libs/agent/src/gypsumrelay_agent/runs.py
+++ b/libs/agent/src/gypsumrelay_agent/runs.py
@@ -40,6 +40,7 @@
         run_id: Its name at the upstream.
         link: Where its output goes; changes when another entry resumes it.
         order: The message that started it.
+        digest: Digest of the request, for crash attribution.
         cancelled: Set when nobody wants its output any more.
         used_tokens: Tokens that ran so far, of prompt and output.
     """
@@ -49,6 +50,7 @@
     link: Link
     order: Prefill | Decode | Call
     prompt_tokens: int = 0
+    digest: bytes = b''
     started_at: float = attrs.field(factory=time.monotonic)
     cancelled: threading.Event = attrs.field(factory=threading.Event)
     used_tokens: int = 0
--- a/libs/agent/src/gypsumrelay_agent/state.py
+++ b/libs/agent/src/gypsumrelay_agent/state.py
@@ -28,6 +28,8 @@
     from gypsumrelay_telemetry import Metrics
     from gypsumrelay_timeline import Recorder
 
+    from gypsumrelay_agent.crashes import Suspected
+
 SERVICE: Final = 'service'
 MS_PER_SECOND: Final = 1000
 
@@ -40,6 +42,9 @@
         runs: Runs at the upstream by attempt.
         orders: Messages that start runs, until they are started.
         deadlines: Deadlines of plain service requests.
+        suspected: A crash of the upstream that is not confirmed yet.
+        crashes: Crashes that this process has seen.
+        digests: Digests of requests with a place, for crash attribution.
         links: Open links of peers by link id.
         load: What the upstream can take; read by other threads.
         probing: Whether a question to the upstream is under way.
@@ -63,6 +68,9 @@
     links: dict[str, Link] = attrs.field(factory=dict)
     probing: bool = False
     upstream_down: bool = False
+    suspected: Suspected | None = None
+    crashes: int = 0
+    digests: dict[Key, bytes] = attrs.field(factory=dict)
     probed_at: float = float('-inf')
     lock: threading.Lock = attrs.field(factory=threading.Lock)
 
--- a/libs/entry/src/gypsumrelay_entry/attempts.py
+++ b/libs/entry/src/gypsumrelay_entry/attempts.py
@@ -54,6 +54,7 @@
         progress_seconds: How long a running step may show no progress.
         weight: Weight of the client account in fair queues.
         on_granted: Told each link on which a place was granted.
+        alone: Whether nothing else may run beside the request.
     """
 
     number: int
@@ -64,6 +65,7 @@
     progress_seconds: float
     weight: int
     on_granted: Callable[[Link], None]
+    alone: bool = False
 
 
 @attrs.define
@@ -174,6 +176,7 @@
             request_digest=request.digest,
             cost=request.prompt_tokens + request.max_tokens,
             weight=self.plan.weight,
+            alone=self.plan.alone,
         )
 
     def _prefill(self) -> Prefilled | AttemptFailed:
--- a/libs/entry/src/gypsumrelay_entry/modelrun.py
+++ b/libs/entry/src/gypsumrelay_entry/modelrun.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
-from gypsumrelay_errors import Failure
+from gypsumrelay_errors import Failure, Outcome
 from gypsumrelay_routing import PlacementRequest
 from gypsumrelay_wire import Finished, Link, Tokens
 
@@ -44,24 +44,53 @@
     failed_upstreams: set[str] = attrs.field(factory=set)
     attempts: int = 0
     completed: bool = False
+    alone: bool = False
+    ran: bool = False
 
     def run(self) -> Iterator[Tokens | Finished | Failure]:
         """Yield token batches, then the finish or the final failure."""
         while True:
             self.attempts += 1
+            refused = self._admit()
+            if refused is not None:
+                yield refused
+                return
             failed: AttemptFailed | None = None
             for event in self._attempt():
                 if isinstance(event, AttemptFailed):
                     failed = event
                 else:
                     yield event
+            self.entry.suspicions.end(
+                self.request.digest,
+                succeeded=failed is None,
+            )
             if failed is None:
                 return
+            self.ran = self.ran or failed.failure.outcome is not Outcome.not_run
             if not self._may_retry(failed):
-                yield with_retry(failed.failure)
+                yield self._final(failed.failure)
                 return
             self.entry.metrics.count('entry.retries')
 
+    def _final(self, failure: Failure) -> Failure:
+        """Return the failure with what is true of the whole request.
+
+        The last attempt's `not_run` says nothing of earlier ones.
+        """
+        if self.ran and failure.outcome is Outcome.not_run:
+            failure = attrs.evolve(failure, outcome=Outcome.failed)
+        return with_retry(failure)
+
+    def _admit(self) -> Failure | None:
+        """Ask before each attempt whether the request crashed upstreams."""
+        admitted = self.entry.suspicions.admit(self.request.digest)
+        if isinstance(admitted, Failure):
+            self._record('refused_as_suspect', code=admitted.code)
+            return self._final(admitted)
+        self.alone = admitted
+        return None
+
     def queue_deadline(self) -> float:
         """Return when a place must be found at the latest.
 
@@ -182,6 +211,7 @@
             progress_seconds=self.entry.settings.routing.progress_seconds,
             weight=max(1, self.caller.contract.tokens_per_second),
             on_granted=on_granted,
+            alone=self.alone,
         )
 
     def _new_attempt(self, plan: AttemptPlan) -> Attempt:
--- a/libs/entry/src/gypsumrelay_entry/process.py
+++ b/libs/entry/src/gypsumrelay_entry/process.py
@@ -27,7 +27,7 @@
 from gypsumrelay_routing import View
 from gypsumrelay_telemetry import new_metrics, set_up_logs
 from gypsumrelay_timeline import Recorder, Ring, Stamp, events_to_json
-from gypsumrelay_wire import Identity, Link, LoadReport, Message
+from gypsumrelay_wire import CrashReport, Identity, Link, LoadReport, Message
 from logbook import Logger
 
 from gypsumrelay_entry import events
@@ -35,6 +35,7 @@
 from gypsumrelay_entry.callerapi import caller_application
 from gypsumrelay_entry.context import Entry
 from gypsumrelay_entry.mailboxes import Mailboxes
+from gypsumrelay_entry.suspicion import Suspicions
 
 if TYPE_CHECKING:
     import pykka
@@ -131,6 +132,7 @@
         lambda: int(time.time() * MS_PER_SECOND),
     )
     mailboxes = Mailboxes()
+    suspicions = Suspicions()
     actor = EntryActor.start(_view_state(settings))
     identity = Identity(
         settings.instance.name,
@@ -142,7 +144,7 @@
         identity=identity,
         secret=settings.shared_secret.encode(),
         keeper=keeper,
-        callbacks=_peer_callbacks(mailboxes, actor),
+        callbacks=_peer_callbacks(mailboxes, suspicions, actor),
         stamp=lambda: attrs.astuple(recorder.stamp()),
         merge_stamp=lambda wall_ms, counter: recorder.observe(
             Stamp(wall_ms, counter),
@@ -163,6 +165,7 @@
         new_metrics(settings.telemetry),
         recorder,
         mailboxes,
+        suspicions=suspicions,
     )
 
 
@@ -178,11 +181,14 @@
 
 def _peer_callbacks(
     mailboxes: Mailboxes,
+    suspicions: Suspicions,
     actor: pykka.ActorRef[Any],
 ) -> PeerCallbacks:
     def on_message(link: Link, message: Message) -> None:
         if isinstance(message, LoadReport):
             actor.tell(events.LoadReported(message))
+        elif isinstance(message, CrashReport):
+            suspicions.take_report(message)
         else:
             mailboxes.deliver(link, message)
 
--- a/libs/entry/src/gypsumrelay_entry/servicerun.py
+++ b/libs/entry/src/gypsumrelay_entry/servicerun.py
@@ -64,17 +64,29 @@
     attempts: int = 0
     received: int = 0
     started: bool = False
+    alone: bool = False
+    ran: bool = False
     failed_upstreams: set[str] = attrs.field(factory=set)
 
     def run(self) -> Iterator[Part | Failure]:
         """Yield the parts of the answer, or the final failure."""
         while True:
             self.attempts += 1
+            admitted = self.entry.suspicions.admit(self.request.digest)
+            if isinstance(admitted, Failure):
+                yield self._final(admitted)
+                return
+            self.alone = admitted
             failure = yield from self._attempt()
+            self.entry.suspicions.end(
+                self.request.digest,
+                succeeded=failure is None,
+            )
             if failure is None:
                 return
+            self.ran = self.ran or failure.outcome is not Outcome.not_run
             if not self._may_retry(failure):
-                yield with_retry(failure)
+                yield self._final(failure)
                 return
             self.entry.metrics.count('entry.retries')
 
@@ -168,6 +180,7 @@
             cost=request.route.cost_tokens,
             remaining_ms=to_remaining_ms(self.deadline, time.monotonic()),
             request_digest=request.digest,
+            alone=self.alone,
         )
 
     def _broken(self, sentence: str) -> Failure:
@@ -176,6 +189,12 @@
             return UpstreamFailed(sentence, Outcome.failed)
         return OutcomeUnknown(sentence, Outcome.unknown)
 
+    def _final(self, failure: Failure) -> Failure:
+        """Return the failure with what is true of the whole request."""
+        if self.ran and failure.outcome is Outcome.not_run:
+            failure = attrs.evolve(failure, outcome=Outcome.failed)
+        return with_retry(failure)
+
     def _may_retry(self, failure: Failure) -> bool:
         if self.started or is_final(failure):
             return False
--- a/libs/wire/src/gypsumrelay_wire/messages.py
+++ b/libs/wire/src/gypsumrelay_wire/messages.py
@@ -65,6 +65,7 @@
     cost: int
     weight: int = 1
     key_digest: bytes = b''
+    alone: bool = False
 
 
 @attrs.frozen
@@ -161,6 +162,7 @@
     remaining_ms: int
     key_digest: bytes = b''
     request_digest: bytes = b''
+    alone: bool = False
 
 
 @attrs.frozen
@@ -312,6 +314,19 @@
     remaining_ms: int
 
 
+@attrs.frozen
+class CrashReport(Message):
+    """Names the requests that ran when an upstream crashed.
+
+    It is sent before the failures of these requests, so that an entry
+    knows the suspects before it tries any of them again.
+    """
+
+    tag: ClassVar[int] = 25
+    crash: str
+    digests: list[bytes]
+
+
 @attrs.frozen
 class ConfigurationRequest(Message):
     """Asks a peer for its configuration if it is newer."""
