--- a/libs/upstreams/src/gypsumrelay_upstreams/ledger.py
+++ b/libs/upstreams/src/gypsumrelay_upstreams/ledger.py
@@ -137,7 +137,7 @@
     if min(place.deadline, deadline) <= now:
         return [*_refuse(ledger, place, _too_late(), now), *grant(ledger, now)]
     if not capacity.may_start(ledger):
-        failure = Overloaded('the upstream became cold', retry_at=now)
+        failure = _no_room(ledger, now)
         return [*_refuse(ledger, place, failure, now), *grant(ledger, now)]
     place.phase = Phase.running
     place.started_at = now
@@ -419,6 +419,12 @@
     return [Refused(key, reservation.link, failure)]
 
 
+def _no_room(ledger: Ledger, now: float) -> Failure:
+    if ledger.superseded:
+        return _leaving()
+    return Overloaded('the upstream became cold', retry_at=now)
+
+
 def _too_late() -> Failure:
     return DeadlineUnreachable('the deadline has passed')
 
--- a/libs/upstreams/tests/ledger.feature
+++ b/libs/upstreams/tests/ledger.feature
@@ -13,79 +13,203 @@
       | 150  | 60    | yes     |
 
   Scenario: A message of an old attempt starts nothing after its request ended
-    Given a ledger with 2 slots on a known engine
-    When attempt 2 of request "a" is reserved, started and finished
-    And attempt 1 of request "a" is reserved
-    Then it is dropped as old_attempt
-
-  Scenario: A cancel that overtakes its reservation still counts
-    Given a ledger with 2 slots on a known engine
-    When attempt 1 of request "a" is cancelled
-    And attempt 1 of request "a" is reserved
-    Then it is dropped as attempt_ended
-
-  Scenario: The newest attempt is forgotten after a bounded time
-    Given a ledger with 2 slots on a known engine
-    When attempt 1 of request "a" is cancelled
-    And 121 seconds pass
-    Then the ledger remembers no attempt
-
-  Scenario Outline: A lost link ends work by whether it can be resumed
-    Given a ledger with 2 slots on a known engine
-    And a running request "a" <with> an idempotency key
-    When its link is lost
-    Then it is cancelled after <seconds> seconds and not before
-
-    Examples:
-      | with    | seconds |
-      | without | 0       |
-      | with    | 30      |
+    Then a ledger with 2 slots behaves so
+      | at  | event       | actions                       |
+      | 0   | reserve a.2 | Granted a.2                   |
+      | 0   | start a.2   | StartRun a.2                  |
+      | 1   | finish a.2  | Ended a.2 finished            |
+      | 100 | reserve a.1 | Dropped a.1 old_attempt       |
+      | 100 | start a.1   | Dropped a.1 old_attempt       |
+      | 100 | reserve a.2 | Dropped a.2 attempt_ended     |
+
+  Scenario: A cancel that overtakes its reservation counts for a bounded time
+    Then a ledger with 2 slots behaves so
+      | at  | event       | actions                   |
+      | 0   | cancel a.1  | nothing                   |
+      | 1   | reserve a.1 | Dropped a.1 attempt_ended |
+      | 119 | expire      | nothing                   |
+      | 119 | reserve a.1 | Dropped a.1 attempt_ended |
+      | 121 | expire      | nothing                   |
+      | 121 | reserve a.1 | Granted a.1               |
+
+  Scenario: A repeated or reordered message has no second effect
+    Then a ledger with 1 slots behaves so
+      | at | event       | actions                      |
+      | 0  | reserve a.1 | Granted a.1                  |
+      | 0  | reserve a.1 | Granted a.1                  |
+      | 0  | start a.1   | StartRun a.1                 |
+      | 0  | start a.1   | Dropped a.1 already_running  |
+      | 0  | tokens a.1  | Delivered a.1                |
+      | 0  | tokens a.1  | Dropped a.1 unexpected_index |
+      | 0  | start b.1   | Dropped b.1 not_reserved     |
+
+  Scenario: Work without an idempotency key ends with its link
+    Then a ledger with 2 slots behaves so
+      | at | event       | actions                           |
+      | 0  | reserve a.1 | Granted a.1                       |
+      | 0  | start a.1   | StartRun a.1                      |
+      | 1  | lose link   | Ended a.1 link_lost, CancelRun a.1 |
+
+  Scenario: Work with an idempotency key goes on for the grace period
+    Then a ledger with 2 slots behaves so
+      | at   | event             | actions                          |
+      | 0    | reserve a.1 keyed | Granted a.1                      |
+      | 0    | start a.1         | StartRun a.1                     |
+      | 1    | lose link         | nothing                          |
+      | 30.9 | expire            | nothing                          |
+      | 31   | expire            | Ended a.1 expired, CancelRun a.1 |
 
   Scenario: One heartbeat of a link renews all its requests
-    Given a ledger with 2 slots on a known engine
-    And a running request "a" without an idempotency key
-    And a running request "b" without an idempotency key
-    When the link sends a heartbeat each second for 20 seconds
-    Then both requests run
-    And both end when it is silent for 3 seconds
+    Then a ledger with 2 slots behaves so
+      | at  | event       | actions                               |
+      | 0   | reserve a.1 | Granted a.1                           |
+      | 0   | reserve b.1 | Granted b.1                           |
+      | 0   | start a.1   | StartRun a.1                          |
+      | 2   | heartbeat   | nothing                               |
+      | 4.9 | expire      | nothing                               |
+      | 5   | expire      | Ended a.1 link_lost, CancelRun a.1, Ended b.1 link_lost |
+      | 6   | reserve c.1 | Dropped c.1 link_closed               |
+
+  Scenario: A place that nobody starts is given to the next request
+    Then a ledger with 1 slots behaves so
+      | at | event       | actions                        |
+      | 0  | reserve a.1 | Granted a.1                    |
+      | 0  | reserve b.1 | Queued b.1                     |
+      | 14 | heartbeat   | nothing                        |
+      | 15 | expire      | Ended a.1 expired, Granted b.1 |
 
   Scenario: A drain refuses new work and waits for running work
-    Given a ledger with 2 slots on a known engine
-    And a running request "a" without an idempotency key
-    When the ledger drains
-    Then a new request is refused as draining with outcome not_run
-    And the ledger is drained only after request "a" has finished
+    Then a ledger with 1 slots behaves so
+      | at | event       | actions             |
+      | 0  | reserve a.1 | Granted a.1         |
+      | 0  | start a.1   | StartRun a.1        |
+      | 0  | reserve b.1 | Queued b.1          |
+      | 1  | drain       | Refused b.1 draining |
+      | 1  | reserve c.1 | Refused c.1 draining |
+      | 1  | is drained  | no                  |
+      | 2  | finish a.1  | Ended a.1 finished  |
+      | 2  | is drained  | yes                 |
+
+  Scenario: An ended run counts until the engine has freed it
+    Then a ledger with 1 slots behaves so
+      | at | event       | actions                           |
+      | 0  | reserve a.1 | Granted a.1                       |
+      | 0  | start a.1   | StartRun a.1                      |
+      | 1  | cancel a.1  | Ended a.1 cancelled, CancelRun a.1 |
+      | 1  | reserve b.1 | Queued b.1                        |
+      | 2  | report      | nothing                           |
+      | 3  | report a.1  | CancelRun a.1                     |
+      | 4  | report      | Granted b.1                       |
+
+  Scenario: A start on its way when the engine restarts still counts
+    Then a ledger with 1 slots behaves so
+      | at | event       | actions                                              |
+      | 0  | reserve a.1 | Granted a.1                                          |
+      | 0  | start a.1   | StartRun a.1                                         |
+      | 1  | restarted   | EngineRestarted, Ended a.1 engine_restarted, CancelRun a.1 |
+      | 1  | reserve b.1 | Queued b.1                                           |
+      | 4  | report      | Granted b.1                                          |
+
+  Scenario: An engine restart fails what ran there and frees its memory
+    Then a ledger with 1 slots behaves so
+      | at | event       | actions                                              |
+      | 0  | reserve a.1 | Granted a.1                                          |
+      | 0  | start a.1   | StartRun a.1                                         |
+      | 1  | tokens a.1  | Delivered a.1                                        |
+      | 3  | restarted   | EngineRestarted, Ended a.1 engine_restarted, CancelRun a.1 |
+      | 3  | reserve b.1 | Granted b.1                                          |
+
+  Scenario: A start that is still on its way is not taken for a lost run
+    Then a ledger with 1 slots behaves so
+      | at | event       | actions                              |
+      | 0  | reserve a.1 | Granted a.1                          |
+      | 0  | start a.1   | StartRun a.1                         |
+      | 1  | report      | nothing                              |
+      | 2  | report      | nothing                              |
+      | 3  | report      | Ended a.1 run_missing, CancelRun a.1 |
+
+  Scenario: A report that overtook a newer one changes nothing
+    Then a ledger with 1 slots behaves so
+      | at | event           | actions     |
+      | 5  | report          | nothing     |
+      | 4  | report x        | nothing     |
+      | 5  | reserve a.1     | Granted a.1 |
+
+  Scenario: A run that finished while the report was made is not unowned
+    Then a ledger with 1 slots behaves so
+      | at | event       | actions            |
+      | 0  | reserve a.1 | Granted a.1        |
+      | 0  | start a.1   | StartRun a.1       |
+      | 3  | finish a.1  | Ended a.1 finished |
+      | 2  | report a.1  | nothing            |
+      | 3  | reserve b.1 | Granted b.1        |
+
+  Scenario: A start beyond a limit that fell is refused as not run
+    Then a ledger with 2 slots behaves so
+      | at | event       | actions               |
+      | 0  | reserve a.1 | Granted a.1           |
+      | 0  | reserve b.1 | Granted b.1           |
+      | 0  | start a.1   | StartRun a.1          |
+      | 0  | cold        | nothing               |
+      | 0  | start b.1   | Refused b.1 overloaded |
+
+  Scenario: A request that must run alone has the engine for itself
+    Then a ledger with 3 slots behaves so
+      | at | event             | actions                         |
+      | 0  | reserve a.1       | Granted a.1                     |
+      | 0  | reserve b.1 alone | Queued b.1                      |
+      | 0  | reserve c.1       | Queued c.1                      |
+      | 1  | cancel a.1        | Ended a.1 cancelled, Granted b.1 |
+      | 2  | start b.1         | StartRun b.1                    |
+      | 3  | finish b.1        | Ended b.1 finished, Granted c.1 |
 
   Scenario: A common prefix takes its blocks once
-    Given a ledger with 10 blocks of 100 tokens and shared prefixes
-    Then 3 requests of 600 tokens with a common prefix of 4 blocks have places
-    And the fourth waits
+    Then a ledger with 4 slots behaves so
+      | at | event                         | actions     |
+      | 0  | reserve a.1 6 blocks 4 shared | Granted a.1 |
+      | 0  | reserve b.1 6 blocks 4 shared | Granted b.1 |
+      | 0  | reserve c.1 6 blocks 4 shared | Granted c.1 |
+      | 0  | reserve d.1 1 blocks 0 shared | Queued d.1  |
 
   Scenario: A large request is not overtaken for ever by small ones
-    Given a ledger with 10 blocks of 100 tokens and shared prefixes
-    When 900 tokens are in use and a request of 500 tokens waits
-    Then a later request of 50 tokens waits behind it
-
-  Scenario: An agent that has just started cancels what earlier ones left
-    Given an engine that holds 3 runs of an earlier agent
-    When a new agent reconciles each second
-    Then it grants nothing before its first look
-    And it has cancelled all of them within 3 reconciliations
+    Then a ledger with 4 slots behaves so
+      | at | event                         | actions     |
+      | 0  | reserve a.1 9 blocks 0 shared | Granted a.1 |
+      | 0  | reserve b.1 5 blocks 0 shared | Queued b.1  |
+      | 0  | reserve c.1 1 blocks 0 shared | Queued c.1  |
+
+  Scenario: Blocks of a run that nobody owns are not given away
+    Then a ledger with 4 slots behaves so
+      | at | event                         | actions                 |
+      | 1  | report x                      | ForeignRuns             |
+      | 1  | reserve a.1 6 blocks 0 shared | Queued a.1              |
+      | 2  | report x                      | ForeignRuns             |
+      | 3  | report x                      | CancelRun x, ForeignRuns |
+      | 4  | report                        | Granted a.1             |
+
+  Scenario: A run that nobody owns counts when a granted request starts
+    Then a ledger with 2 slots behaves so
+      | at | event       | actions                |
+      | 0  | reserve a.1 | Granted a.1            |
+      | 1  | report x    | ForeignRuns            |
+      | 1  | cold        | nothing                |
+      | 1  | start a.1   | Refused a.1 overloaded |
+
+  Scenario: An agent that has just started grants nothing before its first look
+    Then a new ledger with 2 slots behaves so
+      | at  | event       | actions                  |
+      | 0   | reserve a.1 | Queued a.1               |
+      | 0.5 | report x y  | ForeignRuns              |
+      | 1.5 | report x y  | ForeignRuns              |
+      | 2.5 | report x y  | CancelRun x, CancelRun y, ForeignRuns |
+      | 2.9 | heartbeat   | nothing                  |
+      | 3.5 | report      | Granted a.1              |
 
   Scenario: An agent that was superseded starts and cancels nothing more
-    Given an engine that holds 3 runs of an earlier agent
-    When a superseded agent reconciles each second
-    Then it cancels none of them and grants nothing
-
-  Scenario: A start that is still on its way is not taken for a lost run
-    Given a ledger with 2 slots on a known engine
-    And a running request "a" without an idempotency key
-    When the engine's reports do not list it for 1 second
-    Then both parts of the ledger still count it
-    And it ends as run_missing after 2 more seconds
-
-  Scenario: An engine restart fails what ran there
-    Given a ledger with 2 slots on a known engine
-    And a running request "a" without an idempotency key
-    When the engine reports another incarnation
-    Then request "a" ends as engine_restarted and is named as failed
+    Then a ledger with 2 slots behaves so
+      | at | event       | actions             |
+      | 0  | reserve a.1 | Granted a.1         |
+      | 0  | superseded  | nothing             |
+      | 0  | start a.1   | Refused a.1 draining   |
+      | 1  | report x    | nothing             |
+      | 9  | report x    | nothing             |
--- a/libs/upstreams/tests/steps/coldstart_steps.py
+++ b/libs/upstreams/tests/steps/coldstart_steps.py
@@ -4,8 +4,9 @@
 
 from typing import Any
 
-from behave import given, then, when
+from behave import then
 from gypsumrelay_upstreams import (
+    ColdRamp,
     EngineReport,
     Key,
     Ledger,
@@ -21,114 +22,55 @@
 FAST_SECONDS = 0.01
 
 
-def complete(context: Any, factor: float = 1, started_at: float = -1) -> None:
-    context.now += 1
-    coldstart.observe_completion(
-        context.ramp,
-        FAST_SECONDS * factor,
-        context.now if started_at < 0 else started_at,
-        context.now,
-    )
-
-
-def report(context: Any, *, cold: bool) -> None:
-    context.now += 1
-    now = context.now
-    coldstart.observe_report(context.ramp, cold=cold, asked_at=now, now=now)
-
-
-@given('a ramp to {slots:d} slots')
-def given_ramp(context: Any, slots: int) -> None:
-    context.now = 0
-    context.ramp = coldstart.new_ramp(RampSettings(slots), 0)
-
-
-@given('a ramp that has reached its slots')
-def given_full(context: Any) -> None:
-    given_limit(context, 20)
-
-
-@given('a ramp with a limit of {limit:d}')
-def given_limit(context: Any, limit: int) -> None:
-    given_ramp(context, 20)
-    report(context, cold=False)
-    report(context, cold=False)
-    for _ in range(limit - 1):
-        complete(context)
-    assert context.ramp.limit == limit
-
-
-@then('completions on a cold engine leave the limit at 1')
-def check_cold(context: Any) -> None:
-    report(context, cold=True)
-    for _ in range(5):
-        complete(context)
-        assert context.ramp.limit == 1
-
-
-@then('{count:d} completions on a warm engine raise it to {limit:d}, {rate}')
-def check_growth(context: Any, count: int, limit: int, rate: str) -> None:
-    report(context, cold=False)
-    report(context, cold=False)
-    for number in range(count):
-        complete(context)
-        assert context.ramp.limit == number + 2, rate
-    assert context.ramp.limit == limit
-    complete(context)
-    assert context.ramp.limit == limit
-
-
-@when('the engine reports that it is cold')
-def report_cold(context: Any) -> None:
-    report(context, cold=True)
-
-
-@then('the limit is 1 until the engine has reported twice that it is warm')
-def check_hysteresis(context: Any) -> None:
-    for warm in (False, True):
-        complete(context)
-        assert context.ramp.limit == 1
-        report(context, cold=False)
-        assert coldstart.is_cold(context.ramp) is not warm
-    complete(context)
-    assert context.ramp.limit == 2
-
-
-@when('the engine is warm again and {count:d} older requests complete')
-def complete_older(context: Any, count: int) -> None:
-    report(context, cold=False)
-    report(context, cold=False)
-    for _ in range(count):
-        complete(context, started_at=1)
-
-
-@when('every third of {count:d} completions takes {factor:d} times as long')
-def complete_some_slow(context: Any, count: int, factor: int) -> None:
+def play(ramp: ColdRamp, event: str, now: float) -> None:
+    """Hand one event to the ramp."""
+    name, _, factor = event.partition(' x')
+    seconds = FAST_SECONDS * float(factor or 1)
+    asked_at = 0 if name.startswith('late') else now
+    if name == 'restart':
+        coldstart.restart(ramp, now)
+    elif name == 'foreign':
+        coldstart.observe_foreign_runs(ramp, now)
+    elif factor:
+        started_at = 0 if name == 'old' else now
+        coldstart.observe_completion(ramp, seconds, started_at, now)
+    else:
+        cold = name == 'cold'
+        coldstart.observe_report(ramp, cold=cold, asked_at=asked_at, now=now)
+
+
+@then('a {state} ramp to {slots:d} slots behaves so')
+def check_ramp(context: Any, state: str, slots: int) -> None:
+    ramp = coldstart.new_ramp(RampSettings(slots), 0)
+    if state == 'full':
+        play(ramp, 'warm', 1)
+        play(ramp, 'warm', 1)
+        for _ in range(slots - 1):
+            play(ramp, 'complete x1', 1)
+        assert ramp.limit == slots
+    now = 10
+    for row in context.table:
+        for event in row['events'].split(', '):
+            now += 1
+            play(ramp, event, now)
+        assert ramp.limit == int(row['limit']), (row, ramp)
+
+
+@then(
+    '{count:d} completions with every third {factor:d} times as slow move '
+    'the baseline by less than {percent:d} percent',
+)
+def check_baseline(
+    context: Any,
+    count: int,
+    factor: int,
+    percent: int,
+) -> None:
+    ramp = coldstart.new_ramp(RampSettings(), 0)
     for number in range(count):
-        complete(context, factor if number % 3 == 2 else 1)
-
-
-@when('{count:d} completions in a row take {factor:g} times as long')
-@when('{count:d} completions take {factor:g} times as long')
-def complete_slow(context: Any, count: int, factor: float) -> None:
-    for _ in range(count):
-        complete(context, factor)
-
-
-@when('runs of another agent are seen')
-def see_foreign(context: Any) -> None:
-    coldstart.observe_foreign_runs(context.ramp, context.now)
-
-
-@then('the limit is {limit:d}')
-def check_limit(context: Any, limit: int) -> None:
-    assert context.ramp.limit == limit, context.ramp
-
-
-@then('the baseline is within {percent:d} percent of the fast completions')
-def check_baseline(context: Any, percent: int) -> None:
-    ratio = context.ramp.baseline / FAST_SECONDS
-    assert abs(ratio - 1) <= percent / 100, ratio
+        slow = factor if number % 3 == 2 else 1
+        play(ramp, f'complete x{slow}', number)
+    assert abs(ramp.baseline / FAST_SECONDS - 1) * 100 < percent, ramp
 
 
 @then('two agents beside one cold engine run one request at once between them')
--- a/libs/upstreams/tests/steps/ledger_machine.py
+++ b/libs/upstreams/tests/steps/ledger_machine.py
@@ -42,6 +42,7 @@
 RECONCILIATIONS = 4
 SIZES = st.sampled_from([50, 150, 250, 350])
 NUMBERS = st.integers(0, 5)
+SELDOM = st.sampled_from([False, False, False, True])
 
 
 @attrs.define
@@ -129,12 +130,27 @@
         self.cancels: list[str] = []
         self.reports: list[EngineReport] = []
         self.seen = Seen()
-        self.act(ledger.set_limit(self.state, self.ramp.limit, self.now))
+        self.apply_limit()
 
-    @initialize()
-    def open_first_link(self) -> None:
-        """Open a link and look at the engine once."""
+    @initialize(warm=st.booleans())
+    def look_at_engine(self, warm: bool) -> None:
+        """Open a link and look at the engine, which may be warm."""
         self.open_link()
+        self.engine.cold = not warm
+        self.look(2)
+        if warm:
+            self.ramp.limit = SLOTS
+            self.apply_limit()
+
+    def look(self, times: int) -> None:
+        """Take and deliver reports without loss."""
+        for _ in range(times):
+            self.take_report()
+            self.deliver_report(-1)
+
+    def apply_limit(self) -> None:
+        """Hand the limit of the ramp to the ledger."""
+        self.act(ledger.set_limit(self.state, self.ramp.limit, self.now))
 
     def act(self, found: list[Any]) -> None:
         """Check each action against the oracle and carry it out."""
@@ -242,6 +258,22 @@
                 ledger.start(self.state, key, 0, self.now + 100, self.now),
             )
 
+    @rule(number=NUMBERS, size=SIZES, keyed=st.booleans())
+    def admit(self, number: int, size: int, keyed: bool) -> None:
+        """Run a new attempt without loss up to the engine."""
+        self.reserve(number, 1, size, keyed, alone=False, blocks=number % 3)
+        self.start_granted(0)
+        if self.starting:
+            self.land_start(lost=False)
+
+    @rule()
+    def warm_up(self) -> None:
+        """Warm the engine up and let the ramp reach its slots."""
+        self.engine.cold = False
+        self.look(2)
+        self.ramp.limit = SLOTS
+        self.apply_limit()
+
     @rule(number=NUMBERS, ahead=st.integers(0, 1))
     def cancel(self, number: int, ahead: int) -> None:
         """Cancel an attempt, also one that was not seen yet."""
@@ -274,12 +306,13 @@
     @precondition(lambda machine: machine.engine.held)
     @rule(
         number=NUMBERS,
-        outcome=st.sampled_from(['done', 'done', 'broken', 'lost']),
+        outcome=st.sampled_from(['done', 'done', 'broken', 'lost', 'cut']),
     )
     def finish_run(self, number: int, outcome: str) -> None:
-        """End a run in the engine; the response may be lost or broken."""
+        """End a run; its response may break or be lost, or only the link."""
         run_id = sorted(self.engine.held)[number % len(self.engine.held)]
-        self.engine.held.pop(run_id)
+        if outcome != 'cut':
+            self.engine.held.pop(run_id)
         key = self.seen.run_ids.get(run_id)
         if key is None or outcome == 'lost':
             return
@@ -293,18 +326,7 @@
             )
         done = outcome == 'done'
         self.act(ledger.release(self.state, key, self.now, finished=done))
-        self.act(ledger.set_limit(self.state, self.ramp.limit, self.now))
-
-    @precondition(lambda machine: machine.engine.held)
-    @rule(number=NUMBERS)
-    def break_stream(self, number: int) -> None:
-        """Lose the connection to a run that goes on in the engine."""
-        run_id = sorted(self.engine.held)[number % len(self.engine.held)]
-        key = self.seen.run_ids.get(run_id)
-        if key is not None:
-            self.act(
-                ledger.release(self.state, key, self.now, finished=False),
-            )
+        self.apply_limit()
 
     @precondition(lambda machine: machine.seen.run_ids)
     @rule(number=NUMBERS, behind=st.sampled_from([0, 0, 0, 1]))
@@ -336,12 +358,14 @@
                 asked_at=report.asked_at,
                 now=self.now,
             )
-        self.act(ledger.set_limit(self.state, self.ramp.limit, self.now))
+        self.apply_limit()
 
-    @rule(cold=st.sampled_from([False, False, True]))
-    def change_temperature(self, cold: bool) -> None:
-        """Warm the engine up, or let it fall cold silently."""
+    @rule(cold=st.sampled_from([False, False, True]), said=st.booleans())
+    def change_temperature(self, cold: bool, said: bool) -> None:
+        """Warm the engine up or let it fall cold, which it may say."""
         self.engine.cold = cold
+        if said:
+            self.look(1)
 
     @rule(seconds=st.sampled_from([0.1, 0.5, 1.0, 2.5]))
     def advance(self, seconds: float) -> None:
@@ -356,19 +380,25 @@
             for report in self.reports
             if report.asked_at + settling > self.now
         ]
-        if self.now % 2 < 1:
-            ledger.heartbeat(self.state, str(self.newest_link), self.now)
+        ledger.heartbeat(self.state, str(self.newest_link), self.now)
         self.act(ledger.expire(self.state, self.now))
 
-    @rule()
-    def open_link(self) -> None:
+    @rule(sure=SELDOM)
+    def reconnect(self, sure: bool) -> None:
         """Connect an entry anew; the old link goes silent."""
+        if sure:
+            self.open_link()
+
+    def open_link(self) -> None:
+        """Open a link, which is the one that sends heartbeats."""
         self.newest_link += 1
         ledger.open_link(self.state, str(self.newest_link), self.now)
 
-    @rule(back=st.integers(0, 1))
-    def lose_link(self, back: int) -> None:
+    @rule(back=st.integers(0, 1), sure=SELDOM)
+    def lose_link(self, back: int, sure: bool) -> None:
         """Lose a link, and resume kept work on the newest one."""
+        if not sure:
+            return
         lost = str(self.newest_link - back)
         self.act(ledger.lose_link(self.state, lost, self.now))
         for key in list(self.state.places):
@@ -381,16 +411,20 @@
                 ),
             )
 
-    @rule()
-    def restart_engine(self) -> None:
+    @rule(sure=SELDOM)
+    def restart_engine(self, sure: bool) -> None:
         """Lose all that the engine holds."""
+        if not sure:
+            return
         self.engine.held.clear()
         self.engine.incarnation += 1
         self.engine.cold = True
 
-    @rule(landing=st.booleans())
-    def restart_agent(self, landing: bool) -> None:
+    @rule(landing=st.booleans(), sure=SELDOM)
+    def restart_agent(self, landing: bool, sure: bool) -> None:
         """Replace the agent; its starts have reached the engine or not."""
+        if not sure:
+            return
         for run_id, (key, _) in list(self.starting.items()):
             if landing:
                 self.engine.land(run_id, self.requests[key])
--- /dev/null
+++ b/libs/upstreams/tests/steps/reports_steps.py
@@ -0,0 +1,142 @@
+"""Steps for suspects and load summaries."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import then
+from gypsumrelay_upstreams import (
+    CacheEvent,
+    ColdRamp,
+    CrashFact,
+    HintSettings,
+    Key,
+    Ledger,
+    LedgerSettings,
+    LoadSummary,
+    PrefixHints,
+    RampSettings,
+    ReserveRequest,
+    Suspects,
+    SuspectSettings,
+    cached_pieces,
+    ledger,
+    must_run_alone,
+    next_alone,
+    observe_crash,
+    observe_events,
+    observe_success,
+    observe_use,
+    summarize,
+)
+
+
+def letters(text: str) -> list[bytes]:
+    return [letter.encode() for letter in text]
+
+
+@then(
+    'requests "{names}" in one crash are suspects and run alone in this order'
+)
+def check_order(context: Any, names: str) -> None:
+    state = Suspects()
+    observe_crash(state, 'e1', letters(names), 0)
+    for name in letters(names):
+        assert must_run_alone(state, name, 1)
+        assert next_alone(state, letters(names), 1) == name
+        assert observe_success(state, name)
+    assert next_alone(state, letters(names), 1) is None
+
+
+@then(
+    '"a" that crashes alone has 2 crashes with 1 alone, and "b" is cleared '
+    'by its success',
+)
+def check_alone(context: Any) -> None:
+    state = Suspects()
+    first = observe_crash(state, 'e1', letters('ab'), 0, cold=True)
+    assert first[0] == CrashFact(b'a', 1, 0, 1, cold=True)
+    observe_success(state, b'b')
+    assert not must_run_alone(state, b'b', 1)
+    second = observe_crash(state, 'e2', letters('a'), 1)
+    assert second == [CrashFact(b'a', 2, 1, 0, cold=False)]
+
+
+@then('a second report of the same crash changes nothing')
+def check_once(context: Any) -> None:
+    state = Suspects()
+    observe_crash(state, 'e1', letters('a'), 0)
+    assert not observe_crash(state, 'e1', letters('a'), 1)
+    assert state.known[b'a'].crashes == 1
+
+
+@then('of 5 suspects 3 are remembered, and none after an hour')
+def check_bounds(context: Any) -> None:
+    state = Suspects(SuspectSettings(3))
+    for number, name in enumerate(letters('abcde')):
+        observe_crash(state, str(number), [name], number)
+    assert list(state.known) == letters('cde')
+    assert not must_run_alone(state, b'e', 3604)
+    assert not state.known
+
+
+def summary(hints: PrefixHints, now: float, state: Any = None) -> LoadSummary:
+    ramp = ColdRamp(RampSettings(), 20, 0)
+    return summarize(state or Ledger(LedgerSettings(), 'a'), ramp, hints, now)
+
+
+@then('hints follow the events so')
+def check_hints(context: Any) -> None:
+    hints = PrefixHints()
+    for now, row in enumerate(context.table, 1):
+        asked_at = 1 if row['engine'] == 'late' else now
+        for step, word in enumerate(row['events'].split()):
+            number, sign, prefix = word
+            event = CacheEvent(int(number), sign == '+', prefix.encode())
+            at = asked_at + step / 10
+            observe_events(hints, row['engine'], [event], at, at)
+        certain = sorted(
+            prefix for prefix, hint in hints.known.items() if hint.certain
+        )
+        assert certain == letters(row['certain']), (row, hints)
+        reported = list(summary(hints, now + 0.9).prefixes)
+        assert reported == letters(row['reported']), (row, reported)
+        assert cached_pieces(hints, [*certain, b'-']) == len(certain)
+
+
+@then(
+    'of {count:d} stored prefixes the newest {kept:d} are reported, and '
+    'uncertain ones for {seconds:d} seconds',
+)
+def check_newest(context: Any, count: int, kept: int, seconds: int) -> None:
+    hints = PrefixHints(HintSettings(max_known=count))
+    names = [b'%d' % number for number in range(count + 1)]
+    for now, name in enumerate(names):
+        observe_use(hints, [name], now)
+    assert len(hints.known) == count
+    newest = list(reversed(names))
+    assert list(summary(hints, count).prefixes) == newest[:kept]
+    hole = CacheEvent(7, stored=False, prefix=b'-')
+    observe_events(hints, '', [hole], count, count)
+    assert summary(hints, count + seconds - 1).prefixes
+    assert not summary(hints, count + seconds).prefixes
+
+
+@then(
+    'a summary has 19 free slots at the full limit, 0 at limit 1 and 0 when '
+    'draining',
+)
+def check_slots(context: Any) -> None:
+    state = Ledger(LedgerSettings(), 'a', limit=20, engine='e1')
+    ledger.open_link(state, 'l', 0)
+    request = ReserveRequest(Key('r', 1), 'c', 99, prompt_tokens=4001)
+    ledger.reserve(state, request, 'l', 0)
+    found = summary(PrefixHints(), 0, state)
+    assert (found.free_slots, found.free_pieces) == (19, 197)
+    ledger.set_limit(state, 1, 0)
+    assert summary(PrefixHints(), 0, state).free_slots == 0
+    ledger.set_limit(state, 20, 0)
+    ledger.drain(state, 0)
+    found = summary(PrefixHints(), 0, state)
+    assert found.draining
+    assert found.free_slots == 0
