--- a/libs/limits/src/gypsumrelay_limits/__init__.py
+++ b/libs/limits/src/gypsumrelay_limits/__init__.py
@@ -56,7 +56,6 @@
     observe_list,
     observe_share,
     propose,
-    winner,
 )
 
 __all__ = (
@@ -105,5 +104,4 @@
     'stop_granting',
     'tick',
     'void',
-    'winner',
 )
--- a/libs/limits/src/gypsumrelay_limits/placement.py
+++ b/libs/limits/src/gypsumrelay_limits/placement.py
@@ -71,8 +71,7 @@
         evidence: Evidence period and bound of the list's lag.
         settings: How fast shares are placed.
         agents: Agents of the newest list.
-        zones: Names of agents by zone and group.
-        members: Agents that may become holders, by name.
+        zones: Names of agents that may become holders, by zone and group.
         accounts: Number of shares of each account.
         shares: Newest record of each share.
         held_by: Shares of each holder.
@@ -89,7 +88,6 @@
     settings: PlacementSettings = attrs.field(factory=PlacementSettings)
     agents: dict[Member, Agent] = attrs.field(factory=dict)
     zones: dict[str, dict[int, list[str]]] = attrs.field(factory=dict)
-    members: dict[str, Member] = attrs.field(factory=dict)
     accounts: dict[str, int] = attrs.field(factory=dict)
     shares: dict[Place, Share] = attrs.field(factory=dict)
     held_by: dict[Member, set[Place]] = attrs.field(factory=dict)
@@ -200,7 +198,7 @@
     since = placement.vacant_since.setdefault(place, now)
     _look_at(placement, place, now + placement.settings.turn_seconds)
     turn = int((now - since) / placement.settings.turn_seconds)
-    if winner(placement, place, turn) != placement.member:
+    if not _wins(placement, place, turn):
         return None
     epoch = share.epoch + 1 if share else 1
     return Propose(*place, epoch)
@@ -212,12 +210,29 @@
     return since is not None and now >= since + _wait(placement)
 
 
-def winner(placement: Placement, place: Place, turn: int) -> Member | None:
-    """Return the agent that should hold a share, the same everywhere.
+def _wins(placement: Placement, place: Place, turn: int) -> bool:
+    """Return whether this agent should hold a share.
 
-    Zones that hold another share of the account are used only where there
-    is no other zone.
+    All agents find the same winner. Zones that hold another share of the
+    account are used only where there is no other zone. Most agents stop
+    after the zone, since it is not theirs.
     """
+    own = placement.agents.get(placement.member)
+    if own is None or own.leaving:
+        return False
+    account, number = place
+    groups = placement.zones[own.availability_zone]
+    if _zone_of(placement, place, turn) != own.availability_zone:
+        return False
+    key = f'{account}/{number}/{turn}'
+    group = min(groups, key=lambda candidate: _score(key, candidate))
+    if group != _group(own.member.name):
+        return False
+    name = min(groups[group], key=lambda candidate: _score(key, candidate))
+    return name == own.member.name
+
+
+def _zone_of(placement: Placement, place: Place, turn: int) -> str:
     account, number = place
     taken = _zones_held(placement, place)
     ranked = sorted(
@@ -225,16 +240,10 @@
         key=lambda zone: _score(f'{account}/{turn}', zone),
     )
     free = [zone for zone in ranked if zone not in taken] or ranked
-    if not free:
-        return None
     vacant_before = sum(
         _is_vacant(placement, (account, earlier)) for earlier in range(number)
     )
-    groups = placement.zones[free[vacant_before % len(free)]]
-    key = f'{account}/{number}/{turn}'
-    group = min(groups, key=lambda candidate: _score(key, candidate))
-    name = min(groups[group], key=lambda candidate: _score(key, candidate))
-    return placement.members[name]
+    return free[vacant_before % len(free)]
 
 
 def _zones_held(placement: Placement, place: Place) -> set[str]:
@@ -301,15 +310,17 @@
 
 def _index(placement: Placement) -> None:
     placement.zones = {}
-    placement.members = {}
     for agent in placement.agents.values():
         if agent.leaving:
             continue
         name = agent.member.name
-        group = zlib.crc32(name.encode()) % _GROUPS
+        group = _group(name)
         groups = placement.zones.setdefault(agent.availability_zone, {})
         groups.setdefault(group, []).append(name)
-        placement.members[name] = agent.member
+
+
+def _group(name: str) -> int:
+    return zlib.crc32(name.encode()) % _GROUPS
 
 
 def _score(key: str, candidate: object) -> bytes:
--- a/libs/limits/tests/holders.feature
+++ b/libs/limits/tests/holders.feature
@@ -46,6 +46,28 @@
     And the draw "b" for 1 tokens comes
     Then it is refused as stale
 
+  Scenario: A list without the holder's name is no evidence
+    Guards against a holder that grants after the fleet counts it as gone.
+    Given a full share
+    When 5 seconds pass
+    And the list is read and does not name the holder
+    And the draw "a" for 1 tokens comes
+    Then it is refused as stale
+
+  Scenario: A share that the log gave away is not granted from
+    Guards against two holders of one share.
+    Given a full share
+    When the log gives the share to another agent
+    And the draw "a" for 1 tokens comes
+    Then it is refused as no_share
+
+  Scenario: A draw that comes after its deadline is not charged
+    Guards against tokens spent on a request that was given up.
+    Given a full share
+    When the draw "a" for 12 tokens comes late
+    Then it is refused as expired
+    And 20 tokens are left
+
   Scenario: A share taken from a gone holder refills after its last grant
     Guards against two holders that refill one share, where the earlier one
     read the log just before the assignment.
--- a/libs/limits/tests/placement.feature
+++ b/libs/limits/tests/placement.feature
@@ -31,6 +31,7 @@
     Guards against shares that stay without holder after a restart of all.
     Given 60 agents in 3 zones and 100 accounts
     When a share is assigned to an agent that no list names
+    And 0.1 seconds pass and the list is read again
     And 3.1 seconds pass and the list is read again
     And 7.9 seconds pass without any news
     Then its share is not proposed
--- a/libs/limits/tests/steps/holders.py
+++ b/libs/limits/tests/steps/holders.py
@@ -11,6 +11,7 @@
     DrawKey,
     Granted,
     Holder,
+    ListRead,
     LogRead,
     Member,
     Refused,
@@ -24,6 +25,7 @@
     settle,
     share_size,
     stop_granting,
+    void,
 )
 from gypsumrelay_settings import EvidenceSettings
 
@@ -97,6 +99,23 @@
     renew_evidence(context.holder, evidence, context.now)
 
 
+@when('the list is read and does not name the holder')
+def read_list(context: Any) -> None:
+    evidence = ListRead(context.now, live=False)
+    renew_evidence(context.holder, evidence, context.now)
+
+
+@when('the log gives the share to another agent')
+def give_away(context: Any) -> None:
+    void(context.holder, Share('a', 0, 3, 'yaba-1', '1'))
+
+
+@when('the draw "{name}" for {tokens:d} tokens comes late')
+def draw_late(context: Any, name: str, tokens: int) -> None:
+    message = Draw(key(name), DRAWER, tokens, tokens, context.now)
+    context.answer = grant(context.holder, message, context.now)
+
+
 @when('the drawer is gone')
 def lose_drawer(context: Any) -> None:
     assert forget_drawer(context.holder, DRAWER) == 1
--- a/libs/membership/tests/membership.feature
+++ b/libs/membership/tests/membership.feature
@@ -57,6 +57,18 @@
     When "agent-1" refuses a connection as incarnation "1"
     Then "model-1" gets new work
 
+  Scenario: Time decides between a report and a list that differ
+    Guards against an instance that gets no work because its life before
+    reported last.
+    Given a view of a list with 3 instances
+    When "agent-1" reports as incarnation "2"
+    And the list names incarnation "3" of "agent-1"
+    Then "agent-1" runs as incarnation "2"
+    When 3.1 seconds pass
+    And the list names incarnation "3" of "agent-1"
+    Then "agent-1" runs as incarnation "3"
+    And "model-1" gets new work
+
   Scenario: Only an incarnation that was listed can be gone
     Guards against a share taken from a holder that the list lags behind.
     Given a view of a list with 3 instances
--- a/libs/membership/tests/steps/membership.py
+++ b/libs/membership/tests/steps/membership.py
@@ -86,6 +86,12 @@
     see(context, ListSeen(3, ENTRIES))
 
 
+@when('the list names incarnation "{incarnation}" of "agent-1"')
+def list_life(context: Any, incarnation: str) -> None:
+    entries = (entry('1', incarnation), *ENTRIES[1:])
+    see(context, ListSeen(4, entries))
+
+
 @when('an older list arrives')
 def list_late(context: Any) -> None:
     see(context, ListSeen(1, ENTRIES))
