Report cached prefixes and take the upstream's fencing token

Agents read the engine's cache events with each state report and tell entries the prefixes that are probably cached; a reservation is answered with the tokens that surely are. An agent takes the next fencing token of its upstream through the log and stops new work when a newer agent has taken it. A cancel counts as done only where the engine says so.

--- a/libs/agent/src/gypsumrelay_agent/acting.py
+++ b/libs/agent/src/gypsumrelay_agent/acting.py
@@ -20,6 +20,7 @@
     Purpose,
     Refused,
     StartRun,
+    cached_pieces,
     coldstart,
     ledger,
 )
@@ -113,7 +114,10 @@
         act(state, ledger.start(state.ledger, key, 0, run_deadline(now), now))
     else:
         state.record('reserved', key)
-        send(state, link, Reserved(key.request_id, key.attempt, 0))
+        request = state.ledger.places[key].request
+        cached = cached_pieces(state.hints, request.prefixes)
+        tokens = cached * state.settings.upstream.piece_tokens
+        send(state, link, Reserved(key.request_id, key.attempt, tokens))
 
 
 def _refused(state: AgentState, action: Refused) -> None:
--- a/libs/agent/src/gypsumrelay_agent/building.py
+++ b/libs/agent/src/gypsumrelay_agent/building.py
@@ -18,8 +18,10 @@
 from gypsumrelay_timeline import Recorder, Ring, Stamp
 from gypsumrelay_upstreams import (
     ColdRamp,
+    FenceSettings,
     Ledger,
     LedgerSettings,
+    OrderFence,
     RampSettings,
     coldstart,
 )
@@ -166,6 +168,7 @@
         ramp=ramp,
         executor=executor,
         accounts=accounts,
+        fence=_new_fence(settings, peers.identity),
         engine=EngineClient(upstream.url, pool),
         service=ServiceClient(upstream.url, pool),
         tell=tell,
@@ -183,6 +186,16 @@
     )
 
 
+def _new_fence(settings: AgentSettings, identity: Identity) -> OrderFence:
+    return OrderFence(
+        FenceSettings(
+            identity.name,
+            identity.incarnation,
+            settings.upstream.checks_fencing,
+        ),
+    )
+
+
 def _new_ramp(settings: AgentSettings) -> ColdRamp:
     upstream = settings.upstream
     ramp_settings = RampSettings(
--- a/libs/agent/src/gypsumrelay_agent/engine.py
+++ b/libs/agent/src/gypsumrelay_agent/engine.py
@@ -116,10 +116,15 @@
             yield fault_of(error)
 
     def cancel(self, run_id: str) -> bool:
-        """Cancel a run; return whether the engine answered."""
+        """Cancel a run; return whether the engine says that it is gone.
+
+        A run that the engine does not know may still be on its way there.
+        """
         body = {'request_id': run_id}
         answer = self.post('/cancel', body, REPORT_SECONDS)
-        return not isinstance(answer, UpstreamFault)
+        if isinstance(answer, UpstreamFault):
+            return False
+        return answer.get('cancelled') is True
 
     def read(self, path: str) -> dict[str, Any] | UpstreamFault:
         """Read what the engine publishes under a path."""
--- a/libs/agent/src/gypsumrelay_agent/events.py
+++ b/libs/agent/src/gypsumrelay_agent/events.py
@@ -7,7 +7,7 @@
 import attrs
 from gypsumrelay_limits import Member
 from gypsumrelay_platform import Listing
-from gypsumrelay_upstreams import EngineReport, Key
+from gypsumrelay_upstreams import CacheEvent, EngineReport, Key
 from gypsumrelay_wire import Link
 
 from gypsumrelay_agent.engine import UpstreamFault
@@ -67,6 +67,7 @@
     """The engine answered a question for its state, or did not."""
 
     report: EngineReport | UpstreamFault
+    cache_events: tuple[CacheEvent, ...] = ()
 
 
 @attrs.frozen
--- a/libs/agent/src/gypsumrelay_agent/handling.py
+++ b/libs/agent/src/gypsumrelay_agent/handling.py
@@ -6,10 +6,13 @@
 from typing import Any, Final
 
 from gypsumrelay_upstreams import (
+    CacheEvent,
     EngineReport,
     coldstart,
     ledger,
+    observe_events,
     reconciliation,
+    summarize,
 )
 from gypsumrelay_wire import (
     Call,
@@ -35,6 +38,11 @@
     tick_draws,
 )
 from gypsumrelay_agent.engine import UpstreamFault
+from gypsumrelay_agent.fence import (
+    apply_fence,
+    note_fence_read,
+    tick_fence,
+)
 from gypsumrelay_agent.holding import (
     apply_configuration,
     note_log_read,
@@ -131,6 +139,7 @@
     else:
         state.upstream_down = False
         _take_engine_report(state, report, now)
+        _take_cache_events(state, report, event.cache_events, now)
     act(state, ledger.set_limit(state.ledger, state.ramp.limit, now))
 
 
@@ -149,6 +158,23 @@
         act(state, reconciliation.reconcile(state.ledger, report, now))
 
 
+def _take_cache_events(
+    state: AgentState,
+    report: EngineReport,
+    cache_events: tuple[CacheEvent, ...],
+    now: float,
+) -> None:
+    observe_events(
+        state.hints,
+        report.incarnation,
+        cache_events,
+        report.asked_at,
+        now,
+    )
+    summary = summarize(state.ledger, state.ramp, state.hints, now)
+    state.prefixes = list(reversed(summary.prefixes))
+
+
 def _note_landed(state: AgentState, event: events.RunLanded) -> None:
     act(state, ledger.progress(state.ledger, event.key, event.first_index, 0))
 
@@ -207,7 +233,9 @@
     state: AgentState,
     event: events.ConfigurationChanged,
 ) -> None:
-    apply_configuration(state.accounts, now_seconds())
+    now = now_seconds()
+    apply_configuration(state.accounts, now)
+    apply_fence(state, now)
 
 
 def _take_listing(state: AgentState, event: events.ListingRead) -> None:
@@ -221,6 +249,7 @@
 
 def _note_log_end(state: AgentState, event: events.LogEndRead) -> None:
     note_log_read(state.accounts, event.asked_at, now_seconds())
+    note_fence_read(state, event.asked_at)
 
 
 def _resend(state: AgentState, event: events.PeerTried) -> None:
@@ -253,6 +282,7 @@
     act(state, ledger.expire(state.ledger, now))
     tick_draws(state.accounts, now)
     tick_shares(state.accounts, now)
+    tick_fence(state, now)
     probe(state, now)
 
 
--- a/libs/agent/src/gypsumrelay_agent/probing.py
+++ b/libs/agent/src/gypsumrelay_agent/probing.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 import urllib3
-from gypsumrelay_upstreams import EngineReport
+from gypsumrelay_upstreams import CacheEvent, EngineReport, PrefixHints
 
 from gypsumrelay_agent import events
 from gypsumrelay_agent.engine import (
@@ -49,7 +49,37 @@
         report = _ask_service(address, asked_at)
     else:
         report = _ask_engine(state.engine, asked_at)
-    state.tell(events.Reported(report))
+    cache_events: tuple[CacheEvent, ...] = ()
+    if not state.is_service and isinstance(report, EngineReport):
+        cache_events = _read_events(state.engine, state.hints, report)
+    state.tell(events.Reported(report, cache_events))
+
+
+def _read_events(
+    client: EngineClient,
+    hints: PrefixHints,
+    report: EngineReport,
+) -> tuple[CacheEvent, ...]:
+    """Return the cache events since the newest known one.
+
+    The numbers of a restarted engine begin again.
+    """
+    known = report.incarnation == hints.incarnation
+    first = hints.next_number if known else 0
+    answer = client.read(f'/events?from={first}')
+    if isinstance(answer, UpstreamFault):
+        return ()
+    try:
+        return tuple(
+            CacheEvent(
+                int(raw['number']),
+                raw['kind'] == 'stored',
+                bytes.fromhex(raw['prefix']),
+            )
+            for raw in answer['events']
+        )
+    except (KeyError, TypeError, ValueError):
+        return ()
 
 
 def _ask_service(
--- a/libs/agent/src/gypsumrelay_agent/state.py
+++ b/libs/agent/src/gypsumrelay_agent/state.py
@@ -12,6 +12,8 @@
     ColdRamp,
     Key,
     Ledger,
+    OrderFence,
+    PrefixHints,
     capacity,
     coldstart,
 )
@@ -39,6 +41,9 @@
     """State of an agent and the means to act on it.
 
     Attributes:
+        fence: The fencing token of the upstream.
+        hints: Prefixes that the engine's cache probably holds.
+        prefixes: The hints as entries are told, oldest first.
         runs: Runs at the upstream by attempt.
         orders: Messages that start runs, until they are started.
         deadlines: Deadlines of plain service requests.
@@ -62,6 +67,10 @@
     tell: Tell
     load: LoadReport
     accounts: Accounts
+    fence: OrderFence
+    hints: PrefixHints = attrs.field(factory=PrefixHints)
+    prefixes: list[bytes] = attrs.field(factory=list)
+    fence_repeat_at: float = float('-inf')
     runs: dict[Key, Run] = attrs.field(factory=dict)
     orders: dict[Key, Prefill | Decode | Call] = attrs.field(factory=dict)
     deadlines: dict[Key, float] = attrs.field(factory=dict)
@@ -112,7 +121,7 @@
         waiting=len(state.ledger.waiting),
         draining=state.ledger.draining,
         cold=coldstart.is_cold(state.ramp),
-        prefixes=[],
+        prefixes=state.prefixes,
         slots=min(state.ramp.limit, upstream.slots),
         decode_ms=int(state.ramp.baseline * MS_PER_SECOND),
     )
