Answer requests that the HTTP server refuses in JSON, and check bad input

Oversized bodies and headers were answered by the HTTP server in plain text; they now carry a code, a sentence and the outcome not_run like all refusals.

--- /dev/null
+++ b/libs/entry/src/gypsumrelay_entry/httperrors.py
@@ -0,0 +1,46 @@
+"""JSON answers to requests that the HTTP server itself refuses."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+from gypsumrelay_errors import (
+    BodyMalformed,
+    BodyTooLarge,
+    Failure,
+    HeadersTooLarge,
+    UpstreamFailed,
+)
+from waitress.channel import HTTPChannel
+from waitress.task import ErrorTask
+
+from gypsumrelay_entry.answers import failure_body, status_line
+
+_FAILURES: Final[dict[int, Failure]] = {
+    400: BodyMalformed('the request is not valid HTTP'),
+    413: BodyTooLarge('the body is larger than this instance accepts'),
+    431: HeadersTooLarge('the headers are larger than this instance accepts'),
+}
+
+
+class JsonErrorTask(ErrorTask):  # type: ignore[misc]
+    """Answers a refused request in the form of all other refusals."""
+
+    def execute(self) -> None:
+        """Write the answer and close the connection."""
+        code = self.request.error.code
+        failure = _FAILURES.get(code) or UpstreamFailed(
+            'the instance failed to handle the request',
+        )
+        body = failure_body(failure)
+        self.status = status_line(code)
+        self.response_headers.append(('Content-Type', 'application/json'))
+        self.set_close_on_finish()
+        self.content_length = len(body)
+        self.write(body)
+
+
+class JsonErrorChannel(HTTPChannel):  # type: ignore[misc]
+    """Connection whose refusals are JSON."""
+
+    error_task_class: type[Any] = JsonErrorTask
--- a/libs/entry/src/gypsumrelay_entry/process.py
+++ b/libs/entry/src/gypsumrelay_entry/process.py
@@ -34,6 +34,7 @@
 from gypsumrelay_entry.actor import EntryActor, ViewState
 from gypsumrelay_entry.callerapi import caller_application
 from gypsumrelay_entry.context import Entry
+from gypsumrelay_entry.httperrors import JsonErrorChannel
 from gypsumrelay_entry.mailboxes import Mailboxes
 from gypsumrelay_entry.suspicion import Suspicions
 
@@ -46,6 +47,8 @@
 
 MS_PER_SECOND: Final = 1000
 TICK_SECONDS: Final = 1.0
+# How often connections with overdue bodies are looked for.
+CLEANUP_SECONDS: Final = 1
 BACKLOG: Final = 1024
 HEADROOM_THREADS: Final = 4
 # Bodies and answers stay in memory, since the instances have no disk.
@@ -85,11 +88,13 @@
     caller_server = start_server(
         caller_application(entry),
         (settings.instance.host, caller.port),
+        JsonErrorChannel,
         threads=caller.max_open_requests + HEADROOM_THREADS,
         backlog=BACKLOG,
         connection_limit=caller.max_open_requests * 4,
         channel_timeout=int(caller.body_seconds) or 1,
         channel_request_lookahead=1,
+        cleanup_interval=CLEANUP_SECONDS,
         max_request_header_size=caller.max_header_bytes,
         max_request_body_size=caller.max_body_bytes,
         inbuf_overflow=MEMORY_BUFFER_BYTES,
--- a/libs/errors/src/gypsumrelay_errors/failures.py
+++ b/libs/errors/src/gypsumrelay_errors/failures.py
@@ -99,6 +99,14 @@
     http_status: ClassVar[int] = 413
 
 
+@attrs.frozen
+class HeadersTooLarge(Failure):
+    """The headers are larger than the settings allow."""
+
+    code: ClassVar[str] = 'headers_too_large'
+    http_status: ClassVar[int] = 431
+
+
 @attrs.frozen
 class BodyMalformed(Failure):
     """The body is not what the route expects."""
--- a/libs/instance/src/gypsumrelay_instance/adminapi.py
+++ b/libs/instance/src/gypsumrelay_instance/adminapi.py
@@ -54,6 +54,7 @@
 def start_server(
     application: Application,
     address: tuple[str, int],
+    channel_class: type[Any] | None = None,
     **options: Any,
 ) -> Any:
     """Serve a WSGI application in a thread; return the server."""
@@ -63,6 +64,8 @@
         port=address[1],
         **options,
     )
+    if channel_class is not None:
+        server.channel_class = channel_class
     threading.Thread(target=server.run, name='http', daemon=True).start()
     return server
 
