--- a/libs/configuration/src/gypsumrelay_configuration/__init__.py
+++ b/libs/configuration/src/gypsumrelay_configuration/__init__.py
@@ -10,6 +10,12 @@
     Route,
     Share,
 )
+from gypsumrelay_configuration.duty import (
+    SnapshotDuty,
+    SnapshotPolicy,
+    new_duty,
+    should_write,
+)
 from gypsumrelay_configuration.keys import (
     digest_of_key,
     new_secret,
@@ -27,7 +33,7 @@
     Record,
     ShareAssigned,
     ShareReleased,
-    SnapshotWritten,
+    SnapshotPart,
     record_from_json,
     record_to_json,
 )
@@ -35,12 +41,21 @@
     Accepted,
     Rejected,
     Skipped,
+    Verdict,
     apply,
+    is_ready,
+    next_offset,
+    note_oldest,
     replace,
     skip,
 )
+from gypsumrelay_configuration.snapshots import (
+    RECORD_LIMIT_BYTES,
+    split_state,
+)
 from gypsumrelay_configuration.state import (
     State,
+    copy_state,
     drain_id,
     dump_state,
     find_key,
@@ -51,8 +66,14 @@
     path_matches,
     share_id,
 )
+from gypsumrelay_configuration.validation import (
+    check_configuration,
+    check_contracts,
+    check_references,
+)
 
 __all__ = (
+    'RECORD_LIMIT_BYTES',
     'Accepted',
     'ClaimBatch',
     'ClaimEntry',
@@ -76,9 +97,16 @@
     'ShareAssigned',
     'ShareReleased',
     'Skipped',
-    'SnapshotWritten',
+    'SnapshotDuty',
+    'SnapshotPart',
+    'SnapshotPolicy',
     'State',
+    'Verdict',
     'apply',
+    'check_configuration',
+    'check_contracts',
+    'check_references',
+    'copy_state',
     'digest_of_key',
     'drain_id',
     'dump_state',
@@ -86,12 +114,18 @@
     'find_model',
     'find_route',
     'is_drained',
+    'is_ready',
     'load_state',
+    'new_duty',
     'new_secret',
+    'next_offset',
+    'note_oldest',
     'path_matches',
     'record_from_json',
     'record_to_json',
     'replace',
     'share_id',
+    'should_write',
     'skip',
+    'split_state',
 )
--- a/libs/configuration/src/gypsumrelay_configuration/documents.py
+++ b/libs/configuration/src/gypsumrelay_configuration/documents.py
@@ -3,6 +3,13 @@
 from __future__ import annotations
 
 import attrs
+from gypsumrelay_settings import bounded
+
+# 29 million tokens per second is the whole fleet's peak.
+MAX_TOKENS_PER_SECOND = 100_000_000
+MAX_BURST_TOKENS = 10_000_000_000
+MAX_MODEL_TOKENS = 10_000_000
+MAX_TIMEOUT_MS = 3_600_000
 
 
 @attrs.frozen
@@ -22,13 +29,13 @@
     """
 
     client_account: str
-    tokens_per_second: int
-    burst_tokens: int
+    tokens_per_second: int = bounded(1, MAX_TOKENS_PER_SECOND)
+    burst_tokens: int = bounded(1, MAX_BURST_TOKENS)
     models: tuple[str, ...] = ()
     routes: tuple[str, ...] = ()
-    priority: int = 5
-    first_token_ms: int = 1500
-    between_tokens_ms: int = 29
+    priority: int = bounded(0, 9, default=5)
+    first_token_ms: int = bounded(1, MAX_TIMEOUT_MS, default=1500)
+    between_tokens_ms: int = bounded(1, MAX_TIMEOUT_MS, default=29)
     version: int = 0
 
 
@@ -47,8 +54,8 @@
     """One model and what a request to it may ask for."""
 
     name: str
-    context_tokens: int = 32768
-    output_tokens: int = 4096
+    context_tokens: int = bounded(1, MAX_MODEL_TOKENS, default=32768)
+    output_tokens: int = bounded(1, MAX_MODEL_TOKENS, default=4096)
 
 
 @attrs.frozen
@@ -61,8 +68,8 @@
     service: str
     idempotent: bool = False
     open: bool = False
-    cost_tokens: int = 1
-    timeout_ms: int = 10000
+    cost_tokens: int = bounded(0, MAX_MODEL_TOKENS, default=1)
+    timeout_ms: int = bounded(1, MAX_TIMEOUT_MS, default=10000)
 
 
 @attrs.frozen
@@ -71,7 +78,7 @@
 
     models: tuple[Model, ...] = ()
     routes: tuple[Route, ...] = ()
-    shares_per_account: int = 2
+    shares_per_account: int = bounded(1, 64, default=2)
     version: int = 0
 
 
--- a/libs/configuration/src/gypsumrelay_configuration/records.py
+++ b/libs/configuration/src/gypsumrelay_configuration/records.py
@@ -18,9 +18,13 @@
     Attributes:
         record_id: Chosen by the writer, so that it recognizes its record
             when it reads the log back.
+        as_of: Offset up to which the writer had read the log. The reducer
+            rejects changes of contracts, keys and drains by a writer that
+            is further behind than it remembers.
     """
 
     record_id: str
+    as_of: int = attrs.field(default=-1, kw_only=True)
 
 
 @attrs.frozen
@@ -123,11 +127,23 @@
 
 
 @attrs.frozen
-class SnapshotWritten(Record):
-    """The reduced state up to and including an offset."""
+class SnapshotPart(Record):
+    """One part of the reduced state up to and including an offset.
 
+    Attributes:
+        snapshot_id: Names the offset and the content of the whole state, so
+            parts by two writers of the same state are interchangeable.
+        covers: The offset.
+        index: Position of the part; parts are written in this order.
+        count: Number of parts.
+        content: Members of the state; their union is the whole state.
+    """
+
+    snapshot_id: str
     covers: int
-    state: dict[str, Any]
+    index: int
+    count: int
+    content: dict[str, Any]
 
 
 _KINDS: Final[dict[str, type[Record]]] = {
@@ -141,7 +157,7 @@
     'share_released': ShareReleased,
     'fence_taken': FenceTaken,
     'claim_batch': ClaimBatch,
-    'snapshot_written': SnapshotWritten,
+    'snapshot_part': SnapshotPart,
 }
 _NAMES: Final = {kind: name for name, kind in _KINDS.items()}
 _CONVERTER: Final = cattrs.Converter()
--- a/libs/configuration/src/gypsumrelay_configuration/reducer.py
+++ b/libs/configuration/src/gypsumrelay_configuration/reducer.py
@@ -9,12 +9,13 @@
 
 from gypsumrelay_configuration import records
 from gypsumrelay_configuration.documents import Drain, Fence, Key, Share
-from gypsumrelay_configuration.state import (
-    State,
-    drain_id,
-    load_state,
-    share_id,
-)
+from gypsumrelay_configuration.snapshots import collect_part, note_part
+from gypsumrelay_configuration.state import State, drain_id, share_id
+
+# Bounds both the memory for what was removed and the age of a record. At
+# 500 records per second it is 100 s, ten times the publish deadline; at
+# about 150 bytes each it is at most 7.5 MB.
+MEMORY_RECORDS: Final = 50_000
 
 
 @attrs.frozen
@@ -44,21 +45,50 @@
     """Apply the record at an offset to the state.
 
     An offset that the state covers already is skipped, so that reading a
-    part of the log twice changes nothing. A snapshot is taken only where
-    it covers more than the state, so one by a paused writer undoes nothing.
+    part of the log twice changes nothing. After a gap only a snapshot is
+    taken, since what the gap held might decide what follows.
     """
-    if isinstance(record, records.SnapshotWritten):
-        return _restore(state, offset, record)
     if offset <= state.offset:
         return Skipped()
-    state.offset = offset
+    follows = offset == state.offset + 1
+    skip(state, offset)
+    if isinstance(record, records.SnapshotPart):
+        return _take_part(state, offset, record, follows)
+    if not follows:
+        return Skipped()
+    _forget(state)
+    if isinstance(record, _AGED) and offset - record.as_of > MEMORY_RECORDS:
+        return Rejected(0, 'the writer is too far behind the log')
     rule = _RULES.get(type(record))
     return rule(state, record) if rule else Skipped()
 
 
 def skip(state: State, offset: int) -> None:
-    """Pass over an offset whose entry is faulty."""
-    state.offset = max(state.offset, offset)
+    """Pass over an offset whose entry is faulty or no change."""
+    state.intake.scanned = max(state.intake.scanned, offset)
+    if offset == state.offset + 1:
+        state.offset = offset
+
+
+def note_oldest(state: State, oldest: int) -> None:
+    """Take note of the oldest offset that the log still keeps."""
+    state.intake.oldest = max(state.intake.oldest, oldest)
+
+
+def is_ready(state: State) -> bool:
+    """Return whether the state has everything that the log has dropped."""
+    return state.offset + 1 >= state.intake.oldest
+
+
+def next_offset(state: State) -> int:
+    """Return from where to read on.
+
+    A reader that is not ready reads ahead for a snapshot; once it has one,
+    it reads again from there.
+    """
+    if is_ready(state):
+        return state.offset + 1
+    return max(state.intake.scanned + 1, state.intake.oldest)
 
 
 def replace(state: State, newer: State) -> bool:
@@ -66,20 +96,57 @@
     if newer.offset <= state.offset:
         return False
     for field in attrs.fields(State):
-        setattr(state, field.name, getattr(newer, field.name))
+        if field.name != 'intake':
+            setattr(state, field.name, getattr(newer, field.name))
+    state.intake.clear()
     return True
 
 
-def _restore(
+def _take_part(
     state: State,
     offset: int,
-    record: records.SnapshotWritten,
+    part: records.SnapshotPart,
+    follows: bool,
 ) -> Verdict:
-    newer = load_state(record.state)
-    taken = newer.offset == record.covers and replace(state, newer)
-    skip_to = offset if offset == state.offset + 1 else state.offset
-    skip(state, skip_to)
-    return Accepted() if taken else Skipped()
+    if follows:
+        note_part(state, offset, part)
+        return Skipped()
+    newer = collect_part(state, offset, part)
+    return Accepted() if newer and replace(state, newer) else Skipped()
+
+
+def _forget(state: State) -> None:
+    """Drop what no record can refer to any more.
+
+    What was removed, withdrawn or undone is remembered for as long as a
+    late copy of an older record could bring it back; `MEMORY_RECORDS` also
+    bounds how late a record may come.
+    """
+    horizon = state.offset - MEMORY_RECORDS
+    for name in _pop_until(state.removals, horizon):
+        if name not in state.contracts:
+            state.contract_versions.pop(name, None)
+    for key_id in _pop_until(state.withdrawals, horizon):
+        state.keys.pop(state.key_ids.pop(key_id, ''), None)
+    for drain in _pop_until(state.undrains, horizon):
+        state.drains.pop(drain, None)
+
+
+def _pop_until(offsets: dict[str, int], horizon: int) -> list[str]:
+    popped = []
+    while offsets:
+        name = next(iter(offsets))
+        if offsets[name] >= horizon:
+            break
+        offsets.pop(name)
+        popped.append(name)
+    return popped
+
+
+def _note_last(offsets: dict[str, int], name: str, offset: int) -> None:
+    """Note an offset and keep the mapping in log order."""
+    offsets.pop(name, None)
+    offsets[name] = offset
 
 
 def _publish(state: State, record: records.ConfigurationPublished) -> Verdict:
@@ -116,14 +183,20 @@
     state.contracts.pop(name)
     state.contract_versions[name] = current + 1
     for digest, key in list(state.keys.items()):
-        if key.client_account == name:
+        if key.client_account == name and not key.withdrawn:
             state.keys[digest] = attrs.evolve(key, withdrawn=True)
+            _note_last(state.withdrawals, key.key_id, state.offset)
+    _note_last(state.removals, name, state.offset)
     return Accepted(current + 1)
 
 
 def _grant_key(state: State, record: records.KeyGranted) -> Verdict:
     if record.client_account not in state.contracts:
         return Rejected(0, 'there is no such contract')
+    if record.as_of < state.removals.get(record.client_account, -1):
+        return Rejected(0, 'the contract was removed since')
+    if not record.digest:
+        return Rejected(0, 'the digest is empty')
     if record.key_id in state.key_ids or record.digest in state.keys:
         return Rejected(0, 'the key or its id was granted before')
     state.key_ids[record.key_id] = record.digest
@@ -136,10 +209,13 @@
 
 
 def _withdraw_key(state: State, record: records.KeyWithdrawn) -> Verdict:
-    digest = state.key_ids.get(record.key_id)
-    if digest is None:
-        return Rejected(0, 'there is no such key')
-    state.keys[digest] = attrs.evolve(state.keys[digest], withdrawn=True)
+    """Withdraw a key, or an id whose grant may still be on its way."""
+    if record.key_id in state.withdrawals:
+        return Accepted()
+    _note_last(state.withdrawals, record.key_id, state.offset)
+    digest = state.key_ids.setdefault(record.key_id, '')
+    if digest:
+        state.keys[digest] = attrs.evolve(state.keys[digest], withdrawn=True)
     return Accepted()
 
 
@@ -155,6 +231,9 @@
         record.drained,
         current + 1,
     )
+    state.undrains.pop(name, None)
+    if not record.drained:
+        state.undrains[name] = state.offset
     return Accepted(current + 1)
 
 
@@ -197,6 +276,13 @@
     return Accepted(record.number)
 
 
+_AGED: Final = (
+    records.ContractPut,
+    records.ContractRemoved,
+    records.KeyGranted,
+    records.KeyWithdrawn,
+    records.DrainSet,
+)
 _RULES: Final[dict[type[records.Record], Callable[..., Verdict]]] = {
     records.ConfigurationPublished: _publish,
     records.ContractPut: _put_contract,
--- a/libs/configuration/src/gypsumrelay_configuration/state.py
+++ b/libs/configuration/src/gypsumrelay_configuration/state.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+from operator import itemgetter
 from typing import Any, Final
 
 import attrs
 import cattrs
+from cattrs.gen import (
+    make_dict_structure_fn,
+    make_dict_unstructure_fn,
+    override,
+)
 
 from gypsumrelay_configuration.documents import (
     Configuration,
@@ -17,13 +23,21 @@
     Route,
     Share,
 )
-
-_CONVERTER: Final = cattrs.Converter()
+from gypsumrelay_configuration.intake import Completed, Intake, Progress
 
 
 @attrs.define
 class State:
-    """Everything that the log decides, up to and including `offset`."""
+    """Everything that the log decides, up to and including `offset`.
+
+    Attributes:
+        removals: Offset of the last removal of each account's contract.
+        withdrawals: Offset at which each withdrawn key was withdrawn.
+        undrains: Offset at which each drain that is undone was undone.
+        snapshots: Snapshots of which some parts are in the log.
+        completed: The newest snapshot of which all parts are in the log.
+        intake: How this reader is reading; no part of the reduced state.
+    """
 
     offset: int = -1
     configuration: Configuration = attrs.field(factory=Configuration)
@@ -34,6 +48,25 @@
     drains: dict[str, Drain] = attrs.field(factory=dict)
     shares: dict[str, Share] = attrs.field(factory=dict)
     fences: dict[str, Fence] = attrs.field(factory=dict)
+    removals: dict[str, int] = attrs.field(factory=dict)
+    withdrawals: dict[str, int] = attrs.field(factory=dict)
+    undrains: dict[str, int] = attrs.field(factory=dict)
+    snapshots: dict[str, Progress] = attrs.field(factory=dict)
+    completed: Completed | None = None
+    intake: Intake = attrs.field(factory=Intake, eq=False, repr=False)
+
+
+_CONVERTER: Final = cattrs.Converter()
+_CONVERTER.register_unstructure_hook(
+    State,
+    make_dict_unstructure_fn(State, _CONVERTER, intake=override(omit=True)),
+)
+_CONVERTER.register_structure_hook(
+    State,
+    make_dict_structure_fn(State, _CONVERTER, intake=override(omit=True)),
+)
+# The reducer forgets the oldest members first, so these stay in log order.
+_IN_LOG_ORDER: Final = ('removals', 'withdrawals', 'undrains')
 
 
 def share_id(client_account: str, number: int) -> str:
@@ -92,7 +125,27 @@
 
 def load_state(dumped: dict[str, Any]) -> State:
     """Return the state in JSON-ready data."""
-    return _CONVERTER.structure(dumped, State)
+    state = _CONVERTER.structure(dumped, State)
+    for name in _IN_LOG_ORDER:
+        ordered = sorted(getattr(state, name).items(), key=itemgetter(1))
+        setattr(state, name, dict(ordered))
+    return state
+
+
+def copy_state(state: State) -> State:
+    """Return a copy that later changes of the state do not reach.
+
+    The documents are immutable, so only the mappings are copied. That is
+    quick enough for the thread that owns the state; another thread can
+    dump the copy.
+    """
+    copied = State()
+    for field in attrs.fields(State):
+        found = getattr(state, field.name)
+        if field.name != 'intake':
+            kept = dict(found) if isinstance(found, dict) else found
+            setattr(copied, field.name, kept)
+    return copied
 
 
 def _prefix_length(route: Route) -> int:
--- a/libs/platform/src/gypsumrelay_platform/__init__.py
+++ b/libs/platform/src/gypsumrelay_platform/__init__.py
@@ -20,6 +20,13 @@
     Entry,
     LogClient,
 )
+from .publishing import (
+    Unknown,
+    apply_batch,
+    catch_up,
+    publish,
+    write_snapshot,
+)
 
 __all__ = (
     'Batch',
@@ -30,8 +37,13 @@
     'ListedInstance',
     'Listing',
     'LogClient',
+    'Unknown',
+    'apply_batch',
+    'catch_up',
     'exchange',
     'new_pool',
     'parse_address',
+    'publish',
     'release',
+    'write_snapshot',
 )
--- a/libs/platform/src/gypsumrelay_platform/follower.py
+++ b/libs/platform/src/gypsumrelay_platform/follower.py
@@ -19,13 +19,24 @@
 POLL_SECONDS: Final = 0.5
 
 
+def always_ready() -> bool:
+    """Return true, for readers that keep no state of the log."""
+    return True
+
+
 @attrs.frozen
 class Callbacks:
-    """Who is told what was read; called on the follower's thread."""
+    """Who is told what was read; called on the follower's thread.
+
+    Attributes:
+        is_ready: Whether the reader has all that the log has dropped. Until
+            then, reading to the end is no evidence of being current.
+    """
 
     on_batch: Callable[[Batch], None]
     on_listing: Callable[[Listing], None]
     next_offset: Callable[[], int]
+    is_ready: Callable[[], bool] = always_ready
 
 
 @attrs.define(eq=False)
@@ -62,13 +73,13 @@
         """Read the log to its end; return whether it answered."""
         while not self.stopped.is_set():
             asked_at = time.monotonic()
+            was_ready = self.callbacks.is_ready()
             batch = self.log_client.read(self.callbacks.next_offset())
             if isinstance(batch, PlatformUnavailable):
                 self._note_log(batch.sentence)
                 return False
             self.callbacks.on_batch(batch)
-            if batch.at_end:
-                self.log_read_at = asked_at
+            if batch.at_end and self._is_end(was_ready, asked_at):
                 break
         self._note_log('')
         return True
@@ -91,6 +102,15 @@
         while not self.stopped.wait(POLL_SECONDS):
             self.read_list()
 
+    def _is_end(self, was_ready: bool, asked_at: float) -> bool:
+        """Return whether nothing is left to read."""
+        if not self.callbacks.is_ready():
+            return True
+        if was_ready:
+            self.log_read_at = asked_at
+        # A snapshot that has just made the reader ready sends it back.
+        return was_ready
+
     def _note_log(self, fault: str) -> None:
         answers = not fault
         if answers != self.log_answers:
--- a/libs/settings/src/gypsumrelay_settings/__init__.py
+++ b/libs/settings/src/gypsumrelay_settings/__init__.py
@@ -6,6 +6,7 @@
     check,
     load,
     load_file,
+    read_json,
 )
 from .models import (
     AgentSettings,
@@ -40,4 +41,5 @@
     'check',
     'load',
     'load_file',
+    'read_json',
 )
--- a/libs/settings/src/gypsumrelay_settings/loader.py
+++ b/libs/settings/src/gypsumrelay_settings/loader.py
@@ -4,6 +4,7 @@
 
 import json
 import types
+from collections import Counter
 from typing import (
     TYPE_CHECKING,
     Any,
@@ -55,13 +56,34 @@
 
 def load_file(path: Path, kind: type[Settings]) -> Settings | SettingsFaults:
     """Return the settings in a JSON file, or all its faults."""
+    raw = read_json(path)
+    return raw if isinstance(raw, SettingsFaults) else load(raw, kind)
+
+
+def read_json(path: Path) -> Any | SettingsFaults:
+    """Return the JSON data in a file, or its faults.
+
+    A name that comes twice in one object is a fault, since a reader can
+    not tell which of the two was meant.
+    """
+    doubled: list[str] = []
+
+    def collect(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        counted = Counter(name for name, _ in pairs)
+        doubled.extend(name for name in counted if counted[name] > 1)
+        return dict(pairs)
+
     try:
-        raw = json.loads(path.read_text())
+        raw = json.loads(path.read_text(), object_pairs_hook=collect)
     except OSError as error:
         return _one('$', str(error.strerror), 'a readable file')
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return _one('$', str(error), 'JSON')
-    return load(raw, kind)
+    faults = [
+        SettingsFault(f'$..{name}', 'the name twice', 'the name once')
+        for name in doubled
+    ]
+    return SettingsFaults(tuple(faults)) if faults else raw
 
 
 def load(raw: object, kind: type[Settings]) -> Settings | SettingsFaults:
