Add the operator command line

Operators had no way to publish, inspect or drain. The commands publish through the confirming publisher, so each one ends with accepted, rejected with the version that came first, or unknown; the exit code says which.

A grant prints the secret once; the log holds only the digest. After an unknown grant its key id is printed, and withdrawing an id ends it also where the grant has not arrived yet. status and timeline ask every listed instance and name those that do not answer. entry, agent and version start without cyclopts.

The check of a configuration stopped at faults of type and range and hid faulty routes until the next run; a scenario of this change showed it, and all faults are now reported at once.

--- /dev/null
+++ b/libs/command/src/gypsumrelay_command/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the command line."""
+
+import sys
+
+from gypsumrelay_command.main import main
+
+sys.exit(main())
--- /dev/null
+++ b/libs/command/src/gypsumrelay_command/application.py
@@ -0,0 +1,265 @@
+"""The command line's commands, options and help."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Annotated, Final
+
+import attrs
+import cyclopts
+from gypsumrelay_timeline import Query
+
+from gypsumrelay_command import changes, fleet, programs, reading
+from gypsumrelay_command.exits import INVALID, finish
+from gypsumrelay_command.main import VERSION
+from gypsumrelay_command.session import with_state
+
+MS_PER_SECOND: Final = 1000
+HELP: Final = """Router for language-model services.
+
+Exit codes: 0 done, 1 rejected, 2 invalid input, 3 unknown outcome,
+4 platform unreachable.
+"""
+
+
+@cyclopts.Parameter(name='*')
+@attrs.frozen
+class Options:
+    """Options of all operator commands.
+
+    Attributes:
+        settings: The operator settings file.
+        json: Print JSON for machines.
+    """
+
+    settings: Path
+    json: bool = False
+
+
+Account = Annotated[str, cyclopts.Parameter(help='The client account.')]
+JsonFile = Annotated[Path, cyclopts.Parameter(help='A JSON file.')]
+
+app = cyclopts.App(name='gypsumrelay', help=HELP, version=VERSION)
+config = cyclopts.App(name='config', help='The published configuration.')
+contract = cyclopts.App(name='contract', help='Contracts of client accounts.')
+key = cyclopts.App(name='key', help='Keys of client accounts.')
+app.command(config)
+app.command(contract)
+app.command(key)
+
+
+@app.command
+def entry(*, settings: Path) -> int:
+    """Run the entry program.
+
+    Example: gypsumrelay entry --settings entry.json
+    """
+    return programs.run_program('entry', settings)
+
+
+@app.command
+def agent(*, settings: Path) -> int:
+    """Run the agent program.
+
+    Example: gypsumrelay agent --settings agent.json
+    """
+    return programs.run_program('agent', settings)
+
+
+@app.command
+def check(path: JsonFile, *, json: bool = False) -> int:
+    """Report all faults of a settings file, configuration or contracts.
+
+    Example: gypsumrelay check configuration.json
+    """
+    return finish(reading.check_file(path), json)
+
+
+@config.command(name='publish')
+def config_publish(
+    path: JsonFile,
+    *,
+    options: Options,
+    based_on: int | None = None,
+    force: bool = False,
+) -> int:
+    """Publish a configuration where its base version is current.
+
+    Example: gypsumrelay config publish new.json --settings operator.json
+
+    Args:
+        path: The configuration.
+        options: Options of all operator commands.
+        based_on: The version that the change is based on.
+        force: Publish although contracts refer to what would be missing.
+    """
+    work = changes.publish_configuration(path, based_on, force)
+    return finish(with_state(options.settings, work), options.json)
+
+
+@config.command(name='show')
+def config_show(*, options: Options) -> int:
+    """Show the published configuration.
+
+    Example: gypsumrelay config show --settings operator.json > current.json
+    """
+    work = reading.show_configuration
+    return finish(with_state(options.settings, work), options.json)
+
+
+@config.command(name='history')
+def config_history(*, options: Options) -> int:
+    """Show the changes that the log keeps, with their outcomes.
+
+    Example: gypsumrelay config history --settings operator.json
+    """
+    return finish(reading.show_history(options.settings), options.json)
+
+
+@config.command(name='diff')
+def config_diff(older: int, newer: int, *, options: Options) -> int:
+    """Show what changed between two versions of the configuration.
+
+    Example: gypsumrelay config diff 3 4 --settings operator.json
+    """
+    found = reading.show_diff(options.settings, older, newer)
+    return finish(found, options.json)
+
+
+@contract.command(name='put')
+def contract_put(path: JsonFile, *, options: Options) -> int:
+    """Create or replace the contract, or the array of contracts, in a file.
+
+    Example: gypsumrelay contract put kiosk.json --settings operator.json
+    """
+    work = changes.put_contracts(path)
+    return finish(with_state(options.settings, work), options.json)
+
+
+@contract.command(name='list')
+def contract_list(*, options: Options) -> int:
+    """List all contracts.
+
+    Example: gypsumrelay contract list --settings operator.json
+    """
+    work = reading.list_contracts
+    return finish(with_state(options.settings, work), options.json)
+
+
+@contract.command(name='remove')
+def contract_remove(account: Account, *, options: Options) -> int:
+    """Remove a contract and withdraw its keys for good.
+
+    Example: gypsumrelay contract remove kiosk --settings operator.json
+    """
+    work = changes.remove_contract(account)
+    return finish(with_state(options.settings, work), options.json)
+
+
+@key.command(name='grant')
+def key_grant(account: Account, *, options: Options, key_id: str = '') -> int:
+    """Grant a new key; its secret is printed once and stored nowhere.
+
+    Example: gypsumrelay key grant kiosk --settings operator.json
+    """
+    work = changes.grant_key(account, key_id)
+    return finish(with_state(options.settings, work), options.json)
+
+
+@key.command(name='withdraw')
+def key_withdraw(key_id: str, *, options: Options) -> int:
+    """Withdraw a key for good, also one whose grant had no known outcome.
+
+    Example: gypsumrelay key withdraw 1f0e33 --settings operator.json
+    """
+    work = changes.withdraw_key(key_id)
+    return finish(with_state(options.settings, work), options.json)
+
+
+@key.command(name='list')
+def key_list(account: str = '', *, options: Options) -> int:
+    """List the keys of one account or all, without secrets.
+
+    Example: gypsumrelay key list kiosk --settings operator.json
+    """
+    work = reading.list_keys(account)
+    return finish(with_state(options.settings, work), options.json)
+
+
+@app.command
+def drain(
+    subject: str,
+    name: str,
+    *,
+    options: Options,
+    undo: bool = False,
+) -> int:
+    """Take a zone, instance or upstream out of service, or back in.
+
+    Example: gypsumrelay drain zone lekki --settings operator.json
+    """
+    work = changes.set_drain(subject, name, undo)
+    return finish(with_state(options.settings, work), options.json)
+
+
+@app.command
+def status(*, options: Options) -> int:
+    """Show all listed instances and who lags behind.
+
+    Example: gypsumrelay status --settings operator.json
+    """
+    return finish(fleet.show_status(options.settings), options.json)
+
+
+@app.command
+def timeline(
+    *,
+    options: Options,
+    request: str = '',
+    account: str = '',
+    upstream: str = '',
+    since: float | None = None,
+    format: str = 'text',
+    output: Path | None = None,
+) -> int:
+    """Show the merged events of all instances.
+
+    Example: gypsumrelay timeline --since 60 --settings operator.json
+
+    Args:
+        options: Options of all operator commands.
+        request: Only events of this request.
+        account: Only events of this client account.
+        upstream: Only events of this upstream.
+        since: Only events of the last so many seconds.
+        format: text, json or html.
+        output: Write to this file instead.
+    """
+    begin_ms = 0
+    if since is not None:
+        begin_ms = int((time.time() - since) * MS_PER_SECOND)
+    query = Query(request, account, upstream, begin_ms)
+    found = fleet.show_timeline(options.settings, query, format, output)
+    return finish(found, options.json)
+
+
+@app.command
+def version() -> int:
+    """Print the version."""
+    print(VERSION)
+    return 0
+
+
+def run(arguments: Sequence[str]) -> int:
+    """Run one command and return its exit code."""
+    try:
+        code = app(
+            list(arguments),
+            exit_on_error=False,
+            result_action='return_value',
+        )
+    except cyclopts.CycloptsError:
+        return INVALID
+    return code if isinstance(code, int) else 0
--- /dev/null
+++ b/libs/command/src/gypsumrelay_command/main.py
@@ -0,0 +1,30 @@
+"""Entry point of the binary; starts programs without the command line."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Sequence
+from typing import Final
+
+VERSION: Final = '0.1.0'
+SETTINGS_OPTION: Final = '--settings'
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run one command and return its exit code.
+
+    `version`, `entry` and `agent` in their usual form do not need the
+    command line's library, which takes most of the start time.
+    """
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    if given in (['version'], ['--version']):
+        print(VERSION)
+        return 0
+    if len(given) == 3 and given[1] == SETTINGS_OPTION:
+        from gypsumrelay_command import programs
+
+        if given[0] in programs.PROGRAMS:
+            return programs.run_program(given[0], given[2])
+    from gypsumrelay_command.application import run
+
+    return run(given)
--- a/libs/configuration/src/gypsumrelay_configuration/validation.py
+++ b/libs/configuration/src/gypsumrelay_configuration/validation.py
@@ -33,25 +33,26 @@
 _PATH: Final = re.compile('(?:/[!-.0-~]*)+')
 _NAME_RULE: Final = 'up to 128 letters, digits and ._:@+-'
 _CONVERTER: Final = cattrs.Converter()
+Elements = list[tuple[int, Any]]
 
 
 def check_configuration(raw: object) -> Configuration | SettingsFaults:
     """Return the configuration in JSON data, or all its faults."""
-    faults = check(raw, Configuration, '$') or _size_faults(raw, '$')
-    if faults:
-        return SettingsFaults(tuple(faults))
-    configuration = _CONVERTER.structure(raw, Configuration)
+    models = _sound(raw, 'models', Model)
+    routes = _sound(raw, 'routes', Route)
+    paths = [f'{route.method} {route.path}' for _, route in routes]
     faults = [
-        *_element_faults(configuration.models, '$.models', _model_faults),
-        *_element_faults(configuration.routes, '$.routes', _route_faults),
-        *_doubled('$.models', [model.name for model in configuration.models]),
-        *_doubled('$.routes', [route.name for route in configuration.routes]),
-        *_doubled(
-            '$.routes',
-            [f'{route.method} {route.path}' for route in configuration.routes],
-        ),
+        *check(raw, Configuration, '$'),
+        *_size_faults(raw, '$'),
+        *_element_faults(models, '$.models', _model_faults),
+        *_element_faults(routes, '$.routes', _route_faults),
+        *_doubled('$.models', [model.name for _, model in models]),
+        *_doubled('$.routes', [route.name for _, route in routes]),
+        *_doubled('$.routes', paths),
     ]
-    return SettingsFaults(tuple(faults)) if faults else configuration
+    if faults:
+        return SettingsFaults(tuple(faults))
+    return _CONVERTER.structure(raw, Configuration)
 
 
 def check_contracts(
@@ -86,7 +87,11 @@
     counted = Counter(
         reference
         for contract in contracts
-        for reference in _unknown(contract, configuration)
+        for reference in _unknown(
+            contract.models,
+            contract.routes,
+            configuration,
+        )
     )
     return [
         SettingsFault(
@@ -103,15 +108,13 @@
     configuration: Configuration | None,
     path: str,
 ) -> Contract | list[SettingsFault]:
-    faults = check(raw, Contract, path) or _size_faults(raw, path)
-    if faults:
-        return faults
-    contract = _CONVERTER.structure(raw, Contract)
-    faults = [
-        *_name_faults(contract.client_account, f'{path}.client_account'),
-        *_doubled(f'{path}.models', contract.models),
-        *_doubled(f'{path}.routes', contract.routes),
-    ]
+    faults = [*check(raw, Contract, path), *_size_faults(raw, path)]
+    models = _texts(raw, 'models')
+    routes = _texts(raw, 'routes')
+    for account in _texts(raw, 'client_account'):
+        faults.extend(_name_faults(account, f'{path}.client_account'))
+    faults.extend(_doubled(f'{path}.models', models))
+    faults.extend(_doubled(f'{path}.routes', routes))
     if configuration is not None:
         faults.extend(
             SettingsFault(
@@ -119,31 +122,51 @@
                 _shown(name),
                 'a name in the published configuration',
             )
-            for member, name in _unknown(contract, configuration)
+            for member, name in _unknown(models, routes, configuration)
         )
-    return faults or contract
+    return faults or _CONVERTER.structure(raw, Contract)
 
 
 def _unknown(
-    contract: Contract,
+    models: Sequence[str],
+    routes: Sequence[str],
     configuration: Configuration,
 ) -> list[tuple[str, str]]:
-    models = {model.name for model in configuration.models}
-    routes = {route.name for route in configuration.routes}
+    known_models = {model.name for model in configuration.models}
+    known_routes = {route.name for route in configuration.routes}
     return [
-        *(('models', name) for name in contract.models if name not in models),
-        *(('routes', name) for name in contract.routes if name not in routes),
+        *(('models', name) for name in models if name not in known_models),
+        *(('routes', name) for name in routes if name not in known_routes),
     ]
 
 
+def _sound(raw: Any, name: str, kind: type[Any]) -> Elements:
+    """Return the elements that can be checked further, with their index."""
+    return [
+        (index, _CONVERTER.structure(element, kind))
+        for index, element in enumerate(_listed(raw, name))
+        if not check(element, kind, '$')
+    ]
+
+
+def _texts(raw: Any, name: str) -> list[str]:
+    """Return the texts in a member that is a text or an array."""
+    return [text for text in _listed(raw, name) if isinstance(text, str)]
+
+
+def _listed(raw: Any, name: str) -> list[Any]:
+    member = raw.get(name) if isinstance(raw, dict) else None
+    return member if isinstance(member, list) else [member]
+
+
 def _element_faults(
-    elements: Sequence[Any],
+    elements: Elements,
     path: str,
     rule: Callable[[Any, str], list[SettingsFault]],
 ) -> list[SettingsFault]:
     return [
         fault
-        for index, element in enumerate(elements)
+        for index, element in elements
         for fault in rule(element, f'{path}[{index}]')
     ]
 
--- a/libs/configuration/tests/documents.feature
+++ b/libs/configuration/tests/documents.feature
@@ -19,7 +19,7 @@
       | a configuration | more output than context     | $.models[0].output_tokens                           |
       | a configuration | numbers as text              | $.models[0].context_tokens $.shares_per_account     |
       | a configuration | a list instead of an object  | $                                                   |
-      | a configuration | 3000 routes                  | $                                                   |
+      | a configuration | 3000 routes                  | $ $.routes $.routes                                 |
       | a contract      | rates out of range           | $[0].tokens_per_second $[0].burst_tokens            |
       | a contract      | unknown references           | $[0].models $[0].routes                             |
       | a contract      | a missing name               | $[0].client_account                                 |
