Build the single binary

A deployment needs one file with the system and its locked dependencies. make binary downloads the locked wheels once into build/wheels, installs them with hashes into a scratch folder, adds the packages that ship, and packs all of it with zipapp. Python loads no compiled module from inside an archive, so these are left out and the libraries' Python code serves.

Four scenarios build and run the file without the machine's packages, compare what is inside with the lock file and the shipped packages, and watch for files written and processes started.

--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,6 @@
 	$(BIN)/python tools/run_features.py
 
 test: lint types imports features
+
+binary: setup
+	@$(BIN)/python tools/build_binary.py
--- /dev/null
+++ b/libs/command/tests/steps/binary.py
@@ -0,0 +1,118 @@
+"""Steps for the built binary."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import tempfile
+import zipfile
+from pathlib import Path
+from typing import Any, Final
+
+from behave import given, then, when
+from gypsumrelay_command import VERSION
+
+ROOT: Final = Path(__file__).resolve().parents[4]
+# The interpreter itself, without the virtual environment's packages.
+PYTHON: Final = str(Path(sys.base_prefix) / 'bin' / 'python3.11')
+BINARY: Final = ROOT / 'build' / 'gypsumrelay'
+SHIPPED: Final = frozenset(
+    f'gypsumrelay_{path.name}'
+    for path in (ROOT / 'libs').iterdir()
+    if path.name not in {'standins', 'demo', 'bench'}
+)
+# The audit hook sees what the program does, also inside libraries.
+AUDITED: Final = """
+import os, runpy, sys
+
+def hook(event, found):
+    started = ('subprocess.', 'os.fork', 'os.exec', 'os.posix_spawn')
+    if event.startswith((*started, 'os.system', 'os.mkdir')):
+        os.write(1, f'FORBIDDEN {event} {found}'.encode())
+    if event == 'open' and found[2] & (os.O_WRONLY | os.O_RDWR | os.O_CREAT):
+        os.write(1, f'FORBIDDEN {event} {found}'.encode())
+
+sys.addaudithook(hook)
+sys.argv = [sys.argv[1], *sys.argv[2:]]
+runpy.run_path(sys.argv[0], run_name='__main__')
+"""
+
+
+@given('the built binary')
+def build(context: Any) -> None:
+    if not hasattr(context.feature, 'built'):
+        command = [sys.executable, str(ROOT / 'tools' / 'build_binary.py')]
+        subprocess.run(command, check=True, capture_output=True)  # noqa: S603
+        context.feature.built = True
+
+
+def run(*arguments: str) -> subprocess.CompletedProcess[str]:
+    # Isolated mode takes no packages from the environment or the user.
+    with tempfile.TemporaryDirectory() as empty:
+        finished = subprocess.run(  # noqa: S603 - fixed command line
+            [PYTHON, '-I', '-S', '-B', *arguments],
+            cwd=empty,
+            env={'PATH': os.environ['PATH'], 'HOME': empty, 'TMPDIR': empty},
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        assert not list(Path(empty).iterdir())
+    return finished
+
+
+@when('the binary runs "{command}" without the machine\'s packages')
+def run_binary(context: Any, command: str) -> None:
+    context.finished = run(str(BINARY), *command.split())
+
+
+@then('it prints the version and exits with 0')
+def check_version(context: Any) -> None:
+    assert context.finished.returncode == 0, context.finished
+    assert context.finished.stdout.strip() == VERSION
+
+
+@then('it exits with 2 and names the file')
+def check_missing(context: Any) -> None:
+    assert context.finished.returncode == 2, context.finished
+    assert 'missing: $: found' in context.finished.stderr
+
+
+def inside() -> set[str]:
+    with zipfile.ZipFile(BINARY) as archive:
+        return set(archive.namelist())
+
+
+@then('the packages of the system and the locked dependencies are inside')
+def check_inside(context: Any) -> None:
+    folders = {name.split('/')[0] for name in inside()}
+    assert folders >= SHIPPED, SHIPPED - folders
+    locked = [
+        line.split('==')[0]
+        for line in (ROOT / 'requirements/runtime.txt').read_text().split('\n')
+        if '==' in line
+    ]
+    assert len(locked) > 9
+    installed = {
+        name.split('-')[0].replace('_', '-').lower()
+        for name in folders
+        if name.endswith('.dist-info')
+    }
+    assert installed == set(locked), installed ^ set(locked)
+
+
+@then('no stand-in, demo, measurement, test or compiled module is inside')
+def check_not_inside(context: Any) -> None:
+    own = {name for name in inside() if name.startswith('gypsumrelay_')}
+    assert {name.split('/')[0] for name in own} == SHIPPED
+    for name in inside():
+        assert not name.endswith(('.so', '.feature', '.pyc')), name
+
+
+@then('"{command}" opens no file for writing and starts no process')
+def check_audit(context: Any, command: str) -> None:
+    finished = run('-c', AUDITED, str(BINARY), *command.split())
+    assert finished.returncode == 2, finished
+    assert 'missing: $: found' in finished.stderr
+    assert 'FORBIDDEN' not in finished.stdout, finished.stdout
