Ship compiled modules in the binary

zipapp archives hold no compiled modules, so each start of an entry compiled everything that it imports. The binary now holds unchecked compiled modules beside the sources.

--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import compileall
+import py_compile
 import shutil
 import subprocess
 import sys
@@ -73,6 +75,14 @@
     for package in shipped():
         shutil.copytree(package, folder / package.name, ignore=ignored)
     (folder / '__main__.py').write_text(MAIN)
+    # Without these, each start compiles every module that it imports.
+    compileall.compile_dir(
+        folder,
+        quiet=1,
+        legacy=True,
+        stripdir=str(folder),
+        invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH,
+    )
 
 
 def main() -> int:
