--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 export PYTHONHASHSEED := 0
 SEED ?= 1
 
-.PHONY: install test lint format types imports features setup demo up binary measure bench capacity fuzz compile
+.PHONY: install test lint format types imports features setup demo up binary measure bench capacity fuzz compile reference
 
 # Compares contents, not times: a fresh checkout has new times on old files.
 setup:
@@ -47,3 +47,6 @@
 
 binary: setup
 	@$(BIN)/python tools/build_binary.py
+
+reference: setup
+	$(BIN)/python tools/write_reference.py
--- a/libs/command/tests/commands.feature
+++ b/libs/command/tests/commands.feature
@@ -90,3 +90,6 @@
   Scenario: The programs start without the command line's library
     Then "entry" and "agent" run their program with loaded settings
     And neither "version" nor the programs import cyclopts
+
+  Scenario: The reference of settings and documents is current
+    Then the pages of the reference are what the classes say
--- a/libs/command/tests/steps/commands.py
+++ b/libs/command/tests/steps/commands.py
@@ -279,3 +279,16 @@
         capture_output=True,
     )
     assert finished.returncode == 0, finished
+
+
+@then('the pages of the reference are what the classes say')
+def check_reference(context: Any) -> None:
+    tool = Path(__file__).resolve().parents[4] / 'tools/write_reference.py'
+    command = [sys.executable, str(tool), '--check']
+    finished = subprocess.run(  # noqa: S603 - fixed command line
+        command,
+        check=False,
+        capture_output=True,
+        text=True,
+    )
+    assert finished.returncode == 0, finished.stdout
--- /dev/null
+++ b/tools/write_reference.py
@@ -0,0 +1,119 @@
+"""Writes the reference of settings and documents from the attrs classes."""
+
+from __future__ import annotations
+
+import inspect
+import json
+import sys
+from pathlib import Path
+from typing import Any, get_args, get_origin, get_type_hints
+
+import attrs
+import gypsumrelay_configuration as configuration
+import gypsumrelay_settings as settings
+
+FOLDER = Path(__file__).resolve().parent.parent / 'docs' / 'operators'
+TYPE_NAMES = {str: 'string', int: 'integer', float: 'number', bool: 'boolean'}
+PAGES = {
+    'settings.md': (
+        settings.EntrySettings,
+        settings.AgentSettings,
+        settings.OperatorSettings,
+        settings.InstanceSettings,
+        settings.PlatformSettings,
+        settings.CallerSettings,
+        settings.RoutingSettings,
+        settings.UpstreamSettings,
+        settings.EvidenceSettings,
+        settings.TelemetrySettings,
+    ),
+    'configuration.md': (
+        configuration.Configuration,
+        configuration.Model,
+        configuration.Route,
+        configuration.Contract,
+    ),
+}
+
+
+def page(name: str) -> str:
+    """Return a page: its own introduction, then the tables."""
+    introduction = (FOLDER / name).read_text().split('\n## ')[0]
+    sections = [section(kind) for kind in PAGES[name]]
+    return '\n'.join((introduction, *sections))
+
+
+def section(kind: Any) -> str:
+    """Return the table of one class."""
+    documentation = inspect.getdoc(kind) or ''
+    title = documentation.split('\n')[0]
+    notes = described(documentation)
+    rows = [
+        f'| `{field.name}` | {type_name(get_type_hints(kind)[field.name])} | '
+        f'{allowed(field)} | {default(field)} | {notes.get(field.name, "")} |'
+        for field in attrs.fields(kind)
+    ]
+    head = '| name | type | allowed | default | meaning |\n'
+    rule = '| --- | --- | --- | --- | --- |\n'
+    return f'## {kind.__name__}\n\n{title}\n\n{head}{rule}{_lines(rows)}'
+
+
+def described(documentation: str) -> dict[str, str]:
+    """Return the descriptions in the Attributes part of a docstring."""
+    found: dict[str, str] = {}
+    name = ''
+    for line in documentation.partition('Attributes:\n')[2].split('\n'):
+        if line.startswith('    ') and not line.startswith('     '):
+            name, _, text = line.strip().partition(': ')
+            found[name] = text
+        elif line.strip():
+            found[name] = f'{found[name]} {line.strip()}'
+    return found
+
+
+def type_name(hint: Any) -> str:
+    """Return the name of a field's JSON type."""
+    if get_origin(hint) is tuple:
+        return f'array of {type_name(get_args(hint)[0])}'
+    if attrs.has(hint):
+        return f'[{hint.__name__}](#{hint.__name__.lower()})'
+    return TYPE_NAMES[hint]
+
+
+def allowed(field: Any) -> str:
+    """Return the range of a field."""
+    span = field.metadata.get('range')
+    return f'{span.low} to {span.high}' if span else ''
+
+
+def default(field: Any) -> str:
+    """Return the default of a field."""
+    if field.default is attrs.NOTHING:
+        return 'needed'
+    if attrs.has(type(field.default)):
+        return 'its defaults'
+    return f'`{json.dumps(field.default)}`'
+
+
+def _lines(rows: list[str]) -> str:
+    return ''.join(f'{row}\n' for row in rows)
+
+
+def main() -> int:
+    """Write all pages, or with --check return 1 where one is not current."""
+    stale = [name for name in PAGES if not is_current(name)]
+    if '--check' in sys.argv:
+        print('stale:', *stale)
+        return 1 if stale else 0
+    for name in stale:
+        (FOLDER / name).write_text(page(name))
+    return 0
+
+
+def is_current(name: str) -> bool:
+    """Return whether a page is what the classes say."""
+    return (FOLDER / name).read_text() == page(name)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
