--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 export PYTHONHASHSEED := 0
 SEED ?= 1
 
-.PHONY: install test lint format types imports features setup demo up binary measure bench capacity fuzz compile
+.PHONY: install test lint format types imports features setup demo up binary measure bench capacity fuzz compile reference
 
 # Compares contents, not times: a fresh checkout has new times on old files.
 setup:
@@ -50,3 +50,9 @@
 
 up: setup
 	exec $(BIN)/python -m gypsumrelay_demo up --deployment examples/lagos.json
+
+binary: setup
+	@$(BIN)/python tools/build_binary.py
+
+reference: setup
+	$(BIN)/python tools/write_reference.py
--- a/features/operators.feature
+++ b/features/operators.feature
@@ -43,3 +43,9 @@
     When the log service is back
     And a key is withdrawn
     Then within 3 seconds every entry refuses the key
+
+  Scenario: A fresh process starts from a snapshot when the log is short
+    When the log keeps 60 records and 150 drains are published
+    Then the log holds a snapshot within 20 seconds
+    When an agent is killed and started again
+    Then the agent has the configuration of the others within 8 seconds
--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -13,9 +13,10 @@
     DrainSet,
     KeyWithdrawn,
     Record,
+    SnapshotPart,
 )
 from gypsumrelay_demo import complete, get_json, post_json, wait_until
-from gypsumrelay_platform import LogClient
+from gypsumrelay_platform import Batch, LogClient
 from gypsumrelay_standins import expected_text
 
 
@@ -175,6 +176,7 @@
     wait_until(lambda: time.monotonic() >= due, seconds + 1)
 
 
+@when('an agent is killed and started again')
 @when('an agent is killed and started again while the log is down')
 def restart_agent(context: Any) -> None:
     context.agent = next(iter(context.system.agents.values()))
@@ -182,6 +184,9 @@
     context.system.restart(context.agent)
 
 
+@then(
+    'the agent has the configuration of the others within {seconds:d} seconds'
+)
 @then('the agent has the configuration from a peer within {seconds:d} seconds')
 def check_copied(context: Any, seconds: int) -> None:
     entry = next(iter(context.system.entries.values()))
@@ -193,3 +198,26 @@
         return bool(status) and status['offset'] >= newest['offset']
 
     assert wait_until(has_copy, seconds)
+
+
+@when('the log keeps {kept:d} records and {count:d} drains are published')
+def fill_log(context: Any, kept: int, count: int) -> None:
+    url = f'{context.system.platform["log"].url}/retention'
+    assert post_json(context.system.pool, url, {'retention': kept})
+    for number in range(count):
+        name = f'unused-{number}'
+        append(context, DrainSet(new_id(), 0, 'instance', name, True))
+
+
+@then('the log holds a snapshot within {seconds:d} seconds')
+def check_snapshot(context: Any, seconds: int) -> None:
+    client = LogClient(context.system.platform['log'].url)
+
+    def is_written() -> bool:
+        batch = client.read(0)
+        assert isinstance(batch, Batch)
+        return any(
+            isinstance(entry.record, SnapshotPart) for entry in batch.entries
+        )
+
+    assert wait_until(is_written, seconds)
--- a/libs/agent/src/gypsumrelay_agent/building.py
+++ b/libs/agent/src/gypsumrelay_agent/building.py
@@ -11,7 +11,13 @@
 
 import attrs
 import pykka
-from gypsumrelay_instance import Keeper, PeerCallbacks, Peers
+from gypsumrelay_instance import (
+    Keeper,
+    PeerCallbacks,
+    Peers,
+    SnapshotWriter,
+    new_snapshot_writer,
+)
 from gypsumrelay_limits import Member
 from gypsumrelay_platform import Callbacks, Follower, ListClient, LogClient
 from gypsumrelay_telemetry import new_metrics
@@ -65,6 +71,7 @@
     peers: Peers
     follower: Follower
     listener: Listener
+    snapshots: SnapshotWriter
 
 
 def build(settings: AgentSettings) -> Parts:
@@ -102,6 +109,11 @@
             peers.endpoint(),
             adopt,
         ),
+        new_snapshot_writer(
+            settings.instance.name,
+            peers.keeper,
+            log_client,
+        ),
     )
 
 
@@ -241,13 +253,18 @@
     log_client: LogClient,
     tell: Tell,
 ) -> Follower:
+    def on_log_end(asked_at: float) -> None:
+        keeper.confirm(asked_at)
+        tell(events.LogEndRead(asked_at))
+
     callbacks = Callbacks(
         on_batch=keeper.apply_batch,
         on_listing=lambda listing, asked_at: tell(
             events.ListingRead(listing, asked_at),
         ),
         next_offset=keeper.next_offset,
-        on_log_end=lambda asked_at: tell(events.LogEndRead(asked_at)),
+        on_log_end=on_log_end,
+        is_ready=keeper.is_ready,
     )
     list_client = ListClient(settings.platform.list_url)
     return Follower(log_client, list_client, callbacks)
--- a/libs/agent/src/gypsumrelay_agent/process.py
+++ b/libs/agent/src/gypsumrelay_agent/process.py
@@ -78,6 +78,7 @@
     if records:
         parts.state.accounts.log_client.append(records)
     running.stopped.set()
+    parts.snapshots.stopped.set()
     parts.follower.stop()
     parts.listener.close()
     parts.peers.close()
@@ -98,6 +99,12 @@
         ticks += 1
         if ticks % BEAT_TICKS == 0:
             parts.peers.beat()
+            parts.snapshots.tick(_agent_names(parts))
+
+
+def _agent_names(parts: Parts) -> set[str]:
+    addresses = parts.state.accounts.addresses
+    return {member.name for member in list(addresses)}
 
 
 def _admin_callbacks(parts: Parts) -> AdminCallbacks:
--- a/libs/entry/src/gypsumrelay_entry/process.py
+++ b/libs/entry/src/gypsumrelay_entry/process.py
@@ -212,7 +212,8 @@
             events.ListingRead(listing),
         ),
         next_offset=entry.keeper.next_offset,
-        on_log_end=lambda asked_at: None,
+        on_log_end=entry.keeper.confirm,
+        is_ready=entry.keeper.is_ready,
     )
     return Follower(
         LogClient(platform.log_url),
--- a/libs/instance/src/gypsumrelay_instance/keeper.py
+++ b/libs/instance/src/gypsumrelay_instance/keeper.py
@@ -13,7 +13,10 @@
     State,
     apply,
     dump_state,
+    is_ready,
     load_state,
+    next_offset,
+    note_oldest,
     replace,
     skip,
 )
@@ -47,20 +50,27 @@
 
     def next_offset(self) -> int:
         """Return the offset to read next."""
-        return self.state.offset + 1
+        return next_offset(self.state)
+
+    def is_ready(self) -> bool:
+        """Return whether the state has all that the log has dropped."""
+        return is_ready(self.state)
 
     def apply_batch(self, batch: Batch) -> None:
         """Apply entries that were read from the log."""
         with self.lock:
             before = self.state.offset
+            note_oldest(self.state, batch.oldest)
             for entry in batch.entries:
                 self._apply_entry(entry)
             changed = self.state.offset != before
-        if batch.at_end:
-            self.confirmed_at = time.monotonic()
         if changed:
             self._notify()
 
+    def confirm(self, asked_at: float) -> None:
+        """Note that a read from an instant on found the end of the log."""
+        self.confirmed_at = max(self.confirmed_at, asked_at)
+
     def note_peer(self, offset: int) -> bool:
         """Note a peer's offset; return whether the peer knows more."""
         if offset > self.state.offset:
--- a/libs/standins/src/gypsumrelay_standins/log_service.py
+++ b/libs/standins/src/gypsumrelay_standins/log_service.py
@@ -41,6 +41,9 @@
         """Answer one request."""
         if request.path == '/fault':
             return self.set_faults(request.json())
+        if request.path == '/retention':
+            self.retention = int(request.json()['retention'])
+            return Response({})
         time.sleep(self.faults.slow_ms / 1000)
         if self.faults.down:
             return Response({'error': 'down'}, 503)
