--- a/libs/command/tests/commands.feature
+++ b/libs/command/tests/commands.feature
@@ -63,6 +63,7 @@
       | the list out of reach | timeline                       | 4    | platform_unavailable |
       | appends without effect | config publish {configuration} | 3    | unknown             |
       | appends without effect | key grant kiosk               | 3    | key id:              |
+      | refused appends       | config publish {configuration} | 4    | out of reach         |
 
   Scenario: The secret is printed once and only its digest is stored
     Given the published configuration, the contract "kiosk" and the key "k1"
--- a/libs/command/tests/steps/commands.py
+++ b/libs/command/tests/steps/commands.py
@@ -28,6 +28,7 @@
     find_key,
     record_to_json,
 )
+from gypsumrelay_errors import PlatformUnavailable
 from gypsumrelay_platform import LogClient, catch_up, publishing
 from gypsumrelay_settings import EntrySettings
 from gypsumrelay_standins import (
@@ -177,6 +178,14 @@
         context.add_cleanup(patch.stop)
 
 
+@given('refused appends')
+def refuse_appends(context: Any) -> None:
+    refused = PlatformUnavailable('the platform service is out of reach')
+    patch = mock.patch.object(LogClient, 'append', lambda *_: refused)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
 @then('the printed secret works as a key of "{account}"')
 def check_secret(context: Any, account: str) -> None:
     context.secret = json.loads(context.output)['secret']
--- a/libs/platform/src/gypsumrelay_platform/__init__.py
+++ b/libs/platform/src/gypsumrelay_platform/__init__.py
@@ -9,6 +9,9 @@
     new_pool,
     release,
 )
+from .keeper import (
+    SnapshotKeeper,
+)
 from .listclient import (
     ListClient,
     ListedInstance,
@@ -37,6 +40,7 @@
     'ListedInstance',
     'Listing',
     'LogClient',
+    'SnapshotKeeper',
     'Unknown',
     'apply_batch',
     'catch_up',
--- a/libs/platform/tests/publishing.feature
+++ b/libs/platform/tests/publishing.feature
@@ -61,3 +61,14 @@
     When a fresh reader catches up
     Then it says that its configuration is stale
     And the follower's reading is no evidence of being current
+
+  Scenario: A process writes a snapshot on its turn while its state changes
+    Given 700 records
+    When the process considers a snapshot, and its state changes meanwhile
+    Then the log holds the snapshot of the state at the decision
+    And the process writes no second one
+
+  Scenario: A shutdown ends a snapshot between two parts
+    Given 700 records
+    When the process considers a snapshot, and is shut down
+    Then the log has no complete snapshot
--- a/libs/platform/tests/steps/publishing.py
+++ b/libs/platform/tests/steps/publishing.py
@@ -17,8 +17,12 @@
     Model,
     Record,
     Rejected,
+    SnapshotPolicy,
     State,
+    apply,
+    copy_state,
     is_ready,
+    new_duty,
     next_offset,
     split_state,
 )
@@ -28,6 +32,7 @@
     Follower,
     ListClient,
     LogClient,
+    SnapshotKeeper,
     Unknown,
     apply_batch,
     catch_up,
@@ -262,3 +267,54 @@
     assert follower.read_log()
     assert follower.log_read_at > float('-inf')
     assert state == context.state or state.offset > context.state.offset
+
+
+def consider(context: Any, stopped: bool = False) -> None:
+    policy = SnapshotPolicy(records=500)
+    context.keeper = SnapshotKeeper(
+        context.client,
+        new_duty('one', policy, 0),
+    )
+    if stopped:
+        context.keeper.stopped.set()
+    context.expected = copy_state(context.state)
+    assert context.keeper.consider(context.state, ['one'], 1)
+
+
+@when('the process considers a snapshot, and its state changes meanwhile')
+def consider_changing(context: Any) -> None:
+    consider(context)
+    offset = context.state.offset + 1
+    apply(context.state, offset, put('meanwhile'))
+    context.keeper.writer.join(timeout=20)
+
+
+@then('the log holds the snapshot of the state at the decision')
+def check_snapshot(context: Any) -> None:
+    context.reader = State()
+    assert catch_up(context.client, context.reader) is None
+    drop_records(context, context.expected.offset + 1)
+    reader = State()
+    assert catch_up(context.client, reader) is None
+    assert reader.contracts == context.expected.contracts
+    assert reader.completed is not None
+    assert reader.completed.covers == context.expected.offset
+
+
+@then('the process writes no second one')
+def check_no_second(context: Any) -> None:
+    assert not context.keeper.consider(context.reader, ['one'], 700)
+
+
+@when('the process considers a snapshot, and is shut down')
+def consider_stopped(context: Any) -> None:
+    consider(context, stopped=True)
+    context.keeper.writer.join(timeout=20)
+
+
+@then('the log has no complete snapshot')
+def check_no_snapshot(context: Any) -> None:
+    assert not context.keeper.writer.is_alive()
+    reader = State()
+    assert catch_up(context.client, reader) is None
+    assert reader.completed is None
