--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -5,6 +5,7 @@
 import secrets
 import signal
 import time
+from functools import partial
 from typing import Any
 
 import urllib3
@@ -207,6 +208,21 @@
     for number in range(count):
         name = f'unused-{number}'
         append(context, DrainSet(new_id(), 0, 'instance', name, True))
+        if number % 20 == 0:
+            # A log that drops records faster than they are read could be
+            # followed by nobody.
+            assert wait_until(partial(all_read, context), 10)
+
+
+def all_read(context: Any) -> bool:
+    log_url = context.system.platform['log'].url
+    end = get_json(context.system.pool, log_url)['next']
+    nodes = [*context.system.agents.values(), *context.system.entries.values()]
+    statuses = [
+        get_json(context.system.pool, f'{node.admin_url}/status')
+        for node in nodes
+    ]
+    return all(status and status['offset'] + 1 >= end for status in statuses)
 
 
 @then('the log holds a snapshot within {seconds:d} seconds')
--- a/libs/agent/src/gypsumrelay_agent/building.py
+++ b/libs/agent/src/gypsumrelay_agent/building.py
@@ -11,15 +11,20 @@
 
 import attrs
 import pykka
+from gypsumrelay_configuration import SnapshotPolicy, new_duty
 from gypsumrelay_instance import (
     Keeper,
     PeerCallbacks,
     Peers,
-    SnapshotWriter,
-    new_snapshot_writer,
 )
 from gypsumrelay_limits import Member
-from gypsumrelay_platform import Callbacks, Follower, ListClient, LogClient
+from gypsumrelay_platform import (
+    Callbacks,
+    Follower,
+    ListClient,
+    LogClient,
+    SnapshotKeeper,
+)
 from gypsumrelay_telemetry import new_metrics
 from gypsumrelay_timeline import Recorder, Ring, Stamp
 from gypsumrelay_upstreams import (
@@ -71,7 +76,7 @@
     peers: Peers
     follower: Follower
     listener: Listener
-    snapshots: SnapshotWriter
+    snapshots: SnapshotKeeper
 
 
 def build(settings: AgentSettings) -> Parts:
@@ -109,10 +114,13 @@
             peers.endpoint(),
             adopt,
         ),
-        new_snapshot_writer(
-            settings.instance.name,
-            peers.keeper,
+        SnapshotKeeper(
             log_client,
+            new_duty(
+                settings.instance.name,
+                SnapshotPolicy(),
+                time.monotonic(),
+            ),
         ),
     )
 
--- a/libs/agent/src/gypsumrelay_agent/process.py
+++ b/libs/agent/src/gypsumrelay_agent/process.py
@@ -99,12 +99,15 @@
         ticks += 1
         if ticks % BEAT_TICKS == 0:
             parts.peers.beat()
-            parts.snapshots.tick(_agent_names(parts))
+            _consider_snapshot(parts)
 
 
-def _agent_names(parts: Parts) -> set[str]:
+def _consider_snapshot(parts: Parts) -> None:
     addresses = parts.state.accounts.addresses
-    return {member.name for member in list(addresses)}
+    names = {member.name for member in list(addresses)}
+    keeper = parts.peers.keeper
+    with keeper.lock:
+        parts.snapshots.consider(keeper.state, names, time.monotonic())
 
 
 def _admin_callbacks(parts: Parts) -> AdminCallbacks:
--- a/libs/instance/src/gypsumrelay_instance/__init__.py
+++ b/libs/instance/src/gypsumrelay_instance/__init__.py
@@ -18,10 +18,6 @@
 from gypsumrelay_instance.shutdown import (
     wait_for_signal,
 )
-from gypsumrelay_instance.snapshotting import (
-    SnapshotWriter,
-    new_snapshot_writer,
-)
 
 __all__ = (
     'AdminCallbacks',
@@ -29,10 +25,8 @@
     'Keeper',
     'PeerCallbacks',
     'Peers',
-    'SnapshotWriter',
     'StartResponse',
     'admin_application',
-    'new_snapshot_writer',
     'start_admin',
     'start_server',
     'wait_for_signal',
