Measure the policy and its baselines under an open-loop load

Cause: goodput, wasted prefill, fairness and wrong refusals were goals of the design without any figure.

An unknown policy is a fault of the settings.

--- a/Makefile
+++ b/Makefile
@@ -48,5 +48,10 @@
 demo: setup
 	$(BIN)/python -m gypsumrelay_demo demo --deployment examples/lagos.json --seed $(SEED)
 
+# For example: make measure MEASURE='--seeds 1 --seconds 10 --deployments examples/lagos.json'
+MEASURE ?=
+measure: setup
+	$(BIN)/python -m gypsumrelay_bench $(MEASURE)
+
 up: setup
 	exec $(BIN)/python -m gypsumrelay_demo up --deployment examples/lagos.json
--- a/libs/entry/src/gypsumrelay_entry/actor.py
+++ b/libs/entry/src/gypsumrelay_entry/actor.py
@@ -20,7 +20,10 @@
     UpstreamReport,
     View,
     commit,
+    least_outstanding,
     place,
+    prefix_affinity,
+    round_robin,
     subset,
 )
 
@@ -41,6 +44,14 @@
 
 Policy = Callable[..., Any]
 
+# What `routing.policy` may name; all but the first are for comparison.
+POLICIES: Final[dict[str, Callable[[], Policy]]] = {
+    'gypsumrelay': lambda: place,
+    'round_robin': round_robin,
+    'least_outstanding': least_outstanding,
+    'prefix_affinity': prefix_affinity,
+}
+
 
 @attrs.define
 class ViewState:
--- a/libs/entry/src/gypsumrelay_entry/process.py
+++ b/libs/entry/src/gypsumrelay_entry/process.py
@@ -31,7 +31,7 @@
 from logbook import Logger
 
 from gypsumrelay_entry import events
-from gypsumrelay_entry.actor import EntryActor, ViewState
+from gypsumrelay_entry.actor import POLICIES, EntryActor, ViewState
 from gypsumrelay_entry.callerapi import caller_application
 from gypsumrelay_entry.context import Entry
 from gypsumrelay_entry.mailboxes import Mailboxes
@@ -173,6 +173,7 @@
         # Entries must choose differently, so that they do not herd.
         random.Random(settings.instance.name),  # noqa: S311
         settings.routing.subset,
+        policy=POLICIES[settings.routing.policy](),
     )
 
 
--- a/libs/settings/src/gypsumrelay_settings/loader.py
+++ b/libs/settings/src/gypsumrelay_settings/loader.py
@@ -107,6 +107,9 @@
     allowed = field.metadata.get('range')
     if isinstance(allowed, Range) and not _in_range(raw, allowed):
         return [_fault(path, raw, f'{allowed.low} to {allowed.high}')]
+    names = field.metadata.get('one_of')
+    if names is not None and raw not in names:
+        return [_fault(path, raw, f'one of {", ".join(names)}')]
     return []
 
 
--- a/libs/settings/src/gypsumrelay_settings/models.py
+++ b/libs/settings/src/gypsumrelay_settings/models.py
@@ -23,6 +23,11 @@
     return attrs.field(default=default, metadata={'range': Range(low, high)})
 
 
+def one_of(*allowed: str) -> Any:
+    """Return a field that has one of some texts, the first by default."""
+    return attrs.field(default=allowed[0], metadata={'one_of': allowed})
+
+
 @attrs.frozen
 class InstanceSettings:
     """Who an instance is and where it listens.
@@ -95,7 +100,12 @@
 class RoutingSettings:
     """Policy of an entry."""
 
-    policy: str = 'gypsumrelay'
+    policy: str = one_of(
+        'gypsumrelay',
+        'round_robin',
+        'least_outstanding',
+        'prefix_affinity',
+    )
     max_attempts: int = bounded(1, 20, default=4)
     progress_seconds: float = bounded(0.1, 60, default=3)
     subset: int = bounded(2, 10_000, default=64)
