Place by measured times, queue within the latency target, budget retries

Cause: placement assumed 256 output tokens, 25 ms per token and a prefill of 20,000 tokens/s whatever the engines did, and refused on these. Requests it did place waited up to ten seconds, long past the target of 1.5 s, and took the places of others. The entry's own ramp came on top of the agents'.

Change: the entry learns the prefill speed and how long places are held from completed attempts, per model, exponentially weighted and bounded. A wait for a place ends at the target minus the expected work; only a request that lost its upstream waits longer. Waits estimated at up to eight times the remaining time queue at the agent, whose fair queue knows whose turn it is. Places last through the prefill before them. Refused attempts are repeated under the budgets and backoff of gypsumrelay_routing; work lost with its upstream is bounded by max_attempts alone, since a zone takes more at once than a budget holds. Prefixes that an entry sent to a prefill upstream count as hints there.

--- a/libs/entry/src/gypsumrelay_entry/actor.py
+++ b/libs/entry/src/gypsumrelay_entry/actor.py
@@ -28,6 +28,7 @@
 )
 
 from gypsumrelay_entry import events
+from gypsumrelay_entry.learning import Learned
 from gypsumrelay_entry.members import (
     Members,
     begin_work,
@@ -44,6 +45,16 @@
 
 Policy = Callable[..., Any]
 
+# Agents report the slots of their own ramp, so the entry adds none. A wait
+# beyond the deadline is left to the agents' fair queues up to this factor,
+# since the entry cannot know which account's request is served first.
+NO_RAMP_SECONDS: Final = 0.001
+WAIT_TOLERANCE: Final = 8
+PLACING: Final = PlacementSettings(
+    ramp_seconds=NO_RAMP_SECONDS,
+    wait_tolerance=WAIT_TOLERANCE,
+)
+
 # What `routing.policy` may name; all but the first are for comparison.
 POLICIES: Final[dict[str, Callable[[], Policy]]] = {
     'gypsumrelay': lambda: place,
@@ -70,7 +81,7 @@
     subset_size: int
     members: Members = attrs.field(factory=Members)
     policy: Policy = place
-    settings: PlacementSettings = attrs.field(factory=PlacementSettings)
+    learned: Learned = attrs.field(factory=lambda: Learned(PLACING))
     listed: dict[str, ListedInstance] = attrs.field(factory=dict)
 
 
@@ -104,13 +115,15 @@
         state.view,
         request,
         state.rng,
-        state.settings,
+        state.learned.settings_for(request.serves),
         now,
     )
     if isinstance(placement, Failure):
         return placement
     commit(state.view, placement, request, now)
     begin_work(state.members, placement.upstreams)
+    if placement.prefill is not None:
+        state.learned.sent(placement.prefill, request.prefixes)
     return _placed(state, request, placement)
 
 
@@ -153,12 +166,18 @@
             decode_ms=report.decode_ms or _fastest_ms(state, report),
             cold=report.cold,
             draining=report.draining,
-            prefixes=tuple(report.prefixes),
+            prefixes=_prefixes(state, report),
         ),
         now,
     )
 
 
+def _prefixes(state: ViewState, report: LoadReport) -> tuple[bytes, ...]:
+    """Return the reported prefixes after those that were sent there."""
+    hints = state.learned.hints.get(report.upstream, {})
+    return tuple(dict.fromkeys((*hints, *report.prefixes)))
+
+
 def _fastest_ms(state: ViewState, report: LoadReport) -> int:
     """Return the speed to assume for an upstream that has none yet.
 
@@ -178,6 +197,7 @@
     for listed in state.listed.values():
         if listed.name == event.instance:
             state.view.forget(listed.upstream)
+            state.learned.forget(listed.upstream)
             note_refused(state.members, listed, time.monotonic())
 
 
@@ -210,6 +230,7 @@
         _target(main),
         _target(prefill),
         placement.upstreams,
+        placement.work_seconds,
     )
 
 
@@ -232,6 +253,8 @@
 
 def _release(state: ViewState, event: events.AttemptEnded) -> None:
     state.view.release(event.name, event.upstreams)
+    if event.measured is not None:
+        state.learned.learn(event.measured)
     end_work(
         state.members,
         event.upstreams,
--- a/libs/entry/src/gypsumrelay_entry/attempts.py
+++ b/libs/entry/src/gypsumrelay_entry/attempts.py
@@ -11,6 +11,7 @@
     Failure,
     LinkClosed,
     Outcome,
+    Overloaded,
     UpstreamFailed,
 )
 from gypsumrelay_wire import (
@@ -29,6 +30,7 @@
     to_retry_at,
 )
 
+from gypsumrelay_entry.events import Measured
 from gypsumrelay_entry.failures import failure_from
 from gypsumrelay_entry.mailboxes import (
     Delivery,
@@ -96,6 +98,45 @@
     retryable: bool = True
 
 
+@attrs.define
+class Marks:
+    """Instants of an attempt, from which its durations are learned."""
+
+    decode_granted_at: float
+    prefill_granted_at: float = 0
+    prefill_sent_at: float = 0
+    prefilled_at: float = 0
+    computed_tokens: int = 0
+
+    def note_granted(self, now: float, *, decode: bool) -> None:
+        """Note the grant of a place."""
+        if decode:
+            self.decode_granted_at = now
+        else:
+            self.prefill_granted_at = now
+
+    def note_prefilled(self, prefilled: Prefilled, now: float) -> None:
+        """Note the end of a prefill elsewhere."""
+        self.prefilled_at = now
+        computed = prefilled.prompt_tokens - prefilled.cached_tokens
+        self.computed_tokens = computed
+
+    def measured(self, serves: str, now: float) -> Measured:
+        """Return the durations of an attempt that ends now."""
+        return Measured(
+            serves,
+            self.computed_tokens,
+            self.prefilled_at - self.prefill_sent_at,
+            self.prefilled_at - self.prefill_granted_at,
+            now - self.decode_granted_at,
+        )
+
+
+def no_place() -> Overloaded:
+    """Return the failure of an attempt that got no place in time."""
+    return Overloaded('no upstream had a place within the latency target')
+
+
 @attrs.define
 class Attempt:
     """State of one attempt; its messages come through the mailbox."""
@@ -105,6 +146,7 @@
     request: ModelRequest
     client_account: str
     progress: Progress
+    marks: Marks = attrs.field(factory=lambda: Marks(time.monotonic()))
 
     def run(self) -> Iterator[Tokens | Finished | AttemptFailed]:
         """Yield token batches, then the finish or the failure."""
@@ -144,22 +186,23 @@
             if failure is not None:
                 return AttemptFailed(failure, link)
         while missing:
-            arrived = self._expect(self.plan.reserve_deadline, 'a reservation')
+            arrived = self._expect(self.plan.reserve_deadline, '')
             if isinstance(arrived, AttemptFailed):
                 return arrived
             if isinstance(arrived.message, Reserved):
                 missing.discard(arrived.link)
                 self.plan.on_granted(arrived.link)
+                is_decode = arrived.link is self.plan.decode
+                self.marks.note_granted(time.monotonic(), decode=is_decode)
         return None
 
     def _reserve_message(self, link: Link) -> Reserve:
         is_decode = link is self.plan.decode
         request = self.request
         done = self.progress.next_index
-        remaining = to_remaining_ms(
-            self.plan.reserve_deadline,
-            time.monotonic(),
-        )
+        # A granted place has to last until the prefill before it has ended.
+        held_until = self.plan.reserve_deadline + self.plan.progress_seconds
+        remaining = to_remaining_ms(held_until, time.monotonic())
         return Reserve(
             request_id=self.box.request_id,
             attempt=self.plan.number,
@@ -177,7 +220,8 @@
         )
 
     def _prefill(self) -> Prefilled | AttemptFailed:
-        deadline = time.monotonic() + self.plan.progress_seconds
+        self.marks.prefill_sent_at = time.monotonic()
+        deadline = self.marks.prefill_sent_at + self.plan.progress_seconds
         failure = self.plan.prefill.send(
             Prefill(
                 self.box.request_id,
@@ -195,6 +239,7 @@
                 return arrived
             if isinstance(arrived.message, Prefilled):
                 self._note_prompt(arrived.message)
+                self.marks.note_prefilled(arrived.message, time.monotonic())
                 return arrived.message
 
     def _note_prompt(self, prefilled: Prefilled) -> None:
@@ -259,11 +304,15 @@
         what: str,
         waits_for: Link | None = None,
     ) -> Delivery | AttemptFailed:
-        """Return the next message of this attempt."""
+        """Return the next message of this attempt.
+
+        Without `what`, it waits for a place rather than for progress.
+        """
         while True:
             arrived = self.box.wait(deadline)
             if arrived is None:
-                return AttemptFailed(no_progress(what), waits_for)
+                failure = no_progress(what) if what else no_place()
+                return AttemptFailed(failure, waits_for)
             if isinstance(arrived, Failure):
                 return AttemptFailed(arrived, retryable=False)
             if isinstance(arrived, LinkLost):
--- a/libs/entry/src/gypsumrelay_entry/context.py
+++ b/libs/entry/src/gypsumrelay_entry/context.py
@@ -12,6 +12,7 @@
 
 from gypsumrelay_entry import events
 from gypsumrelay_entry.mailboxes import Mailboxes
+from gypsumrelay_entry.retrying import Retries
 
 if TYPE_CHECKING:
     import pykka
@@ -61,6 +62,7 @@
     recorder: Recorder
     mailboxes: Mailboxes = attrs.field(factory=Mailboxes)
     open_requests: OpenRequests = attrs.field(factory=OpenRequests)
+    retries: Retries = attrs.field(factory=Retries)
 
     def record(
         self,
--- a/libs/entry/src/gypsumrelay_entry/events.py
+++ b/libs/entry/src/gypsumrelay_entry/events.py
@@ -56,12 +56,33 @@
         prefill: The prefill upstream; the decode upstream itself where it
             prefills a short suffix.
         upstreams: All upstreams that the view counts the attempt at.
+        work_seconds: Expected time from the grant to the first token.
     """
 
     name: str
     main: Target
     prefill: Target
     upstreams: tuple[str, ...]
+    work_seconds: float = 0
+
+
+@attrs.frozen
+class Measured:
+    """What a completed attempt took; 0 seconds where it did not happen.
+
+    Attributes:
+        serves: The model.
+        computed_tokens: Prompt tokens that the prefill computed.
+        prefill_seconds: Time from sending the prefill to its result.
+        prefill_hold_seconds: Time that the place for the prefill was held.
+        decode_hold_seconds: Time that the place for the decode was held.
+    """
+
+    serves: str
+    computed_tokens: int
+    prefill_seconds: float
+    prefill_hold_seconds: float
+    decode_hold_seconds: float
 
 
 @attrs.frozen
@@ -79,6 +100,7 @@
     name: str
     upstreams: tuple[str, ...]
     completed: bool = False
+    measured: Measured | None = None
 
 
 @attrs.frozen
--- a/libs/entry/src/gypsumrelay_entry/modelrun.py
+++ b/libs/entry/src/gypsumrelay_entry/modelrun.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING
 
 import attrs
-from gypsumrelay_errors import Failure
-from gypsumrelay_routing import PlacementRequest
+from gypsumrelay_errors import Failure, LinkClosed, UpstreamFailed
+from gypsumrelay_routing import Attempted, PlacementRequest
 from gypsumrelay_wire import Finished, Link, Tokens
 
 from gypsumrelay_entry import events
@@ -44,6 +44,9 @@
     failed_upstreams: set[str] = attrs.field(factory=set)
     attempts: int = 0
     completed: bool = False
+    measured: events.Measured | None = None
+    upstream: str = ''
+    lost_upstream: bool = False
 
     def run(self) -> Iterator[Tokens | Finished | Failure]:
         """Yield token batches, then the finish or the final failure."""
@@ -61,17 +64,26 @@
                 yield with_retry(failed.failure)
                 return
             self.entry.metrics.count('entry.retries')
+            refused = self.box.pause(
+                self.entry.retries.resume_at(self.attempts)
+            )
+            if refused is not None:
+                yield refused
+                return
 
     def queue_deadline(self) -> float:
         """Return when a place must be found at the latest.
 
-        Until the first token, the contract's target decides; a request
-        that is resumed keeps its caller waiting as little as possible.
+        The contract's target decides, since an answer past it is of no use
+        and holds places that others could use in time. A request that lost
+        its upstream may wait longer.
         """
         target = self.request.first_token_ms / MS_PER_SECOND
         patience = self.entry.settings.routing.queue_seconds
         if self.progress.next_index:
             return time.monotonic() + patience
+        if not self.lost_upstream:
+            return self.accepted_at + target
         return self.accepted_at + max(target, patience)
 
     def _attempt(self) -> Iterator[Tokens | Finished | AttemptFailed]:
@@ -80,6 +92,7 @@
         if isinstance(placed, Failure):
             yield AttemptFailed(placed, retryable=False)
             return
+        self._note_upstream(placed.main.upstream)
         plan = self._plan(placed, prefixes)
         if isinstance(plan, AttemptFailed):
             yield plan
@@ -87,6 +100,12 @@
             yield from self._run_plan(placed, plan)
         self._end(placed)
 
+    def _note_upstream(self, upstream: str) -> None:
+        self.upstream = upstream
+        if self.attempts == 1:
+            account = self.caller.contract.client_account
+            self.entry.retries.count_first(account, upstream)
+
     def _place(self, prefixes: list[bytes]) -> events.Placed | Failure:
         """Return a placement; a request that lost its place waits for one.
 
@@ -117,6 +136,11 @@
                 if isinstance(event, AttemptFailed):
                     self._note(placed, plan, event)
                 self.completed = isinstance(event, Finished)
+                if self.completed:
+                    self.measured = attempt.marks.measured(
+                        self.request.model.name,
+                        time.monotonic(),
+                    )
                 yield event
         except GeneratorExit:
             attempt.cancel()
@@ -139,6 +163,7 @@
                 placed.name,
                 placed.upstreams,
                 self.completed,
+                self.measured,
             ),
         )
 
@@ -178,7 +203,7 @@
             decode=decode,
             prefill=prefill,
             prefixes=prefixes,
-            reserve_deadline=self.queue_deadline(),
+            reserve_deadline=self.queue_deadline() - placed.work_seconds,
             progress_seconds=self.entry.settings.routing.progress_seconds,
             weight=max(1, self.caller.contract.tokens_per_second),
             on_granted=on_granted,
@@ -214,4 +239,20 @@
     def _may_retry(self, failed: AttemptFailed) -> bool:
         if not failed.retryable or is_final(failed.failure):
             return False
-        return self.attempts < self.entry.settings.routing.max_attempts
+        if self.attempts >= self.entry.settings.routing.max_attempts:
+            return False
+        if self.progress.next_index:
+            return True
+        if isinstance(failed.failure, (LinkClosed, UpstreamFailed)):
+            self.lost_upstream = True
+        attempted = Attempted(
+            idempotent=True,
+            attempts=self.attempts,
+            deadline=self.queue_deadline(),
+        )
+        return self.entry.retries.allow(
+            failed.failure,
+            attempted,
+            self.caller.contract.client_account,
+            self.upstream,
+        )
--- a/libs/routing/src/gypsumrelay_routing/estimates.py
+++ b/libs/routing/src/gypsumrelay_routing/estimates.py
@@ -87,7 +87,11 @@
     if known.report.kind == Kind.service:
         return settings.service_seconds
     if known.report.kind == Kind.prefill:
+        if settings.prefill_hold_seconds:
+            return settings.prefill_hold_seconds
         return settings.mean_prompt_tokens / settings.prefill_tokens_per_second
+    if settings.decode_hold_seconds:
+        return settings.decode_hold_seconds
     return settings.mean_output_tokens * decode_seconds(known, settings)
 
 
--- a/libs/routing/src/gypsumrelay_routing/placement.py
+++ b/libs/routing/src/gypsumrelay_routing/placement.py
@@ -264,7 +264,12 @@
 
 def _in_time(question: _Question, options: list[Option]) -> list[Option]:
     remaining = question.request.deadline - question.now
-    return [option for option in options if option.seconds <= remaining]
+    tolerance = question.settings.wait_tolerance
+    return [
+        option
+        for option in options
+        if option.work + option.wait / tolerance <= remaining
+    ]
 
 
 def _score(option: Option) -> float:
@@ -299,6 +304,7 @@
         0 if prefill is None else prefill.blocks,
         option.transfer_bytes,
         None if alternate is None else _placement(question, alternate, None),
+        option.work,
     )
 
 
--- a/libs/routing/src/gypsumrelay_routing/requests.py
+++ b/libs/routing/src/gypsumrelay_routing/requests.py
@@ -36,6 +36,12 @@
         double_queue: Whether a request that has to wait may wait at two
             upstreams.
         min_retry_seconds: Earliest retry after a rejection.
+        prefill_hold_seconds: Measured time that a request holds a place at
+            a prefill upstream, 0 where none is known.
+        decode_hold_seconds: The same at a decode upstream.
+        wait_tolerance: Expected waits may exceed the remaining time by this
+            factor. Above one, a request queues at an agent whose fair queue
+            may serve it before those that wait longer.
     """
 
     choices: int = 2
@@ -56,6 +62,9 @@
     ramp_seconds: float = 10
     double_queue: bool = True
     min_retry_seconds: float = 0.2
+    prefill_hold_seconds: float = 0
+    decode_hold_seconds: float = 0
+    wait_tolerance: float = 1
 
 
 @attrs.frozen
@@ -99,6 +108,7 @@
         prefill_blocks: Cache blocks needed at the prefill upstream.
         transfer_bytes: Size of the KV cache to move, 0 for none.
         alternate: A second place to queue at, where the first has to wait.
+        work_seconds: Expected time from the grant to the first token.
     """
 
     upstream: str
@@ -109,6 +119,7 @@
     prefill_blocks: int = 0
     transfer_bytes: int = 0
     alternate: Placement | None = None
+    work_seconds: float = 0
 
     @property
     def upstreams(self) -> tuple[str, ...]:
