Measure what forwarding costs beside a minimal forwarder

Change: `make bench` sends the same closed loop directly to the stand-in engines, through a forwarder of waitress and urllib3, and through the system, in turn, and reports rates, processor time, added latency and memory.

--- a/Makefile
+++ b/Makefile
@@ -50,8 +50,12 @@
 
 # For example: make measure MEASURE='--seeds 1 --seconds 10 --deployments examples/lagos.json'
 MEASURE ?=
+BENCH ?=
 measure: setup
 	$(BIN)/python -m gypsumrelay_bench $(MEASURE)
 
+bench: setup
+	$(BIN)/python -m gypsumrelay_bench.overhead $(BENCH)
+
 up: setup
 	exec $(BIN)/python -m gypsumrelay_demo up --deployment examples/lagos.json
