Give the direct way and the forwarder engines of their own

Cause: in `make bench` the agents saw runs of the direct way and the forwarder at their own engines, took them for another agent's and lowered their limit from 60 to 11.

Change: two engines without an agent serve the direct way and the forwarder.

--- a/libs/bench/src/gypsumrelay_bench/overhead.py
+++ b/libs/bench/src/gypsumrelay_bench/overhead.py
@@ -36,7 +36,7 @@
     'pieces': 400,
     'piece_tokens': 2000,
     # An engine without any cost would show the noise of the machine as a
-    # slow-down, after which the agent takes it for cold.
+    # slow-down, after which its agent lowers the limit.
     'prefill_us': 50,
     'token_ms': 10,
     'transfer_us': 0,
@@ -47,6 +47,7 @@
 LOADS: Final = (('short', 20, 8), ('long', 8, 100), ('single', 1, 20))
 PLENTY: Final = 1_000_000_000
 WARM_SECONDS: Final = 4
+START_SECONDS: Final = 20
 TARGET: Final = 0.8
 PAGE_BYTES: Final = os.sysconf('SC_PAGE_SIZE')
 TICKS: Final = os.sysconf('SC_CLK_TCK')
@@ -80,6 +81,7 @@
         forwarder = None
         try:
             system.start()
+            start_engines(system)
             forwarder, port = start_forwarder(system)
             report = compare(system, ways(system, forwarder, port), arguments)
         finally:
@@ -102,7 +104,7 @@
         system.folder / 'forwarder.log',
     )
     process.start()
-    wait_until(partial(accepts, f'http://127.0.0.1:{port}'), 20)
+    wait_until(partial(accepts, f'http://127.0.0.1:{port}'), START_SECONDS)
     return process, port
 
 
@@ -116,9 +118,23 @@
 
 
 def engine_urls(system: System) -> tuple[str, str]:
-    """Return the prefill and the decode engine."""
+    """Return the engines of the direct way and the forwarder.
+
+    They are others than the agents', which take foreign runs at their own
+    engine for another agent's and lower their limit.
+    """
     upstreams = system.upstreams
-    return (upstreams['prefill-0'].url, upstreams['decode-0'].url)
+    return (upstreams['prefill-bare'].url, upstreams['decode-bare'].url)
+
+
+def start_engines(system: System) -> None:
+    """Start the engines that have no agent."""
+    for kind in ('prefill', 'decode'):
+        name = f'{kind}-bare'
+        options = ENGINE | {'kind': kind}
+        node = system.start_stand_in(name, 'engine', options, '')
+        system.upstreams[name] = node
+        wait_until(partial(accepts, node.url), START_SECONDS)
 
 
 def ways(system: System, forwarder: ManagedProcess, port: int) -> list[Way]:
