--- a/libs/entry/src/gypsumrelay_entry/context.py
+++ b/libs/entry/src/gypsumrelay_entry/context.py
@@ -12,6 +12,7 @@
 
 from gypsumrelay_entry import events
 from gypsumrelay_entry.mailboxes import Mailboxes
+from gypsumrelay_entry.retrying import Retries
 from gypsumrelay_entry.suspicion import Suspicions
 
 if TYPE_CHECKING:
@@ -63,6 +64,7 @@
     mailboxes: Mailboxes = attrs.field(factory=Mailboxes)
     open_requests: OpenRequests = attrs.field(factory=OpenRequests)
     suspicions: Suspicions = attrs.field(factory=Suspicions)
+    retries: Retries = attrs.field(factory=Retries)
 
     def record(
         self,
--- a/libs/entry/src/gypsumrelay_entry/modelrun.py
+++ b/libs/entry/src/gypsumrelay_entry/modelrun.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING
 
 import attrs
-from gypsumrelay_errors import Failure, Outcome
-from gypsumrelay_routing import PlacementRequest
+from gypsumrelay_errors import Failure, LinkClosed, Outcome, UpstreamFailed
+from gypsumrelay_routing import Attempted, PlacementRequest
 from gypsumrelay_wire import Finished, Link, Tokens
 
 from gypsumrelay_entry import events
@@ -46,6 +46,9 @@
     completed: bool = False
     alone: bool = False
     ran: bool = False
+    measured: events.Measured | None = None
+    upstream: str = ''
+    lost_upstream: bool = False
 
     def run(self) -> Iterator[Tokens | Finished | Failure]:
         """Yield token batches, then the finish or the final failure."""
@@ -56,15 +59,19 @@
                 yield refused
                 return
             failed: AttemptFailed | None = None
-            for event in self._attempt():
-                if isinstance(event, AttemptFailed):
-                    failed = event
-                else:
-                    yield event
-            self.entry.suspicions.end(
-                self.request.digest,
-                succeeded=failed is None,
-            )
+            finished = False
+            try:
+                for event in self._attempt():
+                    if isinstance(event, AttemptFailed):
+                        failed = event
+                    else:
+                        yield event
+                finished = failed is None
+            finally:
+                self.entry.suspicions.end(
+                    self.request.digest,
+                    succeeded=finished,
+                )
             if failed is None:
                 return
             self.ran = self.ran or failed.failure.outcome is not Outcome.not_run
@@ -72,6 +79,12 @@
                 yield self._final(failed.failure)
                 return
             self.entry.metrics.count('entry.retries')
+            refused = self.box.pause(
+                self.entry.retries.resume_at(self.attempts)
+            )
+            if refused is not None:
+                yield self._final(refused)
+                return
 
     def _final(self, failure: Failure) -> Failure:
         """Return the failure with what is true of the whole request.
@@ -94,13 +107,16 @@
     def queue_deadline(self) -> float:
         """Return when a place must be found at the latest.
 
-        Until the first token, the contract's target decides; a request
-        that is resumed keeps its caller waiting as little as possible.
+        The contract's target decides, since an answer past it is of no use
+        and holds places that others could use in time. A request that lost
+        its upstream may wait longer.
         """
         target = self.request.first_token_ms / MS_PER_SECOND
         patience = self.entry.settings.routing.queue_seconds
         if self.progress.next_index:
             return time.monotonic() + patience
+        if not self.lost_upstream:
+            return self.accepted_at + target
         return self.accepted_at + max(target, patience)
 
     def _attempt(self) -> Iterator[Tokens | Finished | AttemptFailed]:
@@ -109,6 +125,7 @@
         if isinstance(placed, Failure):
             yield AttemptFailed(placed, retryable=False)
             return
+        self._note_upstream(placed.main.upstream)
         plan = self._plan(placed, prefixes)
         if isinstance(plan, AttemptFailed):
             yield plan
@@ -116,6 +133,12 @@
             yield from self._run_plan(placed, plan)
         self._end(placed)
 
+    def _note_upstream(self, upstream: str) -> None:
+        self.upstream = upstream
+        if self.attempts == 1:
+            account = self.caller.contract.client_account
+            self.entry.retries.count_first(account, upstream)
+
     def _place(self, prefixes: list[bytes]) -> events.Placed | Failure:
         """Return a placement; a request that lost its place waits for one.
 
@@ -146,6 +169,11 @@
                 if isinstance(event, AttemptFailed):
                     self._note(placed, plan, event)
                 self.completed = isinstance(event, Finished)
+                if self.completed:
+                    self.measured = attempt.marks.measured(
+                        self.request.model.name,
+                        time.monotonic(),
+                    )
                 yield event
         except GeneratorExit:
             attempt.cancel()
@@ -168,6 +196,7 @@
                 placed.name,
                 placed.upstreams,
                 self.completed,
+                self.measured,
             ),
         )
 
@@ -207,7 +236,7 @@
             decode=decode,
             prefill=prefill,
             prefixes=prefixes,
-            reserve_deadline=self.queue_deadline(),
+            reserve_deadline=self.queue_deadline() - placed.work_seconds,
             progress_seconds=self.entry.settings.routing.progress_seconds,
             weight=max(1, self.caller.contract.tokens_per_second),
             on_granted=on_granted,
@@ -244,4 +273,20 @@
     def _may_retry(self, failed: AttemptFailed) -> bool:
         if not failed.retryable or is_final(failed.failure):
             return False
-        return self.attempts < self.entry.settings.routing.max_attempts
+        if self.attempts >= self.entry.settings.routing.max_attempts:
+            return False
+        if self.progress.next_index:
+            return True
+        if isinstance(failed.failure, (LinkClosed, UpstreamFailed)):
+            self.lost_upstream = True
+        attempted = Attempted(
+            idempotent=True,
+            attempts=self.attempts,
+            deadline=self.queue_deadline(),
+        )
+        return self.entry.retries.allow(
+            failed.failure,
+            attempted,
+            self.caller.contract.client_account,
+            self.upstream,
+        )
