--- a/libs/entry/src/gypsumrelay_entry/modelrun.py
+++ b/libs/entry/src/gypsumrelay_entry/modelrun.py
@@ -59,19 +59,11 @@
                 yield refused
                 return
             failed: AttemptFailed | None = None
-            finished = False
-            try:
-                for event in self._attempt():
-                    if isinstance(event, AttemptFailed):
-                        failed = event
-                    else:
-                        yield event
-                finished = failed is None
-            finally:
-                self.entry.suspicions.end(
-                    self.request.digest,
-                    succeeded=finished,
-                )
+            for event in self._watched_attempt():
+                if isinstance(event, AttemptFailed):
+                    failed = event
+                else:
+                    yield event
             if failed is None:
                 return
             self.ran = self.ran or failed.failure.outcome is not Outcome.not_run
@@ -86,6 +78,24 @@
                 yield self._final(refused)
                 return
 
+    def _watched_attempt(
+        self,
+    ) -> Iterator[Tokens | Finished | AttemptFailed]:
+        """Run an attempt and tell the crash attribution how it ended.
+
+        An attempt that its caller broke off ends its trial, too.
+        """
+        succeeded = False
+        try:
+            for event in self._attempt():
+                succeeded = isinstance(event, Finished)
+                yield event
+        finally:
+            self.entry.suspicions.end(
+                self.request.digest,
+                succeeded=succeeded,
+            )
+
     def _final(self, failure: Failure) -> Failure:
         """Return the failure with what is true of the whole request.
 
