--- a/Makefile
+++ b/Makefile
@@ -50,3 +50,6 @@
 
 up: setup
 	exec $(BIN)/python -m gypsumrelay_demo up --deployment examples/lagos.json
+
+capacity: setup
+	$(BIN)/python -m gypsumrelay_bench.capacity
