--- a/libs/bench/src/gypsumrelay_bench/capacity_scale.py
+++ b/libs/bench/src/gypsumrelay_bench/capacity_scale.py
@@ -200,6 +200,12 @@
             links * slopes['upstream in view'],
             'links',
         ),
+        (
+            'link threads',
+            Unit.memory,
+            links * scale.thread_bytes,
+            'one reader thread for each link',
+        ),
         (
             'prefix index',
             Unit.memory,
@@ -265,6 +271,12 @@
             20 * slopes['reservation'],
             '20 slots',
         ),
+        (
+            'link threads',
+            Unit.memory,
+            (links + scale.agents) * scale.thread_bytes,
+            'links from entries and to holders',
+        ),
         (
             'heartbeats to entries',
             Unit.network,
