--- a/Makefile
+++ b/Makefile
@@ -69,3 +69,6 @@
 
 fuzz: setup
 	$(BIN)/python -m gypsumrelay_demo chaos --deployment examples/lagos.json --seed $(SEED) --seconds $(SECONDS)
+
+capacity: setup
+	$(BIN)/python -m gypsumrelay_bench.capacity
