Free the place of a prefill when its result has been fetched

Cause: an agent counted a place at its prefill upstream for one second after the prefill, since it cannot see that the result was fetched.

Change: with the first token of the decode the entry cancels the attempt at the prefill agent, which cancels the kept result at its engine and frees the place on the engine's answer. A new scenario of the ledger fails without the cancel.

--- a/libs/entry/src/gypsumrelay_entry/attempts.py
+++ b/libs/entry/src/gypsumrelay_entry/attempts.py
@@ -146,6 +146,7 @@
     request: ModelRequest
     client_account: str
     progress: Progress
+    prefill_held: bool = False
     marks: Marks = attrs.field(factory=lambda: Marks(time.monotonic()))
 
     def run(self) -> Iterator[Tokens | Finished | AttemptFailed]:
@@ -171,6 +172,7 @@
             prefilled = self._prefill()
             if isinstance(prefilled, AttemptFailed):
                 return prefilled
+            self.prefill_held = True
             sent = self._send_decode(prefilled.handle, prefilled.source_url)
         return AttemptFailed(sent, self.plan.decode) if sent else None
 
@@ -279,10 +281,18 @@
                 return
             event = self._accept(arrived.message)
             if event is not None:
+                self._free_prefill()
                 yield event
             if isinstance(event, Finished):
                 return
 
+    def _free_prefill(self) -> None:
+        """Free the place of the prefill once the decode has its result."""
+        if self.prefill_held:
+            self.prefill_held = False
+            key = (self.box.request_id, self.plan.number)
+            self.plan.prefill.send(Cancel(*key))
+
     def _accept(self, message: Message) -> Tokens | Finished | None:
         """Return the message where it is the next of the answer."""
         if isinstance(message, Prefilled):
--- a/libs/upstreams/src/gypsumrelay_upstreams/ledger.py
+++ b/libs/upstreams/src/gypsumrelay_upstreams/ledger.py
@@ -110,7 +110,7 @@
         link,
         request.deadline,
         capacity.footprint_of(ledger.settings, request),
-        f'{ledger.incarnation}.{key.request_id}.{key.attempt}',
+        _run_id(ledger, key),
     )
     ledger.queue.push(request.waiting_item(), now)
     found += grant(ledger, now)
@@ -203,13 +203,22 @@
 
 
 def cancel(ledger: Ledger, key: Key, now: float) -> list[Action]:
-    """End an attempt for its entry, also one that was not seen yet."""
+    """End an attempt for its entry, also one that was not seen yet.
+
+    A result that the engine keeps for the attempt is cancelled there, which
+    frees its place long before the result would expire.
+    """
     found = _observe_attempt(ledger, key, now)
     known = ledger.waiting.get(key) or ledger.places.get(key)
     if known is None:
         reason = _drop_reason(ledger, key)
         if reason is None:
             _mark_ended(ledger, key, now)
+        run_id = _run_id(ledger, key)
+        kept = ledger.freeing.get(run_id)
+        is_kept = kept is not None and kept.kept_until > now
+        if is_kept and not ledger.superseded:
+            found.append(CancelRun(run_id))
         return [*found, *grant(ledger, now)]
     found += end(ledger, known, EndReason.cancelled, now)
     return [*found, *grant(ledger, now)]
@@ -316,6 +325,10 @@
     return [ended, CancelRun(reservation.run_id)]
 
 
+def _run_id(ledger: Ledger, key: Key) -> str:
+    return f'{ledger.incarnation}.{key.request_id}.{key.attempt}'
+
+
 def _reservations(ledger: Ledger) -> list[Reservation]:
     return [*ledger.waiting.values(), *ledger.places.values()]
 
--- a/libs/upstreams/tests/ledger.feature
+++ b/libs/upstreams/tests/ledger.feature
@@ -24,6 +24,12 @@
     And attempt 1 of request "a" is reserved
     Then it is dropped as attempt_ended
 
+  Scenario: A fetched prefill result gives its place back before it expires
+    Given a ledger with 1 slots on a known engine
+    And a prefill "a" whose result the engine keeps for 1 second
+    Then request "b" waits while the result is kept
+    And after a cancel of "a" it waits until the engine has cancelled the result
+
   Scenario: The newest attempt is forgotten after a bounded time
     Given a ledger with 2 slots on a known engine
     When attempt 1 of request "a" is cancelled
--- a/libs/upstreams/tests/steps/ledger_steps.py
+++ b/libs/upstreams/tests/steps/ledger_steps.py
@@ -113,6 +113,31 @@
     assert context.found[0].reason.value == reason
 
 
+@given('a prefill "{name}" whose result the engine keeps for 1 second')
+def keep_result(context: Any, name: str) -> None:
+    key = Key(name, 1)
+    ask(context, request_for(name))
+    begin(context, key)
+    ledger.release(context.ledger, key, context.now, kept_until=1)
+
+
+@then('request "{name}" waits while the result is kept')
+def waits(context: Any, name: str) -> None:
+    assert kinds(ask(context, request_for(name))) == [Queued]
+
+
+@then(
+    'after a cancel of "{name}" it waits until the engine has cancelled '
+    'the result'
+)
+def cancel_result(context: Any, name: str) -> None:
+    found = ledger.cancel(context.ledger, Key(name, 1), context.now)
+    assert kinds(found) == [CancelRun], found
+    run_id = found[0].run_id
+    freed = ledger.confirm_freed(context.ledger, run_id, context.now)
+    assert kinds(freed) == [Granted], freed
+
+
 @when('{seconds:d} seconds pass')
 def pass_seconds(context: Any, seconds: int) -> None:
     context.now += seconds
