Let only requests whose work was lost wait past the target

Cause: refusals that say `not_run`, such as an upstream without a free slot, counted as a lost upstream, after which the request waited up to ten seconds.

Change: the outcome of the failure decides.

The late ones that remain lost their upstream with the zone and are served last within their account, since their deadline is the latest.

--- a/libs/entry/src/gypsumrelay_entry/modelrun.py
+++ b/libs/entry/src/gypsumrelay_entry/modelrun.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
-from gypsumrelay_errors import Failure, LinkClosed, UpstreamFailed
+from gypsumrelay_errors import Failure, Outcome
 from gypsumrelay_routing import Attempted, PlacementRequest
 from gypsumrelay_wire import Finished, Link, Tokens
 
@@ -243,7 +243,7 @@
             return False
         if self.progress.next_index:
             return True
-        if isinstance(failed.failure, (LinkClosed, UpstreamFailed)):
+        if failed.failure.outcome is not Outcome.not_run:
             self.lost_upstream = True
         attempted = Attempted(
             idempotent=True,
