Start a measured system again where it came up too late

Change: one more start per run, with a printed line.

The second start has not been needed since, so it is untested.

--- a/libs/bench/src/gypsumrelay_bench/scenario.py
+++ b/libs/bench/src/gypsumrelay_bench/scenario.py
@@ -93,8 +93,20 @@
 
 
 def measure(deployment: Deployment, plan: Plan) -> Result:
-    """Run the load once and return what became of it."""
+    """Run the load once and return what became of it.
+
+    A busy machine may need longer to start the processes than the system
+    waits; a second start then finds their files in memory.
+    """
     prepared = prepare(deployment, plan)
+    try:
+        return _measure(prepared, plan)
+    except TimeoutError as late:
+        print(f'Starting again: {late}.')
+        return _measure(prepared, plan)
+
+
+def _measure(prepared: Deployment, plan: Plan) -> Result:
     with tempfile.TemporaryDirectory(prefix='gypsumrelay-') as folder:
         system = System(prepared, Path(folder))
         try:
