--- a/libs/agent/src/gypsumrelay_agent/acting.py
+++ b/libs/agent/src/gypsumrelay_agent/acting.py
@@ -157,11 +157,19 @@
     if state.is_service:
         state.tell(events.RunFreed(action.run_id))
         return
-    state.executor.submit(_cancel_at_engine, state, action.run_id)
+    freeing = state.ledger.freeing.get(action.run_id)
+    landed = freeing is not None and freeing.landed
+    state.executor.submit(_cancel_at_engine, state, action.run_id, landed)
 
 
-def _cancel_at_engine(state: AgentState, run_id: str) -> None:
-    if state.engine.cancel(run_id):
+def _cancel_at_engine(state: AgentState, run_id: str, landed: bool) -> None:
+    """Cancel a run and say when it is certainly gone.
+
+    One that the engine does not know may still be on its way there, unless
+    it is known to have arrived.
+    """
+    held = state.engine.cancel(run_id)
+    if held is True or (landed and held is False):
         state.tell(events.RunFreed(run_id))
 
 
--- a/libs/agent/src/gypsumrelay_agent/engine.py
+++ b/libs/agent/src/gypsumrelay_agent/engine.py
@@ -115,15 +115,12 @@
         except urllib3.exceptions.HTTPError as error:
             yield fault_of(error)
 
-    def cancel(self, run_id: str) -> bool:
-        """Cancel a run; return whether the engine says that it is gone.
-
-        A run that the engine does not know may still be on its way there.
-        """
+    def cancel(self, run_id: str) -> bool | UpstreamFault:
+        """Cancel a run; return whether the engine held it."""
         body = {'request_id': run_id}
         answer = self.post('/cancel', body, REPORT_SECONDS)
         if isinstance(answer, UpstreamFault):
-            return False
+            return answer
         return answer.get('cancelled') is True
 
     def read(self, path: str) -> dict[str, Any] | UpstreamFault:
--- a/libs/upstreams/tests/ledger.feature
+++ b/libs/upstreams/tests/ledger.feature
@@ -32,6 +32,26 @@
       | 121 | expire      | nothing                   |
       | 121 | reserve a.1 | Granted a.1               |
 
+  Scenario: A fetched prefill result gives its place back before it expires
+    Then a ledger with 1 slots behaves so
+      | at  | event           | actions             |
+      | 0   | reserve a.1     | Granted a.1         |
+      | 0   | start a.1       | StartRun a.1        |
+      | 0.1 | finish a.1 kept | Ended a.1 finished  |
+      | 0.2 | reserve b.1     | Queued b.1          |
+      | 0.3 | cancel a.1      | CancelRun a.1       |
+      | 0.4 | freed a.1       | Granted b.1         |
+
+  Scenario: A prefill result that nobody fetches is cancelled when it expires
+    Then a ledger with 1 slots behaves so
+      | at  | event           | actions             |
+      | 0   | reserve a.1     | Granted a.1         |
+      | 0   | start a.1       | StartRun a.1        |
+      | 0.1 | finish a.1 kept | Ended a.1 finished  |
+      | 0.2 | reserve b.1     | Queued b.1          |
+      | 1.2 | expire          | CancelRun a.1       |
+      | 1.3 | freed a.1       | Granted b.1         |
+
   Scenario: A repeated or reordered message has no second effect
     Then a ledger with 1 slots behaves so
       | at | event       | actions                      |
--- a/libs/upstreams/tests/steps/ledger_steps.py
+++ b/libs/upstreams/tests/steps/ledger_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -108,8 +109,12 @@
         return ledger.progress(state, key, 0, 2)
     if name == 'start':
         return ledger.start(state, key, 0, 1000, now)
-    rules = {'cancel': ledger.cancel, 'finish': ledger.release}
-    return rules[name](state, key, now)
+    if name == 'freed':
+        return ledger.confirm_freed(state, f'agent.{label}', now)
+    kept_until = now + 1 if 'kept' in more else -math.inf
+    if name == 'finish':
+        return ledger.release(state, key, now, kept_until=kept_until)
+    return ledger.cancel(state, key, now)
 
 
 def report(now: float, names: Any, engine: str = 'e1') -> EngineReport:
