Claim idempotency keys of service requests before the dispatch

Cause: entries ignored Idempotency-Key, so a repeated order ran again and an order whose entry died had no answer.

Change: the agents that the list makes committers run the committer of the claims library; appends and reads are done by the executor. The entry places a request with a key, claims the key for the placed agent and dispatches it only after Claimed. A repeat is answered from the agent's stored responses, which also get the output of running work. Claims of idempotent routes stay in memory. The key itself is withheld from services and messages.

Conclusion: service requests with a key run once over the death of entries and agents and the loss of append answers.

--- /dev/null
+++ b/features/idempotency.feature
@@ -0,0 +1,98 @@
+Feature: Work with an idempotency key runs once and answers every repeat
+
+  Guards against bookings that run twice because an entry, an agent, the log
+  or an answer of the log was lost, and against repeats that get no answer.
+
+  Scenario: A repeated order gets the first answer
+    Given two zones whose services take 20 ms
+    When an order with the key "k1" is sent through entry 0
+    And the same order with the key "k1" is sent through entry 1
+    Then both answers are the same and whole
+    And the order ran once
+
+  Scenario: An order that is sent through both entries at once runs once
+    Given two zones whose services take 800 ms
+    When an order with the key "k1" is sent through both entries at once
+    Then both answers are the same and whole
+    And the order ran once
+
+  Scenario: Another body under a known key is refused
+    Given two zones whose services take 20 ms
+    When an order with the key "k1" is sent through entry 0
+    And another order with the key "k1" is sent through entry 1
+    Then the last answer is the failure "idempotency_key_reused" with "not_run"
+    And the services ran 1 request
+
+  Scenario: A key belongs to its client account
+    Given two zones and two accounts whose services take 20 ms
+    When an order with the key "k1" is sent through entry 0
+    And another account sends the same order with the key "k1"
+    Then the services ran 2 requests
+
+  Scenario: The key itself reaches neither the service nor the log
+    Given two zones whose services take 20 ms
+    When an order with the key "very-secret-key" is sent through entry 0
+    Then the text "very-secret-key" is in no request to a service and no record
+
+  Scenario: A request on an open route runs although its key was used
+    Given two zones whose services take 20 ms
+    When an open request with the key "k1" is sent twice
+    Then the services ran 2 requests
+
+  Scenario: The entry dies in mid-call and the caller comes again
+    Given two zones whose services take 2500 ms
+    When an order with the key "k1" is begun through entry 0
+    And its service runs it
+    And entry 0 is killed
+    And the same order with the key "k1" is sent through entry 1
+    Then the last answer is whole
+    And the order ran once
+
+  Scenario: The entry and the agent die in mid-call
+    Given two zones whose services take 2500 ms
+    When an order with the key "k1" is begun through entry 0
+    And its service runs it
+    And the agent that runs it is killed
+    And entry 0 is killed
+    And the same order with the key "k1" is sent through entry 1
+    Then the last answer is the failure "outcome_unknown" with "unknown"
+    And the order ran once
+
+  Scenario: The log is down
+    Given two zones whose services take 20 ms
+    When the log is down
+    And an order with the key "k1" is sent through entry 0
+    Then the last answer is the failure "claim_unavailable" with "not_run"
+    And the last answer says when to come again
+    And the services ran 0 requests
+    When the log is up
+    And the same order with the key "k1" is sent until it gets an answer
+    Then the last answer is whole
+    And the order ran once
+
+  Scenario: The answer to the append of a claim is lost
+    Given two zones whose services take 20 ms
+    When the log loses the answer to the next append
+    And an order with the key "k1" is sent through entry 0
+    Then the last answer is whole
+    And the order ran once
+
+  Scenario: An order without a key runs each time
+    Given two zones whose services take 20 ms
+    When an order without a key is sent twice
+    Then the services ran 2 requests
+
+  Scenario: A lookup with a key that is sent through both entries runs once
+    Given two zones whose services take 800 ms
+    When a lookup with the key "k1" is sent through both entries at once
+    Then both answers are the same and whole
+    And the services ran 1 request
+
+  Scenario: A lookup whose agent is gone runs again
+    Given two zones whose services take 2500 ms
+    When a lookup with the key "k1" is begun through entry 0
+    And its service runs it
+    And the agent that runs it is killed
+    And entry 0 is killed
+    And a lookup with the key "k1" is sent through entry 1
+    Then the last answer is whole
--- /dev/null
+++ b/features/steps/idempotency.py
@@ -0,0 +1,349 @@
+"""Steps for requests with an idempotency key."""
+
+from __future__ import annotations
+
+import json
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import attrs
+import urllib3
+from behave import given, then, when
+from gypsumrelay_demo import (
+    Reply,
+    System,
+    call,
+    complete,
+    get_json,
+    post_json,
+    two_zone_deployment,
+    wait_until,
+)
+
+PATH = '/orders/seat-12'
+LOOKUP = '/stock/seat-12'
+PROMPT = 'continue the flight log of ' + ' '.join(f'leg{n}' for n in range(90))
+KEY = 'completion-key'
+
+
+@given('two zones whose services take {milliseconds:d} ms')
+def start_services(context: Any, milliseconds: int) -> None:
+    deployment = attrs.evolve(
+        two_zone_deployment(token_ms=1, cold_requests=0, cold_limit=20),
+        service={'work_ms': milliseconds},
+    )
+    start(context, deployment)
+
+
+@given('two zones and two accounts whose services take {milliseconds:d} ms')
+def start_two_accounts(context: Any, milliseconds: int) -> None:
+    deployment = two_zone_deployment()
+    second = attrs.evolve(deployment.contracts[0], client_account='second')
+    deployment = attrs.evolve(
+        deployment,
+        service={'work_ms': milliseconds},
+        contracts=(*deployment.contracts, second),
+    )
+    start(context, deployment)
+
+
+def start(context: Any, deployment: Any) -> None:
+    context.system = System(deployment, context.path)
+    context.system.start()
+    context.replies = []
+
+
+def entry_url(context: Any, number: int) -> str:
+    return list(context.system.entries.values())[number].url
+
+
+def send(
+    context: Any,
+    number: int,
+    key: str,
+    body: bytes = b'{"seat": 12}',
+    path: str = PATH,
+    account: int = 0,
+) -> Reply:
+    secret = list(context.system.keys.values())[account].secret
+    headers = {'Authorization': f'Bearer {secret}'}
+    if key:
+        headers['Idempotency-Key'] = key
+    method = 'POST' if path == PATH else 'GET'
+    if method == 'GET':
+        body = b''
+    url = entry_url(context, number) + path
+    return call(urllib3.PoolManager(), url, method, headers, body)
+
+
+@when('an order with the key "{key}" is sent through entry {number:d}')
+@when('the same order with the key "{key}" is sent through entry {number:d}')
+def send_order(context: Any, key: str, number: int) -> None:
+    context.replies.append(send(context, number, key))
+
+
+@when('another order with the key "{key}" is sent through entry {number:d}')
+def send_other_order(context: Any, key: str, number: int) -> None:
+    context.replies.append(send(context, number, key, b'{"seat": 13}'))
+
+
+@when('another account sends the same order with the key "{key}"')
+def send_as_other(context: Any, key: str) -> None:
+    context.replies.append(send(context, 0, key, account=1))
+
+
+@when('an order without a key is sent twice')
+def send_unkeyed(context: Any) -> None:
+    context.replies.extend(send(context, number, '') for number in range(2))
+
+
+@when('an open request with the key "{key}" is sent twice')
+def send_open(context: Any, key: str) -> None:
+    context.replies.extend(
+        send(context, number, key, path='/open') for number in range(2)
+    )
+
+
+@when('an order with the key "{key}" is sent through both entries at once')
+def send_both(context: Any, key: str) -> None:
+    send_twice(context, key, PATH)
+
+
+@when('a lookup with the key "{key}" is sent through both entries at once')
+def look_up_both(context: Any, key: str) -> None:
+    send_twice(context, key, LOOKUP)
+
+
+def send_twice(context: Any, key: str, path: str) -> None:
+    with ThreadPoolExecutor(2) as threads:
+        sent = [
+            threads.submit(send, context, number, key, path=path)
+            for number in range(2)
+        ]
+        context.replies.extend(one.result() for one in sent)
+
+
+@when('an order with the key "{key}" is begun through entry {number:d}')
+def begin_order(context: Any, key: str, number: int) -> None:
+    context.begun = ThreadPoolExecutor(1).submit(send, context, number, key)
+
+
+@when('a lookup with the key "{key}" is begun through entry {number:d}')
+def begin_lookup(context: Any, key: str, number: int) -> None:
+    threads = ThreadPoolExecutor(1)
+    context.begun = threads.submit(send, context, number, key, path=LOOKUP)
+
+
+@when('a lookup with the key "{key}" is sent through entry {number:d}')
+def look_up(context: Any, key: str, number: int) -> None:
+    context.replies.append(send(context, number, key, path=LOOKUP))
+
+
+@when('its service runs it')
+def wait_for_run(context: Any) -> None:
+    assert wait_until(lambda: len(service_runs(context)) == 1, 10)
+
+
+@when('entry {number:d} is killed')
+def kill_entry(context: Any, number: int) -> None:
+    context.system.kill(list(context.system.entries.values())[number])
+
+
+@when('the agent that runs it is killed')
+def kill_agent(context: Any) -> None:
+    name = service_runs(context)[0][0]
+    context.system.kill(context.system.agents[f'agent-{name}'])
+
+
+@when('the log is {state}')
+def set_log(context: Any, state: str) -> None:
+    set_fault(context, {'down': state == 'down'})
+
+
+@when('the log loses the answer to the next append')
+def lose_answer(context: Any) -> None:
+    wait_for_quiet_log(context)
+    set_fault(context, {'lose_answers': 1})
+
+
+def set_fault(context: Any, fault: dict[str, Any]) -> None:
+    url = f'{context.system.platform["log"].url}/fault'
+    assert post_json(context.system.pool, url, fault) is not None
+
+
+def wait_for_quiet_log(context: Any) -> None:
+    """Wait until the shares are assigned and nothing else is appended."""
+    url = f'{context.system.platform["log"].url}/record'
+    seen = [-1]
+
+    def is_quiet() -> bool:
+        before = seen[0]
+        seen[0] = get_json(context.system.pool, url)['appends']
+        time.sleep(1)
+        return seen[0] == before
+
+    assert wait_until(is_quiet, 20)
+
+
+@when('the same order with the key "{key}" is sent until it gets an answer')
+def send_until_answered(context: Any, key: str) -> None:
+    def is_answered() -> bool:
+        send_order(context, key, 1)
+        return context.replies[-1].code != 'claim_unavailable'
+
+    assert wait_until(is_answered, 20), context.replies[-1]
+
+
+def service_runs(context: Any) -> list[tuple[str, dict[str, Any]]]:
+    return [
+        (name, run)
+        for name in context.system.upstreams
+        if name.startswith('service')
+        for run in context.system.runs_at(name)
+    ]
+
+
+@then('both answers are the same and whole')
+def check_same(context: Any) -> None:
+    first, second = context.replies
+    assert first.status == 200, first
+    assert (second.status, second.text) == (first.status, first.text), second
+    assert first.whole, first
+    run_of = 'X-Service-Run'
+    assert second.headers[run_of] == first.headers[run_of]
+
+
+@then('the last answer is whole')
+def check_whole(context: Any) -> None:
+    reply = context.replies[-1]
+    assert reply.status == 200, reply
+    assert reply.whole, reply
+    assert json.loads(reply.text)['path'], reply
+
+
+@then('the last answer is the failure "{code}" with "{outcome}"')
+def check_failure(context: Any, code: str, outcome: str) -> None:
+    reply = context.replies[-1]
+    assert (reply.code, reply.outcome) == (code, outcome), reply
+
+
+@then('the last answer says when to come again')
+def check_retry(context: Any) -> None:
+    headers = context.replies[-1].headers
+    assert int(headers['Retry-After']) >= 1, headers
+
+
+@then('the order ran once')
+def check_once(context: Any) -> None:
+    check_runs(context, 1)
+
+
+@then('the services ran {count:d} request')
+@then('the services ran {count:d} requests')
+def check_runs(context: Any, count: int) -> None:
+    # A second run would begin within the time of a retry.
+    time.sleep(1)
+    runs = service_runs(context)
+    assert len(runs) == count, runs
+
+
+@then('the text "{text}" is in no request to a service and no record')
+def check_secret(context: Any, text: str) -> None:
+    runs = service_runs(context)
+    assert len(runs) == 1, runs
+    url = f'{context.system.platform["log"].url}/records?from=0'
+    records = get_json(context.system.pool, url)['records']
+    assert any('claims' in json.dumps(record) for record in records), records
+    assert text not in json.dumps(runs)
+    assert text not in json.dumps(records)
+
+
+def send_completion(context: Any, number: int) -> Reply:
+    secret = next(iter(context.system.keys.values())).secret
+    body = {
+        'model': 'model',
+        'prompt': PROMPT,
+        'max_tokens': context.tokens,
+        'stream': True,
+    }
+    headers = {'Idempotency-Key': KEY}
+    pool = urllib3.PoolManager()
+    url = entry_url(context, number)
+    return complete(pool, url, secret, body, headers)
+
+
+@when('a keyed completion of {tokens:d} tokens is begun through entry 0')
+def begin_completion(context: Any, tokens: int) -> None:
+    context.tokens = tokens
+    context.begun = ThreadPoolExecutor(1).submit(send_completion, context, 0)
+
+
+@when('a keyed completion of {tokens:d} tokens is sent through entry 0')
+def send_first_completion(context: Any, tokens: int) -> None:
+    context.tokens = tokens
+    context.first = send_completion(context, 0)
+
+
+@when('the same completion is sent through entry 1')
+def repeat_completion(context: Any) -> None:
+    context.repeat = send_completion(context, 1)
+
+
+@when('its decode has {tokens:d} tokens')
+def wait_for_decode(context: Any, tokens: int) -> None:
+    context.decode = context.system.running_decode(tokens)
+
+
+@when('the agent of its decode is killed')
+def kill_decode_agent(context: Any) -> None:
+    context.system.kill(context.system.agents[f'agent-{context.decode}'])
+
+
+@when('its decode goes on elsewhere')
+def wait_for_move(context: Any) -> None:
+    other = 'decode-1' if context.decode == 'decode-0' else 'decode-0'
+
+    def is_running() -> bool:
+        runs = context.system.runs_at(other)
+        return any(run['state'] == 'running' for run in runs)
+
+    assert wait_until(is_running, 15)
+
+
+def check_text(context: Any, reply: Reply) -> None:
+    assert reply.whole, reply
+    assert len(reply.text.split()) == context.tokens, reply
+
+
+@then('the repeat gets the whole text')
+def check_repeat(context: Any) -> None:
+    check_text(context, context.repeat)
+
+
+@then('the first completion gets the whole text')
+def check_first(context: Any) -> None:
+    check_text(context, context.begun.result(30))
+    assert context.repeat.text == context.begun.result().text
+
+
+@then('both completions have the same text')
+def check_same_text(context: Any) -> None:
+    assert context.repeat.text == context.first.text
+
+
+@then('the engines decoded it once')
+def check_one_decode(context: Any) -> None:
+    check_decodes(context, 1)
+
+
+@then('the engines began at most {count:d} decodes of it')
+def check_decodes(context: Any, count: int) -> None:
+    time.sleep(1)
+    runs = [
+        run
+        for name in context.system.upstreams
+        if name.startswith('decode')
+        for run in context.system.runs_at(name)
+    ]
+    assert 0 < len(runs) <= count, runs
--- a/libs/agent/src/gypsumrelay_agent/acting.py
+++ b/libs/agent/src/gypsumrelay_agent/acting.py
@@ -6,7 +6,7 @@
 from functools import partial
 from typing import Any, Final
 
-from gypsumrelay_errors import Failure
+from gypsumrelay_errors import Failure, Outcome, UpstreamFailed
 from gypsumrelay_upstreams import (
     Action,
     CancelRun,
@@ -23,19 +23,26 @@
     coldstart,
     ledger,
 )
-from gypsumrelay_wire import Decode, Message, Prefill, Reserved
+from gypsumrelay_wire import Decode, Failed, Message, Prefill, Reserved
 from logbook import Logger
 
 from gypsumrelay_agent import events
 from gypsumrelay_agent.accounts import settle_later
 from gypsumrelay_agent.drawing import begin_draw, new_order
+from gypsumrelay_agent.keeping import KeptOutput, take_output
 from gypsumrelay_agent.replies import (
     SILENT_ENDS,
     failed_from,
     failed_of_end,
 )
 from gypsumrelay_agent.requests import run_deadline
-from gypsumrelay_agent.runs import Run, run_call, run_decode, run_prefill
+from gypsumrelay_agent.runs import (
+    Output,
+    Run,
+    run_call,
+    run_decode,
+    run_prefill,
+)
 from gypsumrelay_agent.state import AgentState, now_seconds
 
 log = Logger('agent')
@@ -53,7 +60,15 @@
 
 
 def send(state: AgentState, link: str, message: Message) -> None:
-    """Send a message on a link by its id; a closed one gets nothing."""
+    """Send a message on a link by its id; a closed one gets nothing.
+
+    The failure of a keyed attempt is its response and stored as such.
+    """
+    if isinstance(message, Failed):
+        key = Key(message.request_id, message.attempt)
+        if key in state.keeping.runs:
+            take_output(state.keeping, key, message, now_seconds())
+            return
     known = state.links.get(link)
     if known is not None:
         known.send(message)
@@ -63,6 +78,9 @@
     forget_order(state, action.key)
     state.record(f'dropped_{action.reason.value}', action.key)
     log.debug('Dropped a message: {}.', action.reason.value)
+    known = (state.ledger.places, state.ledger.waiting, state.runs)
+    if not any(action.key in group for group in known):
+        _fail_unstarted(state, action.key, action.reason.value)
 
 
 def _granted(state: AgentState, action: Granted) -> None:
@@ -125,7 +143,9 @@
 def _start_run(state: AgentState, action: StartRun) -> None:
     order = state.orders.pop(action.key)
     place = state.ledger.places[action.key]
-    link = state.links[place.link]
+    link: Output = state.links[place.link]
+    if action.key in state.keeping.runs:
+        link = KeptOutput(action.key, state.tell)
     run = Run(
         action.key,
         action.run_id,
@@ -179,6 +199,22 @@
         state.record(f'ended_{action.reason.value}', action.key)
         message = failed_of_end(action, run)
         send(state, action.link, message)
+    elif not action.started:
+        _fail_unstarted(state, action.key, action.reason.value)
+
+
+def _fail_unstarted(state: AgentState, key: Key, reason: str) -> None:
+    """End the stored response of a keyed attempt that never ran."""
+    if key in state.keeping.runs:
+        failure = UpstreamFailed(
+            f'the attempt ended: {reason}', Outcome.not_run
+        )
+        take_output(
+            state.keeping,
+            key,
+            failed_from(key, failure),
+            now_seconds(),
+        )
 
 
 def _engine_restarted(state: AgentState, action: EngineRestarted) -> None:
--- a/libs/agent/src/gypsumrelay_agent/building.py
+++ b/libs/agent/src/gypsumrelay_agent/building.py
@@ -11,9 +11,16 @@
 
 import attrs
 import pykka
+from gypsumrelay_claims import StoredResponses
 from gypsumrelay_instance import Keeper, PeerCallbacks, Peers
 from gypsumrelay_limits import Member
-from gypsumrelay_platform import Callbacks, Follower, ListClient, LogClient
+from gypsumrelay_platform import (
+    Batch,
+    Callbacks,
+    Follower,
+    ListClient,
+    LogClient,
+)
 from gypsumrelay_telemetry import new_metrics
 from gypsumrelay_timeline import Recorder, Ring, Stamp
 from gypsumrelay_upstreams import (
@@ -35,7 +42,9 @@
 from gypsumrelay_agent import events
 from gypsumrelay_agent.accounts import AccountMeans, new_accounts
 from gypsumrelay_agent.actor import AgentActor
+from gypsumrelay_agent.claiming import Claiming
 from gypsumrelay_agent.engine import EngineClient, new_pool
+from gypsumrelay_agent.keeping import Keeping
 from gypsumrelay_agent.service import ServiceClient
 from gypsumrelay_agent.state import SERVICE, AgentState
 from gypsumrelay_agent.waitingqueue import FairWaitingQueue
@@ -152,8 +161,9 @@
     pool = new_pool(threads)
     ramp = _new_ramp(settings)
     executor = ThreadPoolExecutor(threads, 'upstream')
+    member = Member(peers.identity.name, peers.identity.incarnation)
     accounts = new_accounts(
-        Member(peers.identity.name, peers.identity.incarnation),
+        member,
         settings.evidence,
         AccountMeans(peers.keeper, peers, log_client, executor, tell),
     )
@@ -166,6 +176,17 @@
         ramp=ramp,
         executor=executor,
         accounts=accounts,
+        claiming=Claiming(
+            member,
+            settings.claim_seconds,
+            log_client,
+            executor,
+            tell,
+        ),
+        keeping=Keeping(
+            StoredResponses(settings.stored_response_bytes),
+            settings.stored_response_seconds,
+        ),
         engine=EngineClient(upstream.url, pool),
         service=ServiceClient(upstream.url, pool),
         tell=tell,
@@ -228,8 +249,12 @@
     log_client: LogClient,
     tell: Tell,
 ) -> Follower:
+    def on_batch(batch: Batch) -> None:
+        keeper.apply_batch(batch)
+        tell(events.LogRead(batch, own=False))
+
     callbacks = Callbacks(
-        on_batch=keeper.apply_batch,
+        on_batch=on_batch,
         on_listing=lambda listing, asked_at: tell(
             events.ListingRead(listing, asked_at),
         ),
--- a/libs/agent/src/gypsumrelay_agent/events.py
+++ b/libs/agent/src/gypsumrelay_agent/events.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
+from gypsumrelay_claims import AppendResult
+from gypsumrelay_errors import Failure
 from gypsumrelay_limits import Member
-from gypsumrelay_platform import Listing
+from gypsumrelay_platform import Batch, Listing
 from gypsumrelay_upstreams import EngineReport, Key
-from gypsumrelay_wire import Link
+from gypsumrelay_wire import Link, Message
 
 from gypsumrelay_agent.engine import UpstreamFault
 
+Tell = Callable[[object], None]
+
 
 @attrs.frozen
 class LinkOpened:
@@ -111,3 +116,32 @@
 @attrs.frozen
 class DrainBegan:
     """The agent takes no new work."""
+
+
+@attrs.frozen
+class RunOutput:
+    """A keyed run produced a message for its entry."""
+
+    key: Key
+    message: Message
+
+
+@attrs.frozen
+class LogRead:
+    """The log was read, by the follower or by the committer itself."""
+
+    batch: Batch | Failure
+    own: bool
+
+
+@attrs.frozen
+class ClaimsAppended:
+    """An append of the committer has a result."""
+
+    append_id: str
+    result: AppendResult
+
+
+@attrs.frozen
+class ClaimsDue:
+    """The committer's timer ended."""
--- a/libs/agent/src/gypsumrelay_agent/handling.py
+++ b/libs/agent/src/gypsumrelay_agent/handling.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+from gypsumrelay_instance import listed_committers
 from gypsumrelay_upstreams import (
     EngineReport,
     coldstart,
@@ -14,17 +15,30 @@
 from gypsumrelay_wire import (
     Call,
     Cancel,
+    Claim,
     Decode,
     Draw,
     Drawn,
     DrawRefused,
     Prefill,
+    ReleaseClaim,
     Reserve,
+    Resume,
     Settle,
 )
 
 from gypsumrelay_agent import events
 from gypsumrelay_agent.acting import act
+from gypsumrelay_agent.claiming import (
+    claims_due,
+    forget_link,
+    observe_committers,
+    receive_claim,
+    receive_release,
+    take_append_result,
+    take_read,
+    tick_claims,
+)
 from gypsumrelay_agent.crashes import settle_suspicion, suspect_crash
 from gypsumrelay_agent.drawing import (
     end_draw,
@@ -41,6 +55,18 @@
     take_listing,
     tick_shares,
 )
+from gypsumrelay_agent.keeping import (
+    drop_link,
+    take_output,
+    tick_responses,
+)
+from gypsumrelay_agent.keyedruns import (
+    detach_run,
+    end_detached,
+    hand_over,
+    keep_response,
+    resume_response,
+)
 from gypsumrelay_agent.probing import probe
 from gypsumrelay_agent.replies import failed_of_fault
 from gypsumrelay_agent.requests import (
@@ -72,7 +98,10 @@
 def _lose_link(state: AgentState, event: events.LinkLost) -> None:
     name = link_id(event.link)
     state.links.pop(name, None)
+    forget_link(state.claiming, event.link)
+    drop_link(state.keeping, event.link)
     act(state, ledger.lose_link(state.ledger, name, now_seconds()))
+    hand_over(state)
 
 
 def _receive(state: AgentState, event: events.Received) -> None:
@@ -106,6 +135,8 @@
 def _call(state: AgentState, event: events.Received) -> None:
     now = now_seconds()
     request = call_request(event.message, now)
+    if not keep_response(state, request, event):
+        return
     state.orders[request.key] = event.message
     state.deadlines[request.key] = request.deadline
     state.digests[request.key] = event.message.request_digest
@@ -115,6 +146,8 @@
 
 def _cancel(state: AgentState, event: events.Received) -> None:
     key = key_of(event.message)
+    if detach_run(state, key, event):
+        return
     act(state, ledger.cancel(state.ledger, key, now_seconds()))
 
 
@@ -157,6 +190,7 @@
     now = now_seconds()
     run = state.runs.pop(event.key, None)
     if run is None:
+        end_detached(state, event)
         return
     if event.fault is None:
         coldstart.observe_completion(
@@ -203,6 +237,10 @@
         )
 
 
+def _take_output(state: AgentState, event: events.RunOutput) -> None:
+    take_output(state.keeping, event.key, event.message, now_seconds())
+
+
 def _apply_configuration(
     state: AgentState,
     event: events.ConfigurationChanged,
@@ -217,6 +255,8 @@
         event.asked_at,
         now_seconds(),
     )
+    committers = listed_committers(event.listing, state.settings.committers)
+    observe_committers(state.claiming, committers, now_seconds())
 
 
 def _note_log_end(state: AgentState, event: events.LogEndRead) -> None:
@@ -244,6 +284,31 @@
     receive_reply(state.accounts, event.message, now_seconds())
 
 
+def _receive_claim(state: AgentState, event: events.Received) -> None:
+    receive_claim(state.claiming, event.link, event.message, now_seconds())
+
+
+def _receive_release(state: AgentState, event: events.Received) -> None:
+    receive_release(state.claiming, event.message, now_seconds())
+
+
+def _take_log_read(state: AgentState, event: events.LogRead) -> None:
+    take_read(state.claiming, event.batch, now_seconds(), own=event.own)
+
+
+def _note_append(state: AgentState, event: events.ClaimsAppended) -> None:
+    take_append_result(
+        state.claiming,
+        event.append_id,
+        event.result,
+        now_seconds(),
+    )
+
+
+def _claims_due(state: AgentState, event: events.ClaimsDue) -> None:
+    claims_due(state.claiming, now_seconds())
+
+
 def _free_run(state: AgentState, event: events.RunFreed) -> None:
     act(state, ledger.confirm_freed(state.ledger, event.run_id, now_seconds()))
 
@@ -253,6 +318,8 @@
     act(state, ledger.expire(state.ledger, now))
     tick_draws(state.accounts, now)
     tick_shares(state.accounts, now)
+    tick_claims(state.claiming, now)
+    tick_responses(state.keeping, now)
     probe(state, now)
 
 
@@ -274,6 +341,10 @@
     events.LogEndRead: _note_log_end,
     events.PeerTried: _resend,
     events.DrainBegan: _drain,
+    events.RunOutput: _take_output,
+    events.LogRead: _take_log_read,
+    events.ClaimsAppended: _note_append,
+    events.ClaimsDue: _claims_due,
 }
 _RECEIVERS: Final[dict[type, Callable[[AgentState, Any], None]]] = {
     Reserve: _reserve,
@@ -285,4 +356,7 @@
     Settle: _receive_settlement,
     Drawn: _receive_reply,
     DrawRefused: _receive_reply,
+    Claim: _receive_claim,
+    ReleaseClaim: _receive_release,
+    Resume: resume_response,
 }
--- a/libs/agent/src/gypsumrelay_agent/replies.py
+++ b/libs/agent/src/gypsumrelay_agent/replies.py
@@ -12,11 +12,12 @@
     UpstreamFailed,
 )
 from gypsumrelay_upstreams import Ended, EndReason, Key
-from gypsumrelay_wire import Call, Failed, to_retry_ms
+from gypsumrelay_wire import Call, Failed, to_retry_at, to_retry_ms
 
 from gypsumrelay_agent.engine import UpstreamFault
 from gypsumrelay_agent.runs import Run
 
+_BY_CODE: Final = {kind.code: kind for kind in Failure.__subclasses__()}
 # Ends that the entry brought about or that it learns in another way; a
 # failed run is reported by its fault.
 SILENT_ENDS: Final = frozenset(
@@ -43,6 +44,13 @@
     )
 
 
+def failure_of_message(message: Failed, now: float) -> Failure:
+    """Return the typed failure in a message that an entry is sent."""
+    kind = _BY_CODE.get(message.code, UpstreamFailed)
+    retry_at = to_retry_at(message.retry_ms, now)
+    return kind(message.sentence, Outcome(message.outcome), retry_at)
+
+
 def failed_of_fault(run: Run, fault: UpstreamFault) -> Failed:
     """Return the message for a run whose upstream failed it."""
     failure = failure_of_fault(run, fault)
--- a/libs/agent/src/gypsumrelay_agent/runs.py
+++ b/libs/agent/src/gypsumrelay_agent/runs.py
@@ -5,7 +5,7 @@
 import threading
 import time
 from collections.abc import Callable
-from typing import Final
+from typing import Final, Protocol
 
 import attrs
 from gypsumrelay_upstreams import Key
@@ -15,7 +15,7 @@
     Call,
     Decode,
     Finished,
-    Link,
+    Message,
     Prefill,
     Prefilled,
     Tokens,
@@ -31,6 +31,13 @@
 Tell = Callable[[object], None]
 
 
+class Output(Protocol):
+    """Takes what a run sends: a link, or the store of keyed responses."""
+
+    def send(self, message: Message) -> object:
+        """Take a message."""
+
+
 @attrs.define(eq=False)
 class Run:
     """One run at the upstream.
@@ -38,7 +45,7 @@
     Attributes:
         key: The attempt that it belongs to.
         run_id: Its name at the upstream.
-        link: Where its output goes; changes when another entry resumes it.
+        link: Where its output goes.
         order: The message that started it.
         digest: Digest of the request, for crash attribution.
         cancelled: Set when nobody wants its output any more.
@@ -47,7 +54,7 @@
 
     key: Key
     run_id: str
-    link: Link
+    link: Output
     order: Prefill | Decode | Call
     prompt_tokens: int = 0
     digest: bytes = b''
--- a/libs/agent/src/gypsumrelay_agent/state.py
+++ b/libs/agent/src/gypsumrelay_agent/state.py
@@ -18,7 +18,9 @@
 from gypsumrelay_wire import Call, Decode, Link, LoadReport, Prefill
 
 from gypsumrelay_agent.accounts import Accounts
+from gypsumrelay_agent.claiming import Claiming
 from gypsumrelay_agent.engine import EngineClient
+from gypsumrelay_agent.keeping import Keeping
 from gypsumrelay_agent.runs import Run, Tell
 from gypsumrelay_agent.service import ServiceClient
 
@@ -39,6 +41,8 @@
     """State of an agent and the means to act on it.
 
     Attributes:
+        claiming: The claims that this agent records for entries.
+        keeping: Responses of requests with an idempotency key.
         runs: Runs at the upstream by attempt.
         orders: Messages that start runs, until they are started.
         deadlines: Deadlines of plain service requests.
@@ -62,6 +66,8 @@
     tell: Tell
     load: LoadReport
     accounts: Accounts
+    claiming: Claiming
+    keeping: Keeping
     runs: dict[Key, Run] = attrs.field(factory=dict)
     orders: dict[Key, Prefill | Decode | Call] = attrs.field(factory=dict)
     deadlines: dict[Key, float] = attrs.field(factory=dict)
--- a/libs/entry/src/gypsumrelay_entry/context.py
+++ b/libs/entry/src/gypsumrelay_entry/context.py
@@ -11,6 +11,7 @@
 from gypsumrelay_wire import Link
 
 from gypsumrelay_entry import events
+from gypsumrelay_entry.keyed import Agents
 from gypsumrelay_entry.mailboxes import Mailboxes
 from gypsumrelay_entry.suspicion import Suspicions
 
@@ -63,6 +64,7 @@
     mailboxes: Mailboxes = attrs.field(factory=Mailboxes)
     open_requests: OpenRequests = attrs.field(factory=OpenRequests)
     suspicions: Suspicions = attrs.field(factory=Suspicions)
+    agents: Agents = attrs.field(factory=Agents)
 
     def record(
         self,
--- a/libs/entry/src/gypsumrelay_entry/headers.py
+++ b/libs/entry/src/gypsumrelay_entry/headers.py
@@ -18,8 +18,14 @@
         'upgrade',
     ),
 )
-# The key must reach no upstream; the lengths are set anew by each server.
-WITHHELD: Final = HOP_BY_HOP | {'authorization', 'content-length', 'host'}
+# The API key and the idempotency key must reach no upstream and go into no
+# message; the lengths are set anew by each server.
+WITHHELD: Final = HOP_BY_HOP | {
+    'authorization',
+    'content-length',
+    'host',
+    'idempotency-key',
+}
 ENVIRON_PREFIX: Final = 'HTTP_'
 
 
--- /dev/null
+++ b/libs/entry/src/gypsumrelay_entry/keyed.py
@@ -0,0 +1,273 @@
+"""Requests with an idempotency key: claims and repeated responses."""
+
+from __future__ import annotations
+
+import hashlib
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+from gypsumrelay_claims import committer_of
+from gypsumrelay_errors import (
+    ClaimUnavailable,
+    Failure,
+    IdempotencyKeyReused,
+    Outcome,
+    OutcomeUnknown,
+)
+from gypsumrelay_wire import (
+    Claim,
+    Claimed,
+    ClaimTaken,
+    Failed,
+    Link,
+    ReleaseClaim,
+    Resume,
+    to_remaining_ms,
+    to_retry_at,
+)
+
+from gypsumrelay_entry.failures import failure_from
+from gypsumrelay_entry.mailboxes import Delivery, LinkLost, Mailbox
+
+if TYPE_CHECKING:
+    from gypsumrelay_platform import ListedInstance
+
+    from gypsumrelay_entry.context import Entry
+
+HEADER: Final = 'HTTP_IDEMPOTENCY_KEY'
+DIGEST_BYTES: Final = 32
+# An append takes some 20 ms; a log that is slower than this is taken as
+# unavailable, so that the caller can come again soon.
+CLAIM_SECONDS: Final = 3.0
+# The committer's own answer comes by the claim's deadline.
+ANSWER_SECONDS: Final = 0.5
+RETRY_SECONDS: Final = 1.0
+
+
+@attrs.define(eq=False)
+class Agents:
+    """The agents and committers of the deployment by name.
+
+    The dictionaries are replaced as a whole, so readers need no lock.
+    """
+
+    by_name: dict[str, ListedInstance] = attrs.field(factory=dict)
+    committers: dict[str, ListedInstance] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class KeyedRequest:
+    """A request with an idempotency key.
+
+    Attributes:
+        key_digest: Digest of the key; the key itself is sent nowhere.
+        request_digest: Digest of method, path and body.
+        durable: Whether the claim is written to the log.
+    """
+
+    client_account: str
+    key_digest: bytes
+    request_digest: bytes
+    durable: bool
+
+
+@attrs.define(eq=False)
+class KeyUse:
+    """The claim of one open request.
+
+    Attributes:
+        deadline: Until when the claim is of use.
+        committer: Link to the committer that was asked, once one was.
+        holder: The request whose claim in memory is to be taken over.
+        granted: Whether the request holds the key.
+    """
+
+    entry: Entry
+    box: Mailbox
+    request: KeyedRequest
+    deadline: float
+    committer: Link | None = None
+    holder: str = ''
+    granted: bool = False
+
+    @property
+    def is_spent(self) -> bool:
+        """Return whether a claim in the log forbids another attempt."""
+        return self.request.durable and self.committer is not None
+
+    def claim(self, agent: str) -> ClaimTaken | Failure | None:
+        """Claim the key for work at an agent.
+
+        Returns:
+            None where the request may be dispatched there; otherwise who
+            holds the key, or why the request is not dispatched.
+        """
+        link = self._connect()
+        if link is None:
+            return _unavailable('no committer is in reach')
+        self.committer = link
+        now = time.monotonic()
+        deadline = min(self.deadline, now + CLAIM_SECONDS)
+        sent = link.send(self._message(agent, deadline, now))
+        if sent is not None:
+            return self._give_up(_unavailable(sent.sentence))
+        answer = self._answer(link, deadline + ANSWER_SECONDS)
+        if isinstance(answer, Failure):
+            return self._give_up(answer)
+        if isinstance(answer, ClaimTaken):
+            return self._taken(answer)
+        self.granted = True
+        self.holder = self.box.request_id
+        return None
+
+    def release(self, request_id: str = '') -> None:
+        """Free the claim of a request that is not and never dispatched."""
+        if self.committer is not None:
+            self.committer.send(
+                ReleaseClaim(
+                    request_id or self.box.request_id,
+                    self.request.client_account,
+                    self.request.key_digest,
+                ),
+            )
+
+    def follow(self, taken: ClaimTaken) -> Link | Failure:
+        """Return the link to the agent that has the response."""
+        holder = self.entry.agents.by_name.get(taken.holder_agent)
+        if holder is None:
+            return _gone('the agent that ran the request is gone')
+        link = self.entry.peers.connect(holder.address)
+        if isinstance(link, Failure):
+            return _gone(link.sentence)
+        return link
+
+    def resume_message(self, attempt: int, next_index: int) -> Resume:
+        """Return the question for the response from an index on."""
+        return Resume(
+            request_id=self.box.request_id,
+            attempt=attempt,
+            client_account=self.request.client_account,
+            key_digest=self.request.key_digest,
+            next_index=next_index,
+            remaining_ms=to_remaining_ms(self.deadline, time.monotonic()),
+        )
+
+    def _connect(self) -> Link | None:
+        """Return a link to the key's committer, or to the next one.
+
+        Claims of one request all go to one committer.
+        """
+        if self.committer is not None:
+            closed = self.committer.closed.is_set()
+            return None if closed else self.committer
+        committers = dict(self.entry.agents.committers)
+        request = self.request
+        key = (request.client_account, request.key_digest.hex())
+        while committers:
+            name = committer_of(key, tuple(committers))
+            if name is None:
+                break
+            link = self.entry.peers.connect(committers.pop(name).address)
+            if not isinstance(link, Failure):
+                return link
+        return None
+
+    def _message(self, agent: str, deadline: float, now: float) -> Claim:
+        request = self.request
+        return Claim(
+            request_id=self.box.request_id,
+            client_account=request.client_account,
+            key_digest=request.key_digest,
+            request_digest=request.request_digest,
+            durable=request.durable,
+            agent=agent,
+            remaining_ms=to_remaining_ms(deadline, now),
+            replaces=self.holder,
+        )
+
+    def _answer(
+        self,
+        link: Link,
+        deadline: float,
+    ) -> Claimed | ClaimTaken | Failure:
+        """Return the first answer to the claim, which is final."""
+        while True:
+            arrived = self.box.wait(deadline)
+            if arrived is None:
+                return _unavailable('the claim was not answered in time')
+            if isinstance(arrived, Failure):
+                return arrived
+            if isinstance(arrived, LinkLost):
+                if arrived.link is link:
+                    return _unavailable('the committer was lost')
+                continue
+            answer = _answer_in(arrived)
+            if answer is not None:
+                return answer
+
+    def _taken(self, taken: ClaimTaken) -> ClaimTaken | Failure:
+        self.holder = taken.holder_request_id
+        if taken.same_body:
+            return taken
+        return IdempotencyKeyReused(
+            'the idempotency key came earlier with another request',
+        )
+
+    def _give_up(self, failure: Failure) -> Failure:
+        """Release what may still be recorded; it is never dispatched."""
+        self.release()
+        return failure
+
+
+def keyed_request(
+    environ: dict[str, Any],
+    client_account: str,
+    body: bytes,
+    *,
+    durable: bool,
+) -> KeyedRequest | None:
+    """Return what an `Idempotency-Key` header asks for, if there is one."""
+    key = environ.get(HEADER, '').strip()
+    if not key or not client_account:
+        return None
+    return KeyedRequest(
+        client_account,
+        _digest(client_account, key),
+        _digest(
+            environ['REQUEST_METHOD'],
+            environ['PATH_INFO'],
+            environ.get('QUERY_STRING', ''),
+            body,
+        ),
+        durable,
+    )
+
+
+def _digest(*parts: str | bytes) -> bytes:
+    """Return one digest; each part's length keeps the parts apart."""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in parts:
+        encoded = part if isinstance(part, bytes) else part.encode()
+        digest.update(b'%d:' % len(encoded))
+        digest.update(encoded)
+    return digest.digest()
+
+
+def _answer_in(arrived: Delivery) -> Claimed | ClaimTaken | Failure | None:
+    message = arrived.message
+    if isinstance(message, (Claimed, ClaimTaken)):
+        return message
+    if isinstance(message, Failed) and not message.attempt:
+        retry_at = to_retry_at(message.retry_ms, time.monotonic())
+        return failure_from(message, retry_at)
+    return None
+
+
+def _unavailable(sentence: str) -> Failure:
+    retry_at = time.monotonic() + RETRY_SECONDS
+    return ClaimUnavailable(sentence, retry_at=retry_at)
+
+
+def _gone(sentence: str) -> Failure:
+    return OutcomeUnknown(sentence, Outcome.unknown)
--- a/libs/entry/src/gypsumrelay_entry/process.py
+++ b/libs/entry/src/gypsumrelay_entry/process.py
@@ -14,6 +14,7 @@
     Keeper,
     PeerCallbacks,
     Peers,
+    listed_committers,
     start_admin,
     start_server,
     wait_for_signal,
@@ -22,6 +23,7 @@
     Callbacks,
     Follower,
     ListClient,
+    Listing,
     LogClient,
 )
 from gypsumrelay_routing import View
@@ -201,11 +203,22 @@
 
 def _follower(entry: Entry) -> Follower:
     platform = entry.settings.platform
+
+    def on_listing(listing: Listing, asked_at: float) -> None:
+        entry.actor.tell(events.ListingRead(listing))
+        entry.agents.by_name = {
+            instance.name: instance
+            for instance in listing.instances
+            if instance.role == 'agent'
+        }
+        entry.agents.committers = listed_committers(
+            listing,
+            entry.settings.committers,
+        )
+
     callbacks = Callbacks(
         on_batch=entry.keeper.apply_batch,
-        on_listing=lambda listing, asked_at: entry.actor.tell(
-            events.ListingRead(listing),
-        ),
+        on_listing=on_listing,
         next_offset=entry.keeper.next_offset,
         on_log_end=lambda asked_at: None,
     )
--- a/libs/entry/src/gypsumrelay_entry/servicerun.py
+++ b/libs/entry/src/gypsumrelay_entry/servicerun.py
@@ -19,8 +19,10 @@
     AnswerStart,
     Call,
     Cancel,
+    ClaimTaken,
     Failed,
     Link,
+    Resume,
     to_remaining_ms,
     to_retry_at,
 )
@@ -33,6 +35,7 @@
     from gypsumrelay_configuration import Route
 
     from gypsumrelay_entry.context import Entry
+    from gypsumrelay_entry.keyed import KeyUse
 
 MS_PER_SECOND: Final = 1000
 
@@ -61,6 +64,7 @@
     request: ServiceRequest
     box: Mailbox
     deadline: float
+    key_use: KeyUse | None = None
     attempts: int = 0
     received: int = 0
     started: bool = False
@@ -99,10 +103,7 @@
             self.failed_upstreams.add(placed.main.upstream)
             return UpstreamFailed(link.sentence)
         try:
-            failure = yield from self._exchange(link)
-        except GeneratorExit:
-            link.send(Cancel(self.box.request_id, self.attempts))
-            raise
+            failure = yield from self._dispatch(placed.main.instance, link)
         finally:
             self.entry.actor.tell(
                 events.AttemptEnded(
@@ -124,20 +125,56 @@
             excluded=frozenset(self.failed_upstreams),
         )
 
-    def _exchange(self, link: Link) -> Attempting:
-        sent = link.send(self._message())
+    def _dispatch(self, agent: str, link: Link) -> Attempting:
+        """Send the request to its agent once its key is claimed for it."""
+        if self.key_use is None:
+            return (yield from self._exchange(link, self._message()))
+        taken = self.key_use.claim(agent)
+        if isinstance(taken, Failure):
+            return taken
+        if taken is not None:
+            return (yield from self._follow(self.key_use, taken))
+        return (yield from self._exchange(link, self._message()))
+
+    def _follow(self, key_use: KeyUse, taken: ClaimTaken) -> Attempting:
+        """Yield the response of the request that holds the key."""
+        link = key_use.follow(taken)
+        if isinstance(link, Failure):
+            return link
+        message = key_use.resume_message(self.attempts, 0)
+        failure = yield from self._exchange(link, message)
+        if failure is not None and failure.outcome is Outcome.not_run:
+            # The agent ended the attempt before it ran, and its entry sends
+            # it only once, so the claim it left blocks the key for nothing.
+            key_use.release(taken.holder_request_id)
+        return failure
+
+    def _exchange(self, link: Link, message: Call | Resume) -> Attempting:
+        sent = link.send(message)
         if sent is not None:
             return self._broken('the request could not be sent')
+        try:
+            return (yield from self._pass_parts(link))
+        except GeneratorExit:
+            self._cancel(link)
+            raise
+
+    def _pass_parts(self, link: Link) -> Attempting:
         while True:
             part = self._next_part(link)
             if isinstance(part, Failure):
-                link.send(Cancel(self.box.request_id, self.attempts))
+                self._cancel(link)
                 return part
             yield part
             if isinstance(part, AnswerBody) and part.last:
                 return None
             self.started = True
 
+    def _cancel(self, link: Link) -> None:
+        """End the attempt; the agent goes on with one that has a key."""
+        keep = self.key_use is not None
+        link.send(Cancel(self.box.request_id, self.attempts, keep))
+
     def _next_part(self, link: Link) -> Part | Failure:
         """Return the next part of the answer to this attempt."""
         while True:
@@ -179,6 +216,9 @@
             idempotent=request.route.idempotent,
             cost=request.route.cost_tokens,
             remaining_ms=to_remaining_ms(self.deadline, time.monotonic()),
+            key_digest=(
+                self.key_use.request.key_digest if self.key_use else b''
+            ),
             request_digest=request.digest,
             alone=self.alone,
         )
@@ -193,6 +233,8 @@
         """Return the failure with what is true of the whole request."""
         if self.ran and failure.outcome is Outcome.not_run:
             failure = attrs.evolve(failure, outcome=Outcome.failed)
+        if self.key_use is not None and failure.outcome is Outcome.not_run:
+            self.key_use.release()
         return with_retry(failure)
 
     def _may_retry(self, failure: Failure) -> bool:
@@ -202,6 +244,8 @@
             return False
         if self.attempts >= self.entry.settings.routing.max_attempts:
             return False
+        if self.key_use is not None and self.key_use.is_spent:
+            return False
         return self.request.route.idempotent or failure.outcome is (
             Outcome.not_run
         )
--- a/libs/entry/src/gypsumrelay_entry/services.py
+++ b/libs/entry/src/gypsumrelay_entry/services.py
@@ -20,6 +20,7 @@
 from gypsumrelay_entry.callers import Caller, authenticate
 from gypsumrelay_entry.exchanges import Chunks, Exchange
 from gypsumrelay_entry.headers import answer_headers, forwarded_headers
+from gypsumrelay_entry.keyed import KeyUse, keyed_request
 from gypsumrelay_entry.prompts import request_digest
 from gypsumrelay_entry.servicerun import ServiceRequest, ServiceRun
 
@@ -48,7 +49,15 @@
     request = _request(exchange, route, account, body)
     box = entry.mailboxes.open(exchange.request_id, exchange.check(caller))
     deadline = time.monotonic() + route.timeout_ms / MS_PER_SECOND
-    parts = _parts(exchange, ServiceRun(entry, request, box, deadline))
+    keyed = keyed_request(
+        exchange.environ,
+        account,
+        body,
+        durable=not route.idempotent,
+    )
+    key_use = KeyUse(entry, box, keyed, deadline) if keyed else None
+    run = ServiceRun(entry, request, box, deadline, key_use)
+    parts = _parts(exchange, run)
     return _answer(exchange, parts)
 
 
--- a/libs/instance/src/gypsumrelay_instance/__init__.py
+++ b/libs/instance/src/gypsumrelay_instance/__init__.py
@@ -6,6 +6,9 @@
     start_admin,
     start_server,
 )
+from .committers import (
+    listed_committers,
+)
 from .keeper import (
     Keeper,
 )
@@ -23,6 +26,7 @@
     'PeerCallbacks',
     'Peers',
     'admin_application',
+    'listed_committers',
     'start_admin',
     'start_server',
     'wait_for_signal',
--- /dev/null
+++ b/libs/instance/src/gypsumrelay_instance/committers.py
@@ -0,0 +1,31 @@
+"""Which agents record claims, by the platform's list."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from gypsumrelay_claims import choose_committers
+
+if TYPE_CHECKING:
+    from gypsumrelay_platform import ListedInstance, Listing
+
+SERVICE: Final = 'service'
+
+
+def listed_committers(
+    listing: Listing,
+    count: int,
+) -> dict[str, ListedInstance]:
+    """Return the committers by name.
+
+    They are agents beside plain services; a deployment without services
+    uses any agents.
+    """
+    live = [
+        instance
+        for instance in listing.instances
+        if instance.role == 'agent' and not instance.leaving
+    ]
+    services = [instance for instance in live if instance.kind == SERVICE]
+    by_name = {instance.name: instance for instance in services or live}
+    return {name: by_name[name] for name in choose_committers(by_name, count)}
--- a/libs/settings/src/gypsumrelay_settings/models.py
+++ b/libs/settings/src/gypsumrelay_settings/models.py
@@ -114,6 +114,7 @@
     evidence: EvidenceSettings = EvidenceSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
     shutdown_seconds: float = bounded(0, 3600, default=60)
+    committers: int = bounded(1, 1000, default=3)
 
 
 @attrs.frozen
@@ -145,7 +146,15 @@
 
 @attrs.frozen
 class AgentSettings:
-    """Settings of `gypsumrelay agent`."""
+    """Settings of `gypsumrelay agent`.
+
+    Attributes:
+        committers: How many agents record claims for idempotency keys; the
+            same for all entries and agents of a deployment.
+        stored_response_bytes: Memory for responses to requests with an
+            idempotency key.
+        stored_response_seconds: For how long such a response is kept.
+    """
 
     instance: InstanceSettings
     platform: PlatformSettings
@@ -158,6 +167,12 @@
     grace_seconds: float = bounded(0, 3600, default=20)
     claim_seconds: float = bounded(60, 604_800, default=86_400)
     committers: int = bounded(1, 1000, default=3)
+    stored_response_bytes: int = bounded(
+        65_536,
+        17_179_869_184,
+        default=268_435_456,
+    )
+    stored_response_seconds: float = bounded(1, 604_800, default=3600)
 
 
 @attrs.frozen
--- a/libs/wire/src/gypsumrelay_wire/messages.py
+++ b/libs/wire/src/gypsumrelay_wire/messages.py
@@ -107,7 +107,9 @@
 class Decode(Message):
     """Starts the decode of a reserved request at a token index.
 
-    With a prompt, the decode upstream computes the prefill itself.
+    With a prompt, the decode upstream computes the prefill itself. For a
+    request with an idempotency key, `emitted` is the text before the first
+    index, so that the agent stores the whole response.
     """
 
     tag: ClassVar[int] = 7
@@ -120,6 +122,7 @@
     priority: int
     remaining_ms: int
     prompt: str = ''
+    emitted: bytes = b''
 
 
 @attrs.frozen
@@ -190,11 +193,16 @@
 
 @attrs.frozen
 class Cancel(Message):
-    """Ends a request at an agent; its memory is freed."""
+    """Ends a request at an agent; its memory is freed.
+
+    With `keep`, running work with an idempotency key goes on for its grace
+    period, since its caller may come again.
+    """
 
     tag: ClassVar[int] = 13
     request_id: str
     attempt: int
+    keep: bool = False
 
 
 @attrs.frozen
@@ -270,7 +278,11 @@
 
 @attrs.frozen
 class Claim(Message):
-    """Asks a committer to record a claim for an idempotency key."""
+    """Asks a committer to record a claim for an idempotency key.
+
+    `replaces` names the request whose claim in memory this one takes over,
+    because its work moves to another agent or its agent is gone.
+    """
 
     tag: ClassVar[int] = 19
     request_id: str
@@ -280,6 +292,7 @@
     durable: bool
     agent: str
     remaining_ms: int
+    replaces: str = ''
 
 
 @attrs.frozen
@@ -342,3 +355,13 @@
     tag: ClassVar[int] = 24
     offset: int
     state: bytes
+
+
+@attrs.frozen
+class ReleaseClaim(Message):
+    """Frees the claim of a request that never will be dispatched."""
+
+    tag: ClassVar[int] = 30
+    request_id: str
+    client_account: str
+    key_digest: bytes
