Continue keyed model requests after the death of their entry

Cause: a model request whose entry died was cancelled, and its repeat began a second decode.

Change: model requests with a key claim it in the committer's memory for the agent of each attempt; the claim moves with the attempt. The decode agent stores the response, keeps the run for the grace period and hands it to the entry that resumes it. Decode carries what was emitted and counted before, so that the new agent stores the whole response. A cancel of a gone caller keeps keyed work.

--- a/features/idempotency.feature
+++ b/features/idempotency.feature
@@ -48,6 +48,13 @@
     Then the last answer is whole
     And the order ran once
 
+  Scenario: The caller goes away in mid-call and comes again
+    Given two zones whose services take 2500 ms
+    When a caller sends an order with the key "k1" and goes away in mid-call
+    And the same order with the key "k1" is sent through entry 1
+    Then the last answer is whole
+    And the order ran once
+
   Scenario: The entry and the agent die in mid-call
     Given two zones whose services take 2500 ms
     When an order with the key "k1" is begun through entry 0
@@ -96,3 +103,29 @@
     And entry 0 is killed
     And a lookup with the key "k1" is sent through entry 1
     Then the last answer is whole
+
+  Scenario: The entry of a stream dies and the repeat continues it
+    Given two zones with engines that need 20 ms for a token
+    When a keyed completion of 150 tokens is begun through entry 0
+    And its decode has 20 tokens
+    And entry 0 is killed
+    And the same completion is sent through entry 1
+    Then the repeat gets the whole text
+    And the engines decoded it once
+
+  Scenario: A finished completion is answered from the store
+    Given two zones with engines that need 2 ms for a token
+    When a keyed whole completion is sent through both entries in turn
+    Then both have the same text and usage
+    And the engines decoded it once
+
+  Scenario: The decode agent of a keyed stream dies and the claim follows
+    Given two zones with engines that need 20 ms for a token
+    When a keyed completion of 150 tokens is begun through entry 0
+    And its decode has 20 tokens
+    And the agent of its decode is killed
+    And its decode goes on elsewhere
+    And the same completion is sent through entry 1
+    Then the first completion gets the whole text
+    And the repeat gets the whole text
+    And the engines began at most 2 decodes of it
--- a/features/steps/idempotency.py
+++ b/features/steps/idempotency.py
@@ -140,6 +140,25 @@
     context.replies.append(send(context, number, key, path=LOOKUP))
 
 
+@when('a caller sends an order with the key "{key}" and goes away in mid-call')
+def send_and_leave(context: Any, key: str) -> None:
+    secret = next(iter(context.system.keys.values())).secret
+    headers = {'Authorization': f'Bearer {secret}', 'Idempotency-Key': key}
+    try:
+        urllib3.PoolManager().request(
+            'POST',
+            entry_url(context, 0) + PATH,
+            body=b'{"seat": 12}',
+            headers=headers,
+            timeout=0.8,
+            retries=False,
+        )
+    except urllib3.exceptions.ReadTimeoutError:
+        assert len(service_runs(context)) == 1
+        return
+    raise AssertionError('the answer came before the caller went away')
+
+
 @when('its service runs it')
 def wait_for_run(context: Any) -> None:
     assert wait_until(lambda: len(service_runs(context)) == 1, 10)
@@ -279,12 +298,6 @@
     context.begun = ThreadPoolExecutor(1).submit(send_completion, context, 0)
 
 
-@when('a keyed completion of {tokens:d} tokens is sent through entry 0')
-def send_first_completion(context: Any, tokens: int) -> None:
-    context.tokens = tokens
-    context.first = send_completion(context, 0)
-
-
 @when('the same completion is sent through entry 1')
 def repeat_completion(context: Any) -> None:
     context.repeat = send_completion(context, 1)
@@ -327,9 +340,31 @@
     assert context.repeat.text == context.begun.result().text
 
 
-@then('both completions have the same text')
-def check_same_text(context: Any) -> None:
-    assert context.repeat.text == context.first.text
+@when('a keyed whole completion is sent through both entries in turn')
+def send_whole_completions(context: Any) -> None:
+    secret = next(iter(context.system.keys.values())).secret
+    context.answers = []
+    for number in range(2):
+        response = context.system.pool.request(
+            'POST',
+            f'{entry_url(context, number)}/v1/completions',
+            json={'model': 'model', 'prompt': PROMPT, 'max_tokens': 20},
+            headers={
+                'Authorization': f'Bearer {secret}',
+                'Idempotency-Key': KEY,
+            },
+            retries=False,
+        )
+        assert response.status == 200, response.data
+        context.answers.append(response.json())
+
+
+@then('both have the same text and usage')
+def check_same_usage(context: Any) -> None:
+    first, second = context.answers
+    assert first['choices'] == second['choices'], context.answers
+    assert first['usage'] == second['usage'], context.answers
+    assert first['usage']['prompt_tokens'] > 0, first
 
 
 @then('the engines decoded it once')
@@ -345,5 +380,6 @@
         for name in context.system.upstreams
         if name.startswith('decode')
         for run in context.system.runs_at(name)
+        if run['kind'] == 'decode'
     ]
     assert 0 < len(runs) <= count, runs
--- a/libs/agent/src/gypsumrelay_agent/building.py
+++ b/libs/agent/src/gypsumrelay_agent/building.py
@@ -11,7 +11,6 @@
 
 import attrs
 import pykka
-from gypsumrelay_claims import StoredResponses
 from gypsumrelay_instance import Keeper, PeerCallbacks, Peers
 from gypsumrelay_limits import Member
 from gypsumrelay_platform import (
@@ -42,9 +41,7 @@
 from gypsumrelay_agent import events
 from gypsumrelay_agent.accounts import AccountMeans, new_accounts
 from gypsumrelay_agent.actor import AgentActor
-from gypsumrelay_agent.claiming import Claiming
 from gypsumrelay_agent.engine import EngineClient, new_pool
-from gypsumrelay_agent.keeping import Keeping
 from gypsumrelay_agent.service import ServiceClient
 from gypsumrelay_agent.state import SERVICE, AgentState
 from gypsumrelay_agent.waitingqueue import FairWaitingQueue
@@ -161,9 +158,8 @@
     pool = new_pool(threads)
     ramp = _new_ramp(settings)
     executor = ThreadPoolExecutor(threads, 'upstream')
-    member = Member(peers.identity.name, peers.identity.incarnation)
     accounts = new_accounts(
-        member,
+        Member(peers.identity.name, peers.identity.incarnation),
         settings.evidence,
         AccountMeans(peers.keeper, peers, log_client, executor, tell),
     )
@@ -176,17 +172,6 @@
         ramp=ramp,
         executor=executor,
         accounts=accounts,
-        claiming=Claiming(
-            member,
-            settings.claim_seconds,
-            log_client,
-            executor,
-            tell,
-        ),
-        keeping=Keeping(
-            StoredResponses(settings.stored_response_bytes),
-            settings.stored_response_seconds,
-        ),
         engine=EngineClient(upstream.url, pool),
         service=ServiceClient(upstream.url, pool),
         tell=tell,
--- a/libs/agent/src/gypsumrelay_agent/claiming.py
+++ b/libs/agent/src/gypsumrelay_agent/claiming.py
@@ -214,7 +214,8 @@
     """Carry out actions, then write what is due and set the timer."""
     if claiming.committer is None:
         return
-    for action in [*actions, *flush(claiming.committer, now)]:
+    actions.extend(flush(claiming.committer, now))
+    for action in actions:
         if isinstance(action, Append):
             claiming.executor.submit(partial(_append, claiming, action))
         elif isinstance(action, ReadLog):
@@ -303,7 +304,9 @@
 def _set_timer(claiming: Claiming, committer: Committer, now: float) -> None:
     """Wake the actor at the next due instant; ticks alone are too coarse."""
     due = next_due(committer)
-    if due is None or due >= claiming.timer_due > now:
+    if due is None:
+        return
+    if now < claiming.timer_due <= due:
         return
     claiming.timer_due = due
 
--- a/libs/agent/src/gypsumrelay_agent/handling.py
+++ b/libs/agent/src/gypsumrelay_agent/handling.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from gypsumrelay_instance import listed_committers
 from gypsumrelay_upstreams import (
     EngineReport,
     coldstart,
@@ -15,30 +14,17 @@
 from gypsumrelay_wire import (
     Call,
     Cancel,
-    Claim,
     Decode,
     Draw,
     Drawn,
     DrawRefused,
     Prefill,
-    ReleaseClaim,
     Reserve,
-    Resume,
     Settle,
 )
 
 from gypsumrelay_agent import events
 from gypsumrelay_agent.acting import act
-from gypsumrelay_agent.claiming import (
-    claims_due,
-    forget_link,
-    observe_committers,
-    receive_claim,
-    receive_release,
-    take_append_result,
-    take_read,
-    tick_claims,
-)
 from gypsumrelay_agent.crashes import settle_suspicion, suspect_crash
 from gypsumrelay_agent.drawing import (
     end_draw,
@@ -55,17 +41,17 @@
     take_listing,
     tick_shares,
 )
-from gypsumrelay_agent.keeping import (
-    drop_link,
-    take_output,
-    tick_responses,
-)
+from gypsumrelay_agent.keeping import keep_emitted
 from gypsumrelay_agent.keyedruns import (
+    KEYED_HANDLERS,
+    KEYED_RECEIVERS,
     detach_run,
     end_detached,
+    forget_link,
     hand_over,
     keep_response,
-    resume_response,
+    observe_listing,
+    tick_keyed,
 )
 from gypsumrelay_agent.probing import probe
 from gypsumrelay_agent.replies import failed_of_fault
@@ -98,8 +84,7 @@
 def _lose_link(state: AgentState, event: events.LinkLost) -> None:
     name = link_id(event.link)
     state.links.pop(name, None)
-    forget_link(state.claiming, event.link)
-    drop_link(state.keeping, event.link)
+    forget_link(state, event.link)
     act(state, ledger.lose_link(state.ledger, name, now_seconds()))
     hand_over(state)
 
@@ -114,6 +99,8 @@
 def _reserve(state: AgentState, event: events.Received) -> None:
     now = now_seconds()
     request = reserve_request(event.message, now)
+    if not keep_response(state, request, event):
+        return
     state.digests[request.key] = event.message.request_digest
     found = ledger.reserve(state.ledger, request, link_id(event.link), now)
     act(state, found)
@@ -124,7 +111,10 @@
     message = event.message
     key = key_of(message)
     state.orders[key] = message
-    first_index = message.first_index if isinstance(message, Decode) else 0
+    first_index = 0
+    if isinstance(message, Decode):
+        first_index = message.first_index
+        keep_emitted(state.keeping, key, message)
     act(
         state,
         ledger.start(state.ledger, key, first_index, run_deadline(now), now),
@@ -237,10 +227,6 @@
         )
 
 
-def _take_output(state: AgentState, event: events.RunOutput) -> None:
-    take_output(state.keeping, event.key, event.message, now_seconds())
-
-
 def _apply_configuration(
     state: AgentState,
     event: events.ConfigurationChanged,
@@ -255,8 +241,7 @@
         event.asked_at,
         now_seconds(),
     )
-    committers = listed_committers(event.listing, state.settings.committers)
-    observe_committers(state.claiming, committers, now_seconds())
+    observe_listing(state, event.listing)
 
 
 def _note_log_end(state: AgentState, event: events.LogEndRead) -> None:
@@ -284,31 +269,6 @@
     receive_reply(state.accounts, event.message, now_seconds())
 
 
-def _receive_claim(state: AgentState, event: events.Received) -> None:
-    receive_claim(state.claiming, event.link, event.message, now_seconds())
-
-
-def _receive_release(state: AgentState, event: events.Received) -> None:
-    receive_release(state.claiming, event.message, now_seconds())
-
-
-def _take_log_read(state: AgentState, event: events.LogRead) -> None:
-    take_read(state.claiming, event.batch, now_seconds(), own=event.own)
-
-
-def _note_append(state: AgentState, event: events.ClaimsAppended) -> None:
-    take_append_result(
-        state.claiming,
-        event.append_id,
-        event.result,
-        now_seconds(),
-    )
-
-
-def _claims_due(state: AgentState, event: events.ClaimsDue) -> None:
-    claims_due(state.claiming, now_seconds())
-
-
 def _free_run(state: AgentState, event: events.RunFreed) -> None:
     act(state, ledger.confirm_freed(state.ledger, event.run_id, now_seconds()))
 
@@ -318,8 +278,7 @@
     act(state, ledger.expire(state.ledger, now))
     tick_draws(state.accounts, now)
     tick_shares(state.accounts, now)
-    tick_claims(state.claiming, now)
-    tick_responses(state.keeping, now)
+    tick_keyed(state, now)
     probe(state, now)
 
 
@@ -341,10 +300,7 @@
     events.LogEndRead: _note_log_end,
     events.PeerTried: _resend,
     events.DrainBegan: _drain,
-    events.RunOutput: _take_output,
-    events.LogRead: _take_log_read,
-    events.ClaimsAppended: _note_append,
-    events.ClaimsDue: _claims_due,
+    **KEYED_HANDLERS,
 }
 _RECEIVERS: Final[dict[type, Callable[[AgentState, Any], None]]] = {
     Reserve: _reserve,
@@ -356,7 +312,5 @@
     Settle: _receive_settlement,
     Drawn: _receive_reply,
     DrawRefused: _receive_reply,
-    Claim: _receive_claim,
-    ReleaseClaim: _receive_release,
-    Resume: resume_response,
+    **KEYED_RECEIVERS,
 }
--- a/libs/agent/src/gypsumrelay_agent/keeping.py
+++ b/libs/agent/src/gypsumrelay_agent/keeping.py
@@ -31,6 +31,7 @@
 from gypsumrelay_wire import (
     AnswerBody,
     AnswerStart,
+    Decode,
     Failed,
     Finished,
     Link,
@@ -148,6 +149,20 @@
     return None
 
 
+def keep_emitted(keeping: Keeping, key: Key, order: Decode) -> None:
+    """Store what earlier steps of the request elsewhere have produced."""
+    kept = keeping.runs.get(key)
+    if kept is None:
+        return
+    if order.counted_prompt:
+        _store_prompt(keeping, kept, order.counted_prompt)
+    if not order.first_index:
+        return
+    text = order.emitted.decode('utf-8', 'replace')
+    part = Part(0, order.first_index, text)
+    append_part(keeping.store, kept.claim_key, key.request_id, part)
+
+
 def take_output(
     keeping: Keeping,
     key: Key,
@@ -334,26 +349,39 @@
     store, key = keeping.store, kept.claim_key
     request_id = kept.key.request_id
     keep_until = now + keeping.keep_seconds
+    if isinstance(message, Failed):
+        failure = failure_of_message(message, now)
+        fail_response(store, key, request_id, failure, keep_until)
+    elif isinstance(message, Finished):
+        finish_response(store, key, request_id, message.reason, keep_until)
+    elif isinstance(message, AnswerBody) and message.last:
+        _store_content(keeping, kept, message)
+        finish_response(store, key, request_id, '', keep_until)
+    elif isinstance(message, Prefilled):
+        _store_prompt(keeping, kept, message.prompt_tokens)
+    else:
+        _store_content(keeping, kept, message)
+
+
+def _store_content(keeping: Keeping, kept: KeptRun, message: Message) -> None:
+    store, key = keeping.store, kept.claim_key
+    request_id = kept.key.request_id
     if isinstance(message, AnswerStart):
         pairs = tuple((name, text) for name, text in message.headers)
         set_head(store, key, request_id, ResponseHead(message.status, pairs))
-    elif isinstance(message, Prefilled):
-        pairs = ((PROMPT_TOKENS, str(message.prompt_tokens)),)
-        set_head(store, key, request_id, ResponseHead(OK, pairs))
     elif isinstance(message, AnswerBody):
-        part = Part(message.first_byte, len(message.chunk), message.chunk)
-        append_part(store, key, request_id, part)
-        if message.last:
-            finish_response(store, key, request_id, '', keep_until)
+        piece = Part(message.first_byte, len(message.chunk), message.chunk)
+        append_part(store, key, request_id, piece)
     elif isinstance(message, Tokens):
         text = message.text.decode('utf-8', 'replace')
-        part = Part(message.first_index, message.count, text)
-        append_part(store, key, request_id, part)
-    elif isinstance(message, Finished):
-        finish_response(store, key, request_id, message.reason, keep_until)
-    elif isinstance(message, Failed):
-        failure = failure_of_message(message, now)
-        fail_response(store, key, request_id, failure, keep_until)
+        batch = Part(message.first_index, message.count, text)
+        append_part(store, key, request_id, batch)
+
+
+def _store_prompt(keeping: Keeping, kept: KeptRun, tokens: int) -> None:
+    """Keep the prompt's token count, which the usage of a repeat needs."""
+    head = ResponseHead(OK, ((PROMPT_TOKENS, str(tokens)),))
+    set_head(keeping.store, kept.claim_key, kept.key.request_id, head)
 
 
 def _is_last(message: Message) -> bool:
--- a/libs/agent/src/gypsumrelay_agent/keyedruns.py
+++ b/libs/agent/src/gypsumrelay_agent/keyedruns.py
@@ -1,17 +1,25 @@
-"""Runs with an idempotency key, which may outlive their entry."""
+"""Claims and runs with an idempotency key, which may outlive an entry."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import Any, Final
+
 from gypsumrelay_errors import Outcome, OutcomeUnknown
+from gypsumrelay_instance import listed_committers
+from gypsumrelay_platform import Listing
 from gypsumrelay_upstreams import Key, Phase, ReserveRequest, ledger
+from gypsumrelay_wire import Claim, Link, ReleaseClaim, Resume
 
-from gypsumrelay_agent import events
+from gypsumrelay_agent import claiming, events
 from gypsumrelay_agent.acting import act
 from gypsumrelay_agent.keeping import (
+    drop_link,
     drop_listener,
     keep_run,
     resume,
     take_output,
+    tick_responses,
 )
 from gypsumrelay_agent.replies import failed_from
 from gypsumrelay_agent.state import AgentState, link_id, now_seconds
@@ -84,3 +92,73 @@
     failure = OutcomeUnknown(event.fault.sentence, Outcome.unknown)
     message = failed_from(event.key, failure)
     take_output(state.keeping, event.key, message, now_seconds())
+
+
+def observe_listing(state: AgentState, listing: Listing) -> None:
+    """Take over the deployment's committers from the list."""
+    committers = listed_committers(listing, state.settings.committers)
+    claiming.observe_committers(state.claiming, committers, now_seconds())
+
+
+def forget_link(state: AgentState, link: Link) -> None:
+    """Send no answers and responses to a link that closed."""
+    claiming.forget_link(state.claiming, link)
+    drop_link(state.keeping, link)
+
+
+def tick_keyed(state: AgentState, now: float) -> None:
+    """Do what is due for claims and stored responses."""
+    claiming.tick_claims(state.claiming, now)
+    tick_responses(state.keeping, now)
+
+
+def _receive_claim(state: AgentState, event: events.Received) -> None:
+    claiming.receive_claim(
+        state.claiming,
+        event.link,
+        event.message,
+        now_seconds(),
+    )
+
+
+def _receive_release(state: AgentState, event: events.Received) -> None:
+    claiming.receive_release(state.claiming, event.message, now_seconds())
+
+
+def _take_log_read(state: AgentState, event: events.LogRead) -> None:
+    claiming.take_read(
+        state.claiming,
+        event.batch,
+        now_seconds(),
+        own=event.own,
+    )
+
+
+def _note_append(state: AgentState, event: events.ClaimsAppended) -> None:
+    claiming.take_append_result(
+        state.claiming,
+        event.append_id,
+        event.result,
+        now_seconds(),
+    )
+
+
+def _claims_due(state: AgentState, event: events.ClaimsDue) -> None:
+    claiming.claims_due(state.claiming, now_seconds())
+
+
+def _take_output(state: AgentState, event: events.RunOutput) -> None:
+    take_output(state.keeping, event.key, event.message, now_seconds())
+
+
+KEYED_HANDLERS: Final[dict[type, Callable[[AgentState, Any], None]]] = {
+    events.RunOutput: _take_output,
+    events.LogRead: _take_log_read,
+    events.ClaimsAppended: _note_append,
+    events.ClaimsDue: _claims_due,
+}
+KEYED_RECEIVERS: Final[dict[type, Callable[[AgentState, Any], None]]] = {
+    Claim: _receive_claim,
+    ReleaseClaim: _receive_release,
+    Resume: resume_response,
+}
--- a/libs/agent/src/gypsumrelay_agent/state.py
+++ b/libs/agent/src/gypsumrelay_agent/state.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
+from gypsumrelay_claims import StoredResponses
 from gypsumrelay_upstreams import (
     ColdRamp,
     Key,
@@ -36,6 +37,24 @@
 MS_PER_SECOND: Final = 1000
 
 
+def _new_claiming(state: AgentState) -> Claiming:
+    accounts = state.accounts
+    return Claiming(
+        accounts.member,
+        state.settings.claim_seconds,
+        accounts.log_client,
+        state.executor,
+        state.tell,
+    )
+
+
+def _new_keeping(state: AgentState) -> Keeping:
+    return Keeping(
+        StoredResponses(state.settings.stored_response_bytes),
+        state.settings.stored_response_seconds,
+    )
+
+
 @attrs.define(eq=False)
 class AgentState:
     """State of an agent and the means to act on it.
@@ -66,8 +85,6 @@
     tell: Tell
     load: LoadReport
     accounts: Accounts
-    claiming: Claiming
-    keeping: Keeping
     runs: dict[Key, Run] = attrs.field(factory=dict)
     orders: dict[Key, Prefill | Decode | Call] = attrs.field(factory=dict)
     deadlines: dict[Key, float] = attrs.field(factory=dict)
@@ -79,6 +96,12 @@
     digests: dict[Key, bytes] = attrs.field(factory=dict)
     probed_at: float = float('-inf')
     lock: threading.Lock = attrs.field(factory=threading.Lock)
+    claiming: Claiming = attrs.field(
+        default=attrs.Factory(_new_claiming, takes_self=True),
+    )
+    keeping: Keeping = attrs.field(
+        default=attrs.Factory(_new_keeping, takes_self=True),
+    )
 
     @property
     def is_service(self) -> bool:
--- a/libs/entry/src/gypsumrelay_entry/attempts.py
+++ b/libs/entry/src/gypsumrelay_entry/attempts.py
@@ -29,7 +29,7 @@
     to_retry_at,
 )
 
-from gypsumrelay_entry.failures import failure_from
+from gypsumrelay_entry.failures import CallerGone, failure_from
 from gypsumrelay_entry.mailboxes import (
     Delivery,
     LinkLost,
@@ -55,6 +55,7 @@
         weight: Weight of the client account in fair queues.
         on_granted: Told each link on which a place was granted.
         alone: Whether nothing else may run beside the request.
+        key_digest: Digest of the idempotency key, b'' without one.
     """
 
     number: int
@@ -66,6 +67,7 @@
     weight: int
     on_granted: Callable[[Link], None]
     alone: bool = False
+    key_digest: bytes = b''
 
 
 @attrs.define
@@ -134,10 +136,13 @@
             sent = self._send_decode(prefilled.handle, prefilled.source_url)
         return AttemptFailed(sent, self.plan.decode) if sent else None
 
-    def cancel(self) -> None:
-        """End the attempt at both agents; memory there is freed."""
+    def cancel(self, *, keep: bool = False) -> None:
+        """End the attempt at both agents; memory there is freed.
+
+        With `keep`, the agent goes on with a decode that has a key.
+        """
         for link in (self.plan.decode, self.plan.prefill):
-            link.send(Cancel(self.box.request_id, self.plan.number))
+            link.send(Cancel(self.box.request_id, self.plan.number, keep))
 
     def _reserve(self) -> AttemptFailed | None:
         missing = {self.plan.decode, self.plan.prefill}
@@ -176,6 +181,7 @@
             request_digest=request.digest,
             cost=request.prompt_tokens + request.max_tokens,
             weight=self.plan.weight,
+            key_digest=self.plan.key_digest if is_decode else b'',
             alone=self.plan.alone,
         )
 
@@ -224,15 +230,22 @@
                 priority=request.priority,
                 remaining_ms=to_remaining_ms(deadline, now),
                 prompt=prompt,
+                emitted=self._emitted(),
+                counted_prompt=self.progress.prompt_tokens,
             ),
         )
 
+    def _emitted(self) -> bytes:
+        """Return the text that a new agent has to store with the rest."""
+        return b''.join(self.progress.texts) if self.plan.key_digest else b''
+
     def _stream(self) -> Iterator[Tokens | Finished | AttemptFailed]:
         while True:
             deadline = time.monotonic() + self.plan.progress_seconds
             arrived = self._expect(deadline, 'the decode', self.plan.decode)
             if isinstance(arrived, AttemptFailed):
-                self.cancel()
+                gone = isinstance(arrived.failure, CallerGone)
+                self.cancel(keep=gone)
                 yield arrived
                 return
             event = self._accept(arrived.message)
--- a/libs/entry/src/gypsumrelay_entry/completions.py
+++ b/libs/entry/src/gypsumrelay_entry/completions.py
@@ -22,6 +22,7 @@
 )
 from gypsumrelay_entry.callers import Caller, authenticate
 from gypsumrelay_entry.exchanges import Chunks, Exchange
+from gypsumrelay_entry.keyed import KeyUse, keyed_request
 from gypsumrelay_entry.mailboxes import Mailbox
 from gypsumrelay_entry.modelrun import ModelRun
 from gypsumrelay_entry.prompts import ModelRequest, parse_model_request
@@ -32,6 +33,8 @@
 )
 JSON_HEADERS: Final = (('Content-Type', 'application/json'),)
 MS_PER_SECOND: Final = 1000
+# An agent ends a run after ten minutes at the latest.
+FOLLOW_SECONDS: Final = 600.0
 
 Events = Iterator[Tokens | Finished | Failure]
 
@@ -75,16 +78,39 @@
     )
     if isinstance(caller, Failure):
         return exchange.refuse(caller)
-    request = _read_request(exchange, caller, is_chat=is_chat)
+    body = exchange.read_body()
+    if isinstance(body, Failure):
+        return exchange.refuse(body)
+    request = _parse_request(exchange, caller, body, is_chat=is_chat)
     if isinstance(request, Failure):
         return exchange.refuse(request)
-    box = entry.mailboxes.open(exchange.request_id, exchange.check(caller))
-    run = ModelRun(entry, caller, request, box, accepted_at)
+    run = _new_run(exchange, caller, request, body)
+    run.accepted_at = accepted_at
     head = new_head(exchange.request_id, request)
-    answer = Answer(exchange, run, box, head)
+    answer = Answer(exchange, run, run.box, head)
     return _stream(answer) if request.stream else _whole(answer)
 
 
+def _new_run(
+    exchange: Exchange,
+    caller: Caller,
+    request: ModelRequest,
+    body: bytes,
+) -> ModelRun:
+    entry = exchange.entry
+    now = time.monotonic()
+    box = entry.mailboxes.open(exchange.request_id, exchange.check(caller))
+    keyed = keyed_request(
+        exchange.environ,
+        caller.contract.client_account,
+        body,
+        durable=False,
+    )
+    deadline = now + FOLLOW_SECONDS
+    key_use = KeyUse(entry, box, keyed, deadline) if keyed else None
+    return ModelRun(entry, caller, request, box, now, key_use)
+
+
 def list_models(exchange: Exchange) -> Chunks:
     """Answer with the models of the caller's contract."""
     entry = exchange.entry
@@ -103,15 +129,13 @@
     return [json.dumps({'object': 'list', 'data': models}).encode()]
 
 
-def _read_request(
+def _parse_request(
     exchange: Exchange,
     caller: Caller,
+    body: bytes,
     *,
     is_chat: bool,
 ) -> ModelRequest | Failure:
-    body = exchange.read_body()
-    if isinstance(body, Failure):
-        return body
     return parse_model_request(
         body,
         exchange.entry.keeper.state,
--- a/libs/entry/src/gypsumrelay_entry/exchanges.py
+++ b/libs/entry/src/gypsumrelay_entry/exchanges.py
@@ -4,7 +4,7 @@
 
 import time
 from collections.abc import Callable, Iterable, Iterator
-from typing import TYPE_CHECKING, Any, ClassVar
+from typing import TYPE_CHECKING, Any
 
 import attrs
 from gypsumrelay_errors import (
@@ -21,6 +21,7 @@
     status_line,
 )
 from gypsumrelay_entry.callers import Caller, check_key
+from gypsumrelay_entry.failures import CallerGone
 
 if TYPE_CHECKING:
     from gypsumrelay_entry.context import Entry
@@ -30,14 +31,6 @@
 Chunks = Iterable[bytes]
 
 
-@attrs.frozen
-class CallerGone(Failure):
-    """The caller closed its connection; nobody reads the answer."""
-
-    code: ClassVar[str] = 'caller_gone'
-    http_status: ClassVar[int] = 499
-
-
 @attrs.frozen
 class Exchange:
     """One HTTP exchange with a caller."""
--- a/libs/entry/src/gypsumrelay_entry/failures.py
+++ b/libs/entry/src/gypsumrelay_entry/failures.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, ClassVar, Final
 
+import attrs
 from gypsumrelay_errors import Failure, Outcome, UpstreamFailed
 
 if TYPE_CHECKING:
@@ -27,6 +28,14 @@
 RETRY_SECONDS: Final = 1.0
 
 
+@attrs.frozen
+class CallerGone(Failure):
+    """The caller closed its connection; nobody reads the answer."""
+
+    code: ClassVar[str] = 'caller_gone'
+    http_status: ClassVar[int] = 499
+
+
 def failure_from(message: Failed, retry_at: float | None) -> Failure:
     """Return the typed failure in a message of an agent."""
     kind = _BY_CODE.get(message.code, UpstreamFailed)
--- a/libs/entry/src/gypsumrelay_entry/modelrun.py
+++ b/libs/entry/src/gypsumrelay_entry/modelrun.py
@@ -20,11 +20,13 @@
     Progress,
 )
 from gypsumrelay_entry.failures import is_final, with_retry
+from gypsumrelay_entry.following import Following
 from gypsumrelay_entry.prompts import ModelRequest, prefix_digests
 
 if TYPE_CHECKING:
     from gypsumrelay_entry.callers import Caller
     from gypsumrelay_entry.context import Entry
+    from gypsumrelay_entry.keyed import KeyUse
     from gypsumrelay_entry.mailboxes import Mailbox
 
 PIECE_TOKENS = 2000
@@ -40,6 +42,7 @@
     request: ModelRequest
     box: Mailbox
     accepted_at: float
+    key_use: KeyUse | None = None
     progress: Progress = attrs.field(factory=Progress)
     failed_upstreams: set[str] = attrs.field(factory=set)
     attempts: int = 0
@@ -80,6 +83,8 @@
         """
         if self.ran and failure.outcome is Outcome.not_run:
             failure = attrs.evolve(failure, outcome=Outcome.failed)
+        if self.key_use is not None and failure.outcome is Outcome.not_run:
+            self.key_use.release()
         return with_retry(failure)
 
     def _admit(self) -> Failure | None:
@@ -112,10 +117,28 @@
         plan = self._plan(placed, prefixes)
         if isinstance(plan, AttemptFailed):
             yield plan
-        else:
+        elif self.key_use is None:
             yield from self._run_plan(placed, plan)
+        else:
+            yield from self._run_claimed(self.key_use, placed, plan)
         self._end(placed)
 
+    def _run_claimed(
+        self,
+        key_use: KeyUse,
+        placed: events.Placed,
+        plan: AttemptPlan,
+    ) -> Iterator[Tokens | Finished | AttemptFailed]:
+        """Run the plan once its agent holds the key, or follow the holder."""
+        taken = key_use.claim(placed.main.instance)
+        if isinstance(taken, Failure):
+            yield AttemptFailed(taken, retryable=False)
+        elif taken is None:
+            yield from self._run_plan(placed, plan)
+        else:
+            following = Following(key_use, self.progress, self.attempts)
+            yield from following.run(taken)
+
     def _place(self, prefixes: list[bytes]) -> events.Placed | Failure:
         """Return a placement; a request that lost its place waits for one.
 
@@ -148,7 +171,7 @@
                 self.completed = isinstance(event, Finished)
                 yield event
         except GeneratorExit:
-            attempt.cancel()
+            attempt.cancel(keep=self.key_use is not None)
             self._end(placed)
             raise
 
@@ -212,6 +235,9 @@
             weight=max(1, self.caller.contract.tokens_per_second),
             on_granted=on_granted,
             alone=self.alone,
+            key_digest=(
+                self.key_use.request.key_digest if self.key_use else b''
+            ),
         )
 
     def _new_attempt(self, plan: AttemptPlan) -> Attempt:
--- a/libs/entry/src/gypsumrelay_entry/servicerun.py
+++ b/libs/entry/src/gypsumrelay_entry/servicerun.py
@@ -140,9 +140,11 @@
         """Yield the response of the request that holds the key."""
         link = key_use.follow(taken)
         if isinstance(link, Failure):
-            return link
+            return self._broken(link.sentence)
         message = key_use.resume_message(self.attempts, 0)
         failure = yield from self._exchange(link, message)
+        if isinstance(failure, OutcomeUnknown):
+            return self._broken(failure.sentence)
         if failure is not None and failure.outcome is Outcome.not_run:
             # The agent ended the attempt before it ran, and its entry sends
             # it only once, so the claim it left blocks the key for nothing.
--- a/libs/entry/src/gypsumrelay_entry/services.py
+++ b/libs/entry/src/gypsumrelay_entry/services.py
@@ -21,6 +21,7 @@
 from gypsumrelay_entry.exchanges import Chunks, Exchange
 from gypsumrelay_entry.headers import answer_headers, forwarded_headers
 from gypsumrelay_entry.keyed import KeyUse, keyed_request
+from gypsumrelay_entry.mailboxes import Mailbox
 from gypsumrelay_entry.prompts import request_digest
 from gypsumrelay_entry.servicerun import ServiceRequest, ServiceRun
 
@@ -48,17 +49,7 @@
     account = caller.contract.client_account if caller else ''
     request = _request(exchange, route, account, body)
     box = entry.mailboxes.open(exchange.request_id, exchange.check(caller))
-    deadline = time.monotonic() + route.timeout_ms / MS_PER_SECOND
-    keyed = keyed_request(
-        exchange.environ,
-        account,
-        body,
-        durable=not route.idempotent,
-    )
-    key_use = KeyUse(entry, box, keyed, deadline) if keyed else None
-    run = ServiceRun(entry, request, box, deadline, key_use)
-    parts = _parts(exchange, run)
-    return _answer(exchange, parts)
+    return _answer(exchange, _parts(exchange, _new_run(exchange, request, box)))
 
 
 def _authorize(exchange: Exchange, route: Route) -> Caller | Failure | None:
@@ -98,6 +89,24 @@
     )
 
 
+def _new_run(
+    exchange: Exchange,
+    request: ServiceRequest,
+    box: Mailbox,
+) -> ServiceRun:
+    route = request.route
+    deadline = time.monotonic() + route.timeout_ms / MS_PER_SECOND
+    keyed = keyed_request(
+        exchange.environ,
+        request.client_account,
+        request.body,
+        durable=not route.idempotent,
+    )
+    entry = exchange.entry
+    key_use = KeyUse(entry, box, keyed, deadline) if keyed else None
+    return ServiceRun(entry, request, box, deadline, key_use)
+
+
 def _parts(
     exchange: Exchange,
     run: ServiceRun,
--- a/libs/wire/src/gypsumrelay_wire/messages.py
+++ b/libs/wire/src/gypsumrelay_wire/messages.py
@@ -109,7 +109,8 @@
 
     With a prompt, the decode upstream computes the prefill itself. For a
     request with an idempotency key, `emitted` is the text before the first
-    index, so that the agent stores the whole response.
+    index and `counted_prompt` the prompt's tokens as an engine counted
+    them, so that the agent stores the whole response.
     """
 
     tag: ClassVar[int] = 7
@@ -123,6 +124,7 @@
     remaining_ms: int
     prompt: str = ''
     emitted: bytes = b''
+    counted_prompt: int = 0
 
 
 @attrs.frozen
