Release claims through another committer where theirs is lost

Cause: an entry that told its caller not_run released the claim on the link to the committer only; a committer that died with an append under way left the key taken until it expired. Claims in memory were refused where the committer had died since the first attempt.

Change: the release goes through another committer, and a claim in memory turns to one. A response that a new attempt continues begins anew with the text that the caller has. The stream scenario has a grace period shorter than the rest of the run, so it needs the hand-over to the follower.

Conclusion: a repeat after not_run runs, also where the committer is gone.

--- a/features/idempotency.feature
+++ b/features/idempotency.feature
@@ -67,12 +67,12 @@
 
   Scenario: The log is down
     Given two zones whose services take 20 ms
-    When the log is down
+    When the log goes down
     And an order with the key "k1" is sent through entry 0
     Then the last answer is the failure "claim_unavailable" with "not_run"
     And the last answer says when to come again
     And the services ran 0 requests
-    When the log is up
+    When the log goes up
     And the same order with the key "k1" is sent until it gets an answer
     Then the last answer is whole
     And the order ran once
@@ -84,6 +84,17 @@
     Then the last answer is whole
     And the order ran once
 
+  Scenario: The committer dies while the log is slow
+    Given two zones whose services take 20 ms
+    When the log is slower by 1500 ms
+    And an order with the key "k1" is begun through entry 0
+    And the committer of the key "k1" is killed after 0.7 seconds
+    Then the first answer is the failure "claim_unavailable" with "not_run"
+    When the log is slower by 0 ms
+    And the same order with the key "k1" is sent until it gets an answer
+    Then the last answer is whole
+    And the order ran once
+
   Scenario: An order without a key runs each time
     Given two zones whose services take 20 ms
     When an order without a key is sent twice
@@ -105,8 +116,8 @@
     Then the last answer is whole
 
   Scenario: The entry of a stream dies and the repeat continues it
-    Given two zones with engines that need 20 ms for a token
-    When a keyed completion of 150 tokens is begun through entry 0
+    Given two zones with a grace period of 2 s and tokens of 20 ms
+    When a keyed completion of 250 tokens is begun through entry 0
     And its decode has 20 tokens
     And entry 0 is killed
     And the same completion is sent through entry 1
--- a/features/steps/idempotency.py
+++ b/features/steps/idempotency.py
@@ -10,6 +10,7 @@
 import attrs
 import urllib3
 from behave import given, then, when
+from gypsumrelay_claims import committer_of
 from gypsumrelay_demo import (
     Reply,
     System,
@@ -20,6 +21,7 @@
     two_zone_deployment,
     wait_until,
 )
+from gypsumrelay_entry.keyed import keyed_request
 
 PATH = '/orders/seat-12'
 LOOKUP = '/stock/seat-12'
@@ -48,6 +50,15 @@
     start(context, deployment)
 
 
+@given('two zones with a grace period of {seconds:d} s and tokens of {ms:d} ms')
+def start_with_grace(context: Any, seconds: int, ms: int) -> None:
+    deployment = attrs.evolve(
+        two_zone_deployment(token_ms=ms, cold_requests=0, cold_limit=20),
+        agent_settings={'grace_seconds': seconds},
+    )
+    start(context, deployment)
+
+
 def start(context: Any, deployment: Any) -> None:
     context.system = System(deployment, context.path)
     context.system.start()
@@ -175,11 +186,41 @@
     context.system.kill(context.system.agents[f'agent-{name}'])
 
 
-@when('the log is {state}')
+@when('the log goes {state}')
 def set_log(context: Any, state: str) -> None:
     set_fault(context, {'down': state == 'down'})
 
 
+@when('the log is slower by {milliseconds:d} ms')
+def slow_log(context: Any, milliseconds: int) -> None:
+    if milliseconds:
+        wait_for_quiet_log(context)
+    set_fault(context, {'slow_ms': milliseconds})
+
+
+@when('the committer of the key "{key}" is killed after {seconds:g} seconds')
+def kill_committer(context: Any, key: str, seconds: float) -> None:
+    time.sleep(seconds)
+    environ = {
+        'HTTP_IDEMPOTENCY_KEY': key,
+        'REQUEST_METHOD': 'POST',
+        'PATH_INFO': PATH,
+    }
+    keyed = keyed_request(environ, 'first', b'', durable=True)
+    assert keyed is not None
+    services = [name for name in context.system.agents if 'service' in name]
+    committer = committer_of(('first', keyed.key_digest.hex()), services)
+    assert committer is not None
+    assert not context.begun.done()
+    context.system.kill(context.system.agents[committer])
+
+
+@then('the first answer is the failure "{code}" with "{outcome}"')
+def check_first_failure(context: Any, code: str, outcome: str) -> None:
+    context.replies.append(context.begun.result(20))
+    check_failure(context, code, outcome)
+
+
 @when('the log loses the answer to the next append')
 def lose_answer(context: Any) -> None:
     wait_for_quiet_log(context)
--- a/libs/agent/src/gypsumrelay_agent/keeping.py
+++ b/libs/agent/src/gypsumrelay_agent/keeping.py
@@ -17,6 +17,7 @@
     expire_responses,
     fail_response,
     finish_response,
+    lose_response,
     read_response,
     set_head,
 )
@@ -152,15 +153,20 @@
 def keep_emitted(keeping: Keeping, key: Key, order: Decode) -> None:
     """Store what earlier steps of the request elsewhere have produced."""
     kept = keeping.runs.get(key)
-    if kept is None:
+    if kept is None or kept.claim_key not in keeping.store.running:
         return
+    store, claim_key = keeping.store, kept.claim_key
+    if order.first_index:
+        # An earlier attempt here may have stored tokens that its entry never
+        # got; the response begins anew with those that the caller has.
+        keep_until = store.running[claim_key].keep_until
+        lose_response(store, claim_key, key.request_id)
+        begin_response(store, claim_key, key.request_id, keep_until)
+        text = order.emitted.decode('utf-8', 'replace')
+        part = Part(0, order.first_index, text)
+        append_part(store, claim_key, key.request_id, part)
     if order.counted_prompt:
         _store_prompt(keeping, kept, order.counted_prompt)
-    if not order.first_index:
-        return
-    text = order.emitted.decode('utf-8', 'replace')
-    part = Part(0, order.first_index, text)
-    append_part(keeping.store, kept.claim_key, key.request_id, part)
 
 
 def take_output(
--- a/libs/entry/src/gypsumrelay_entry/keyed.py
+++ b/libs/entry/src/gypsumrelay_entry/keyed.py
@@ -80,7 +80,6 @@
         deadline: Until when the claim is of use.
         committer: Link to the committer that was asked, once one was.
         holder: The request whose claim in memory is to be taken over.
-        granted: Whether the request holds the key.
     """
 
     entry: Entry
@@ -89,7 +88,6 @@
     deadline: float
     committer: Link | None = None
     holder: str = ''
-    granted: bool = False
 
     @property
     def is_spent(self) -> bool:
@@ -103,34 +101,28 @@
             None where the request may be dispatched there; otherwise who
             holds the key, or why the request is not dispatched.
         """
-        link = self._connect()
-        if link is None:
-            return _unavailable('no committer is in reach')
-        self.committer = link
-        now = time.monotonic()
-        deadline = min(self.deadline, now + CLAIM_SECONDS)
-        sent = link.send(self._message(agent, deadline, now))
-        if sent is not None:
-            return self._give_up(_unavailable(sent.sentence))
-        answer = self._answer(link, deadline + ANSWER_SECONDS)
-        if isinstance(answer, Failure):
-            return self._give_up(answer)
-        if isinstance(answer, ClaimTaken):
-            return self._taken(answer)
-        self.granted = True
-        self.holder = self.box.request_id
-        return None
+        answer = self._claim_once(agent)
+        while self._lost_committer(answer):
+            self.committer = None
+            answer = self._claim_once(agent)
+        return answer
 
     def release(self, request_id: str = '') -> None:
-        """Free the claim of a request that is not and never dispatched."""
-        if self.committer is not None:
-            self.committer.send(
-                ReleaseClaim(
-                    request_id or self.box.request_id,
-                    self.request.client_account,
-                    self.request.key_digest,
-                ),
-            )
+        """Free the claim of a request that is not and never dispatched.
+
+        Where the committer is gone, another one writes the release.
+        """
+        if self.committer is None:
+            return
+        if self.committer.closed.is_set():
+            self.committer = self._connect() or self.committer
+        self.committer.send(
+            ReleaseClaim(
+                request_id or self.box.request_id,
+                self.request.client_account,
+                self.request.key_digest,
+            ),
+        )
 
     def follow(self, taken: ClaimTaken) -> Link | Failure:
         """Return the link to the agent that has the response."""
@@ -153,14 +145,38 @@
             remaining_ms=to_remaining_ms(self.deadline, time.monotonic()),
         )
 
-    def _connect(self) -> Link | None:
-        """Return a link to the key's committer, or to the next one.
+    def _claim_once(self, agent: str) -> ClaimTaken | Failure | None:
+        link = self.committer or self._connect()
+        if link is None:
+            return _unavailable('no committer is in reach')
+        self.committer = link
+        now = time.monotonic()
+        deadline = min(self.deadline, now + CLAIM_SECONDS)
+        sent = link.send(self._message(agent, deadline, now))
+        if sent is not None:
+            return self._give_up(_unavailable(sent.sentence))
+        answer = self._answer(link, deadline + ANSWER_SECONDS)
+        if isinstance(answer, Failure):
+            return self._give_up(answer)
+        if isinstance(answer, ClaimTaken):
+            return self._taken(answer)
+        self.holder = self.box.request_id
+        return None
+
+    def _lost_committer(self, answer: ClaimTaken | Failure | None) -> bool:
+        """Return whether to ask another committer.
 
-        Claims of one request all go to one committer.
+        A claim in the log goes to one committer only, whose answer may be
+        lost; a claim in memory is gone with its committer.
         """
-        if self.committer is not None:
-            closed = self.committer.closed.is_set()
-            return None if closed else self.committer
+        if self.request.durable or not isinstance(answer, ClaimUnavailable):
+            return False
+        if time.monotonic() >= self.deadline or self.committer is None:
+            return False
+        return self.committer.closed.is_set()
+
+    def _connect(self) -> Link | None:
+        """Return a link to the key's committer, or to the next one."""
         committers = dict(self.entry.agents.committers)
         request = self.request
         key = (request.client_account, request.key_digest.hex())
