--- a/features/idempotency.feature
+++ b/features/idempotency.feature
@@ -91,6 +91,7 @@
     And the committer of the key "k1" is killed after 0.7 seconds
     Then the first answer is the failure "claim_unavailable" with "not_run"
     When the log is slower by 0 ms
+    And the log has recorded the claim
     And the same order with the key "k1" is sent until it gets an answer
     Then the last answer is whole
     And the order ran once
@@ -124,6 +125,13 @@
     Then the repeat gets the whole text
     And the engines decoded it once
 
+  Scenario: The caller of a stream goes away and comes again
+    Given two zones with engines that need 20 ms for a token
+    When the caller of a keyed completion of 150 tokens goes away after 10
+    And the same completion is sent through entry 1
+    Then the repeat gets the whole text
+    And the engines decoded it once
+
   Scenario: A finished completion is answered from the store
     Given two zones with engines that need 2 ms for a token
     When a keyed whole completion is sent through both entries in turn
--- a/features/steps/idempotency.py
+++ b/features/steps/idempotency.py
@@ -26,6 +26,8 @@
 PATH = '/orders/seat-12'
 LOOKUP = '/stock/seat-12'
 PROMPT = 'continue the flight log of ' + ' '.join(f'leg{n}' for n in range(90))
+# Long enough for a prefill at another engine than the decode.
+LONG_PROMPT = ' '.join(f'leg{n}' for n in range(3000))
 KEY = 'completion-key'
 
 
@@ -215,6 +217,21 @@
     context.system.kill(context.system.agents[committer])
 
 
+@when('the log has recorded the claim')
+def wait_for_claim(context: Any) -> None:
+    assert wait_until(lambda: has_claims(log_records(context)), 10)
+
+
+def log_records(context: Any) -> list[Any]:
+    url = f'{context.system.platform["log"].url}/records?from=0'
+    records: list[Any] = get_json(context.system.pool, url)['records']
+    return records
+
+
+def has_claims(records: list[Any]) -> bool:
+    return any('claims' in json.dumps(record) for record in records)
+
+
 @then('the first answer is the failure "{code}" with "{outcome}"')
 def check_first_failure(context: Any, code: str, outcome: str) -> None:
     context.replies.append(context.begun.result(20))
@@ -312,21 +329,26 @@
 def check_secret(context: Any, text: str) -> None:
     runs = service_runs(context)
     assert len(runs) == 1, runs
-    url = f'{context.system.platform["log"].url}/records?from=0'
-    records = get_json(context.system.pool, url)['records']
-    assert any('claims' in json.dumps(record) for record in records), records
+    records = log_records(context)
+    assert has_claims(records), records
     assert text not in json.dumps(runs)
     assert text not in json.dumps(records)
 
 
-def send_completion(context: Any, number: int) -> Reply:
-    secret = next(iter(context.system.keys.values())).secret
+def completion_body(context: Any) -> bytes:
+    """Return the body as `complete` sends it; repeats are the same bytes."""
     body = {
         'model': 'model',
         'prompt': PROMPT,
         'max_tokens': context.tokens,
         'stream': True,
     }
+    return json.dumps(body).encode()
+
+
+def send_completion(context: Any, number: int) -> Reply:
+    secret = next(iter(context.system.keys.values())).secret
+    body = json.loads(completion_body(context))
     headers = {'Idempotency-Key': KEY}
     pool = urllib3.PoolManager()
     url = entry_url(context, number)
@@ -339,6 +361,29 @@
     context.begun = ThreadPoolExecutor(1).submit(send_completion, context, 0)
 
 
+@when(
+    'the caller of a keyed completion of {tokens:d} tokens goes away after 10'
+)
+def leave_completion(context: Any, tokens: int) -> None:
+    context.tokens = tokens
+    secret = next(iter(context.system.keys.values())).secret
+    response = urllib3.PoolManager().request(
+        'POST',
+        f'{entry_url(context, 0)}/v1/completions',
+        body=completion_body(context),
+        headers={'Authorization': f'Bearer {secret}', 'Idempotency-Key': KEY},
+        preload_content=False,
+        retries=False,
+    )
+    assert response.status == 200
+    chunks = response.stream(1024)
+    for _ in range(10):
+        next(chunks)
+    response.close()
+    # The entry looks for a gone caller five times a second.
+    time.sleep(1)
+
+
 @when('the same completion is sent through entry 1')
 def repeat_completion(context: Any) -> None:
     context.repeat = send_completion(context, 1)
@@ -389,7 +434,7 @@
         response = context.system.pool.request(
             'POST',
             f'{entry_url(context, number)}/v1/completions',
-            json={'model': 'model', 'prompt': PROMPT, 'max_tokens': 20},
+            json={'model': 'model', 'prompt': LONG_PROMPT, 'max_tokens': 20},
             headers={
                 'Authorization': f'Bearer {secret}',
                 'Idempotency-Key': KEY,
--- a/libs/agent/src/gypsumrelay_agent/keyedruns.py
+++ b/libs/agent/src/gypsumrelay_agent/keyedruns.py
@@ -73,7 +73,9 @@
     """
     followed = drop_listener(state.keeping, key.request_id, key.attempt)
     if followed is None:
-        return False
+        # Entries cancel at the decode and the prefill agent, which may be
+        # the same one, so the message comes twice.
+        return event.message.keep and key in state.keeping.runs
     place = state.ledger.places.get(followed)
     if place is None or place.phase is not Phase.running:
         return False
