--- a/libs/agent/src/gypsumrelay_agent/building.py
+++ b/libs/agent/src/gypsumrelay_agent/building.py
@@ -19,6 +19,7 @@
 )
 from gypsumrelay_limits import Member
 from gypsumrelay_platform import (
+    Batch,
     Callbacks,
     Follower,
     ListClient,
@@ -265,8 +266,12 @@
         keeper.confirm(asked_at)
         tell(events.LogEndRead(asked_at))
 
+    def on_batch(batch: Batch) -> None:
+        keeper.apply_batch(batch)
+        tell(events.LogRead(batch, own=False))
+
     callbacks = Callbacks(
-        on_batch=keeper.apply_batch,
+        on_batch=on_batch,
         on_listing=lambda listing, asked_at: tell(
             events.ListingRead(listing, asked_at),
         ),
--- a/libs/agent/src/gypsumrelay_agent/handling.py
+++ b/libs/agent/src/gypsumrelay_agent/handling.py
@@ -49,6 +49,18 @@
     take_listing,
     tick_shares,
 )
+from gypsumrelay_agent.keeping import keep_emitted
+from gypsumrelay_agent.keyedruns import (
+    KEYED_HANDLERS,
+    KEYED_RECEIVERS,
+    detach_run,
+    end_detached,
+    forget_link,
+    hand_over,
+    keep_response,
+    observe_listing,
+    tick_keyed,
+)
 from gypsumrelay_agent.probing import probe
 from gypsumrelay_agent.replies import failed_of_fault
 from gypsumrelay_agent.requests import (
@@ -80,7 +92,9 @@
 def _lose_link(state: AgentState, event: events.LinkLost) -> None:
     name = link_id(event.link)
     state.links.pop(name, None)
+    forget_link(state, event.link)
     act(state, ledger.lose_link(state.ledger, name, now_seconds()))
+    hand_over(state)
 
 
 def _receive(state: AgentState, event: events.Received) -> None:
@@ -93,6 +107,8 @@
 def _reserve(state: AgentState, event: events.Received) -> None:
     now = now_seconds()
     request = reserve_request(event.message, now)
+    if not keep_response(state, request, event):
+        return
     state.digests[request.key] = event.message.request_digest
     found = ledger.reserve(state.ledger, request, link_id(event.link), now)
     act(state, found)
@@ -103,7 +119,10 @@
     message = event.message
     key = key_of(message)
     state.orders[key] = message
-    first_index = message.first_index if isinstance(message, Decode) else 0
+    first_index = 0
+    if isinstance(message, Decode):
+        first_index = message.first_index
+        keep_emitted(state.keeping, key, message)
     act(
         state,
         ledger.start(state.ledger, key, first_index, run_deadline(now), now),
@@ -114,6 +133,8 @@
 def _call(state: AgentState, event: events.Received) -> None:
     now = now_seconds()
     request = call_request(event.message, now)
+    if not keep_response(state, request, event):
+        return
     state.orders[request.key] = event.message
     state.deadlines[request.key] = request.deadline
     state.digests[request.key] = event.message.request_digest
@@ -123,6 +144,8 @@
 
 def _cancel(state: AgentState, event: events.Received) -> None:
     key = key_of(event.message)
+    if detach_run(state, key, event):
+        return
     act(state, ledger.cancel(state.ledger, key, now_seconds()))
 
 
@@ -183,6 +206,7 @@
     now = now_seconds()
     run = state.runs.pop(event.key, None)
     if run is None:
+        end_detached(state, event)
         return
     if event.fault is None:
         coldstart.observe_completion(
@@ -245,6 +269,7 @@
         event.asked_at,
         now_seconds(),
     )
+    observe_listing(state, event.listing)
 
 
 def _note_log_end(state: AgentState, event: events.LogEndRead) -> None:
@@ -283,6 +308,7 @@
     tick_draws(state.accounts, now)
     tick_shares(state.accounts, now)
     tick_fence(state, now)
+    tick_keyed(state, now)
     probe(state, now)
 
 
@@ -304,6 +330,7 @@
     events.LogEndRead: _note_log_end,
     events.PeerTried: _resend,
     events.DrainBegan: _drain,
+    **KEYED_HANDLERS,
 }
 _RECEIVERS: Final[dict[type, Callable[[AgentState, Any], None]]] = {
     Reserve: _reserve,
@@ -315,4 +342,5 @@
     Settle: _receive_settlement,
     Drawn: _receive_reply,
     DrawRefused: _receive_reply,
+    **KEYED_RECEIVERS,
 }
--- a/libs/agent/src/gypsumrelay_agent/state.py
+++ b/libs/agent/src/gypsumrelay_agent/state.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
+from gypsumrelay_claims import StoredResponses
 from gypsumrelay_upstreams import (
     ColdRamp,
     Key,
@@ -20,7 +21,9 @@
 from gypsumrelay_wire import Call, Decode, Link, LoadReport, Prefill
 
 from gypsumrelay_agent.accounts import Accounts
+from gypsumrelay_agent.claiming import Claiming
 from gypsumrelay_agent.engine import EngineClient
+from gypsumrelay_agent.keeping import Keeping
 from gypsumrelay_agent.runs import Run, Tell
 from gypsumrelay_agent.service import ServiceClient
 
@@ -36,6 +39,24 @@
 MS_PER_SECOND: Final = 1000
 
 
+def _new_claiming(state: AgentState) -> Claiming:
+    accounts = state.accounts
+    return Claiming(
+        accounts.member,
+        state.settings.claim_seconds,
+        accounts.log_client,
+        state.executor,
+        state.tell,
+    )
+
+
+def _new_keeping(state: AgentState) -> Keeping:
+    return Keeping(
+        StoredResponses(state.settings.stored_response_bytes),
+        state.settings.stored_response_seconds,
+    )
+
+
 @attrs.define(eq=False)
 class AgentState:
     """State of an agent and the means to act on it.
@@ -44,6 +65,8 @@
         fence: The fencing token of the upstream.
         hints: Prefixes that the engine's cache probably holds.
         prefixes: The hints as entries are told, oldest first.
+        claiming: The claims that this agent records for entries.
+        keeping: Responses of requests with an idempotency key.
         runs: Runs at the upstream by attempt.
         orders: Messages that start runs, until they are started.
         deadlines: Deadlines of plain service requests.
@@ -82,6 +105,12 @@
     digests: dict[Key, bytes] = attrs.field(factory=dict)
     probed_at: float = float('-inf')
     lock: threading.Lock = attrs.field(factory=threading.Lock)
+    claiming: Claiming = attrs.field(
+        default=attrs.Factory(_new_claiming, takes_self=True),
+    )
+    keeping: Keeping = attrs.field(
+        default=attrs.Factory(_new_keeping, takes_self=True),
+    )
 
     @property
     def is_service(self) -> bool:
--- a/libs/entry/src/gypsumrelay_entry/context.py
+++ b/libs/entry/src/gypsumrelay_entry/context.py
@@ -11,6 +11,7 @@
 from gypsumrelay_wire import Link
 
 from gypsumrelay_entry import events
+from gypsumrelay_entry.keyed import Agents
 from gypsumrelay_entry.mailboxes import Mailboxes
 from gypsumrelay_entry.retrying import Retries
 from gypsumrelay_entry.suspicion import Suspicions
@@ -65,6 +66,7 @@
     open_requests: OpenRequests = attrs.field(factory=OpenRequests)
     suspicions: Suspicions = attrs.field(factory=Suspicions)
     retries: Retries = attrs.field(factory=Retries)
+    agents: Agents = attrs.field(factory=Agents)
 
     def record(
         self,
--- a/libs/instance/src/gypsumrelay_instance/__init__.py
+++ b/libs/instance/src/gypsumrelay_instance/__init__.py
@@ -8,6 +8,9 @@
     start_admin,
     start_server,
 )
+from gypsumrelay_instance.committers import (
+    listed_committers,
+)
 from gypsumrelay_instance.keeper import (
     Keeper,
 )
@@ -27,6 +30,7 @@
     'Peers',
     'StartResponse',
     'admin_application',
+    'listed_committers',
     'start_admin',
     'start_server',
     'wait_for_signal',
--- a/libs/wire/src/gypsumrelay_wire/messages.py
+++ b/libs/wire/src/gypsumrelay_wire/messages.py
@@ -107,7 +107,10 @@
 class Decode(Message):
     """Starts the decode of a reserved request at a token index.
 
-    With a prompt, the decode upstream computes the prefill itself.
+    With a prompt, the decode upstream computes the prefill itself. For a
+    request with an idempotency key, `emitted` is the text before the first
+    index and `counted_prompt` the prompt's tokens as an engine counted
+    them, so that the agent stores the whole response.
     """
 
     tag: ClassVar[int] = 7
@@ -120,6 +123,8 @@
     priority: int
     remaining_ms: int
     prompt: str = ''
+    emitted: bytes = b''
+    counted_prompt: int = 0
 
 
 @attrs.frozen
@@ -190,11 +195,16 @@
 
 @attrs.frozen
 class Cancel(Message):
-    """Ends a request at an agent; its memory is freed."""
+    """Ends a request at an agent; its memory is freed.
+
+    With `keep`, running work with an idempotency key goes on for its grace
+    period, since its caller may come again.
+    """
 
     tag: ClassVar[int] = 13
     request_id: str
     attempt: int
+    keep: bool = False
 
 
 @attrs.frozen
@@ -270,7 +280,11 @@
 
 @attrs.frozen
 class Claim(Message):
-    """Asks a committer to record a claim for an idempotency key."""
+    """Asks a committer to record a claim for an idempotency key.
+
+    `replaces` names the request whose claim in memory this one takes over,
+    because its work moves to another agent or its agent is gone.
+    """
 
     tag: ClassVar[int] = 19
     request_id: str
@@ -280,6 +294,7 @@
     durable: bool
     agent: str
     remaining_ms: int
+    replaces: str = ''
 
 
 @attrs.frozen
@@ -342,3 +357,13 @@
     tag: ClassVar[int] = 24
     offset: int
     state: bytes
+
+
+@attrs.frozen
+class ReleaseClaim(Message):
+    """Frees the claim of a request that never will be dispatched."""
+
+    tag: ClassVar[int] = 30
+    request_id: str
+    client_account: str
+    key_digest: bytes
