Make the zone drain of the command line take effect

Cause: the command wrote the subject `zone`, and entries act on `availability_zone`, so an operator's drain of a zone was accepted and did nothing. The scenario of the drained zone wrote its own records and did not notice; it now runs the command: failed before this change, passes after.

--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -4,6 +4,8 @@
 
 import secrets
 import signal
+import subprocess
+import sys
 import time
 from functools import partial
 from typing import Any
@@ -30,6 +32,21 @@
     return secrets.token_hex(8)
 
 
+def run_command(context: Any, *arguments: str) -> None:
+    """Run an operator command as an operator would."""
+    settings = context.system.write_operator_settings()
+    finished = subprocess.run(  # noqa: S603 - fixed command line
+        [
+            *(sys.executable, '-m', 'gypsumrelay_command', *arguments),
+            *('--settings', str(settings)),
+        ],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert finished.returncode == 0, finished.stdout + finished.stderr
+
+
 def any_key(context: Any) -> Any:
     return next(iter(context.system.keys.values()))
 
@@ -76,10 +93,7 @@
 def drain_zone(context: Any, tokens: int) -> None:
     name = context.system.running_decode(tokens)
     context.zone = context.system.upstreams[name].availability_zone
-    append(
-        context,
-        DrainSet(new_id(), 0, 'availability_zone', context.zone, True),
-    )
+    run_command(context, 'drain', 'zone', context.zone)
     context.drained_at = time.monotonic()
 
 
@@ -125,10 +139,7 @@
 
 @when('the zone is taken back in')
 def undrain(context: Any) -> None:
-    append(
-        context,
-        DrainSet(new_id(), 1, 'availability_zone', context.zone, False),
-    )
+    run_command(context, 'drain', 'zone', context.zone, '--undo')
 
 
 @then('the zone gets work again within {seconds:d} seconds')
--- a/libs/command/src/gypsumrelay_command/changes.py
+++ b/libs/command/src/gypsumrelay_command/changes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import types
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Final
@@ -34,7 +35,14 @@
 )
 
 Work = Callable[[Reading], Result]
-SUBJECTS: Final = ('zone', 'instance', 'upstream')
+# What operators type, and the subject that readers of the log act on.
+SUBJECTS: Final = types.MappingProxyType(
+    {
+        'zone': 'availability_zone',
+        'instance': 'instance',
+        'upstream': 'upstream',
+    },
+)
 KEY_ID_LETTERS: Final = 12
 _KEY_ID: Final = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
 
@@ -155,9 +163,10 @@
         if subject not in SUBJECTS:
             allowed = f'a subject is one of {", ".join(SUBJECTS)}'
             return failure(INVALID, 'subject', allowed)
-        known = reading.state.drains.get(drain_id(subject, name))
+        kind = SUBJECTS[subject]
+        known = reading.state.drains.get(drain_id(kind, name))
         version = known.version if known else 0
-        record = DrainSet(new_record_id(), version, subject, name, not undo)
+        record = DrainSet(new_record_id(), version, kind, name, not undo)
         return publish_records(reading, [record])
 
     return work
