Sort the pages by reader and drop the second attribution of crashes

The upstreams library's suspects were used by nobody, since the routing library makes the same decision for the entries; the module and its four scenarios are gone, and the same checks stand in libs/routing (attribution) and features/crashes.feature. A crash in cold start with more work than the upstream bears is not attributed. Agents send the gauges that the metrics page lists.

--- a/libs/agent/src/gypsumrelay_agent/crashes.py
+++ b/libs/agent/src/gypsumrelay_agent/crashes.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
-from gypsumrelay_upstreams import EngineReport
+from gypsumrelay_upstreams import EngineReport, coldstart
 from gypsumrelay_wire import CrashReport
 from logbook import Logger
 
@@ -40,11 +40,19 @@
     if state.suspected is None:
         runs = [run, *state.runs.values()]
         digests = dict.fromkeys(one.digest for one in runs if one.digest)
+        if _is_overloaded(state, len(runs)):
+            digests = {}
         state.suspected = Suspected(state.ledger.engine, list(digests))
         probe_now(state)
     state.suspected.failed.append((run, fault))
 
 
+def _is_overloaded(state: AgentState, running: int) -> bool:
+    """Return whether load in cold start is the likelier cause of a crash."""
+    limit = state.settings.upstream.cold_limit
+    return coldstart.is_cold(state.ramp) and running > limit
+
+
 def settle_suspicion(
     state: AgentState,
     report: EngineReport | UpstreamFault,
@@ -54,7 +62,7 @@
     if suspected is None:
         return
     state.suspected = None
-    if _is_confirmed(suspected, report):
+    if suspected.digests and _is_confirmed(suspected, report):
         _send_report(state, suspected)
     for run, fault in suspected.failed:
         run.link.send(failed_of_fault(run, fault))
--- a/libs/agent/src/gypsumrelay_agent/handling.py
+++ b/libs/agent/src/gypsumrelay_agent/handling.py
@@ -8,6 +8,7 @@
 from gypsumrelay_upstreams import (
     CacheEvent,
     EngineReport,
+    capacity,
     coldstart,
     ledger,
     observe_events,
@@ -74,6 +75,7 @@
 
 # A prefill result lives under a second at the engine.
 RESULT_SECONDS: Final = 1.0
+GAUGE_SECONDS: Final = 1.0
 
 
 def handle(state: AgentState, event: object) -> None:
@@ -313,10 +315,21 @@
     tick_draws(state.accounts, now)
     tick_shares(state.accounts, now)
     tick_fence(state, now)
+    _send_gauges(state, now)
     tick_keyed(state, now)
     probe(state, now)
 
 
+def _send_gauges(state: AgentState, now: float) -> None:
+    if now - state.gauged_at < GAUGE_SECONDS:
+        return
+    state.gauged_at = now
+    state.metrics.gauge('agent.running', len(state.runs))
+    state.metrics.gauge('agent.waiting', len(state.ledger.waiting))
+    held = capacity.used_pieces(state.ledger)
+    state.metrics.gauge('agent.held_pieces', held)
+
+
 def _drain(state: AgentState, event: events.DrainBegan) -> None:
     act(state, ledger.drain(state.ledger, now_seconds()))
 
--- a/libs/agent/src/gypsumrelay_agent/state.py
+++ b/libs/agent/src/gypsumrelay_agent/state.py
@@ -98,6 +98,7 @@
     orders: dict[Key, Prefill | Decode | Call] = attrs.field(factory=dict)
     deadlines: dict[Key, float] = attrs.field(factory=dict)
     links: dict[str, Link] = attrs.field(factory=dict)
+    gauged_at: float = float('-inf')
     probing: bool = False
     upstream_down: bool = False
     suspected: Suspected | None = None
--- a/libs/telemetry/src/gypsumrelay_telemetry/metrics.py
+++ b/libs/telemetry/src/gypsumrelay_telemetry/metrics.py
@@ -12,7 +12,7 @@
 
 PREFIX: Final = 'gypsumrelay'
 
-# Name, kind and unit of every metric; docs/OPERATING.md lists them.
+# Name, kind and unit of every metric; docs/operators/running.md lists them.
 METRICS: Final = (
     ('entry.accepted', 'counter', 'requests'),
     ('entry.answered', 'counter', 'requests'),
@@ -24,11 +24,10 @@
     ('agent.reserved', 'counter', 'requests'),
     ('agent.refused', 'counter', 'requests'),
     ('agent.cancelled', 'counter', 'requests'),
-    ('agent.wasted_prefill', 'counter', 'tokens'),
     ('agent.running', 'gauge', 'requests'),
     ('agent.waiting', 'gauge', 'requests'),
     ('agent.held_pieces', 'gauge', 'pieces'),
-    ('agent.draws_granted', 'counter', 'tokens'),
+    ('agent.upstream_down', 'counter', 'probes'),
     ('agent.draws_refused', 'counter', 'draws'),
 )
 
--- a/libs/upstreams/src/gypsumrelay_upstreams/__init__.py
+++ b/libs/upstreams/src/gypsumrelay_upstreams/__init__.py
@@ -63,15 +63,6 @@
     Reservation,
     ReserveRequest,
 )
-from gypsumrelay_upstreams.suspects import (
-    CrashFact,
-    Suspects,
-    SuspectSettings,
-    must_run_alone,
-    next_alone,
-    observe_crash,
-    observe_success,
-)
 
 __all__ = (
     'Action',
@@ -79,7 +70,6 @@
     'CancelRun',
     'ColdRamp',
     'Command',
-    'CrashFact',
     'DeadlineQueue',
     'Delivered',
     'DropReason',
@@ -107,8 +97,6 @@
     'Reservation',
     'ReserveRequest',
     'StartRun',
-    'SuspectSettings',
-    'Suspects',
     'TakeToken',
     'WaitingItem',
     'WaitingQueue',
@@ -119,12 +107,8 @@
     'issue_command',
     'ledger',
     'may_take_effect',
-    'must_run_alone',
-    'next_alone',
-    'observe_crash',
     'observe_events',
     'observe_log_read',
-    'observe_success',
     'observe_token',
     'observe_use',
     'reconciliation',
--- a/libs/upstreams/tests/reports.feature
+++ b/libs/upstreams/tests/reports.feature
@@ -1,19 +1,6 @@
-Feature: An agent reports crashes, load and cached prefixes as they are
+Feature: An agent reports load and cached prefixes as they are
 
-  Guards against a request that crashes one engine after the other unseen,
-  innocent requests that stay suspect, and hints of prefixes that are gone.
-
-  Scenario: All that ran in a crash is suspect and runs alone, one by one
-    Then requests "abc" in one crash are suspects and run alone in this order
-
-  Scenario: A crash alone is told apart, a success clears
-    Then "a" that crashes alone has 2 crashes with 1 alone, and "b" is cleared by its success
-
-  Scenario: One crash that is noticed twice counts once
-    Then a second report of the same crash changes nothing
-
-  Scenario: The memory of crashes is bounded
-    Then of 5 suspects 3 are remembered, and none after an hour
+  Guards against hints of prefixes that are gone.
 
   Scenario: A missed event makes earlier hints uncertain, not later ones
     Then hints follow the events so
--- a/libs/upstreams/tests/steps/reports_steps.py
+++ b/libs/upstreams/tests/steps/reports_steps.py
@@ -1,4 +1,4 @@
-"""Steps for suspects and load summaries."""
+"""Steps for load summaries and prefix hints."""
 
 from __future__ import annotations
 
@@ -8,7 +8,6 @@
 from gypsumrelay_upstreams import (
     CacheEvent,
     ColdRamp,
-    CrashFact,
     HintSettings,
     Key,
     Ledger,
@@ -17,15 +16,9 @@
     PrefixHints,
     RampSettings,
     ReserveRequest,
-    Suspects,
-    SuspectSettings,
     cached_pieces,
     ledger,
-    must_run_alone,
-    next_alone,
-    observe_crash,
     observe_events,
-    observe_success,
     observe_use,
     summarize,
 )
@@ -35,51 +28,6 @@
     return [letter.encode() for letter in text]
 
 
-@then(
-    'requests "{names}" in one crash are suspects and run alone in this order'
-)
-def check_order(context: Any, names: str) -> None:
-    state = Suspects()
-    observe_crash(state, 'e1', letters(names), 0)
-    for name in letters(names):
-        assert must_run_alone(state, name, 1)
-        assert next_alone(state, letters(names), 1) == name
-        assert observe_success(state, name)
-    assert next_alone(state, letters(names), 1) is None
-
-
-@then(
-    '"a" that crashes alone has 2 crashes with 1 alone, and "b" is cleared '
-    'by its success',
-)
-def check_alone(context: Any) -> None:
-    state = Suspects()
-    first = observe_crash(state, 'e1', letters('ab'), 0, cold=True)
-    assert first[0] == CrashFact(b'a', 1, 0, 1, cold=True)
-    observe_success(state, b'b')
-    assert not must_run_alone(state, b'b', 1)
-    second = observe_crash(state, 'e2', letters('a'), 1)
-    assert second == [CrashFact(b'a', 2, 1, 0, cold=False)]
-
-
-@then('a second report of the same crash changes nothing')
-def check_once(context: Any) -> None:
-    state = Suspects()
-    observe_crash(state, 'e1', letters('a'), 0)
-    assert not observe_crash(state, 'e1', letters('a'), 1)
-    assert state.known[b'a'].crashes == 1
-
-
-@then('of 5 suspects 3 are remembered, and none after an hour')
-def check_bounds(context: Any) -> None:
-    state = Suspects(SuspectSettings(3))
-    for number, name in enumerate(letters('abcde')):
-        observe_crash(state, str(number), [name], number)
-    assert list(state.known) == letters('cde')
-    assert not must_run_alone(state, b'e', 3604)
-    assert not state.known
-
-
 def summary(hints: PrefixHints, now: float, state: Any = None) -> LoadSummary:
     ramp = ColdRamp(RampSettings(), 20, 0)
     return summarize(state or Ledger(LedgerSettings(), 'a'), ramp, hints, now)
