--- a/features/whole_path.feature
+++ b/features/whole_path.feature
@@ -27,3 +27,9 @@
     When 60 mixed requests are sent with seed 7
     Then every accepted request was answered in full
     And nothing was doubled and every refusal was not run
+
+  Scenario: Operators see every process and every step of a request
+    Given the smallest system
+    When a caller asks for 20 tokens as a stream
+    Then the status command lists 4 processes at the same offset
+    And the timeline command shows the request at entry and agents
