--- a/Makefile
+++ b/Makefile
@@ -72,3 +72,6 @@
 
 capacity: setup
 	$(BIN)/python -m gypsumrelay_bench.capacity
+
+effects: setup
+	$(BIN)/python -m gypsumrelay_bench.effects
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -18,6 +18,7 @@
 # Each system has up to twenty processes, whose deadlines are real time.
 PARALLEL_SYSTEMS = 3
 SUITE_TIMEOUT_SECONDS = 900
+OUTPUT_SHOWN = 6000
 
 
 def find_suites() -> list[Path]:
@@ -66,6 +67,7 @@
             check=False,
         )
         results = read_report(report, suite)
+        show_errors(report)
     seconds = time.monotonic() - started
     name = suite.relative_to(ROOT)
     passed = sum(status == 'passed' for _, status in results)
@@ -73,8 +75,8 @@
     if finished.returncode and passed == len(results):
         results.append((f'{name} :: behave itself', 'failed'))
     if finished.returncode:
-        print(finished.stdout[-12000:])
-        print(finished.stderr[-4000:])
+        print(finished.stdout[-OUTPUT_SHOWN:])
+        print(finished.stderr[-OUTPUT_SHOWN:])
     return results
 
 
@@ -96,6 +98,18 @@
     ]
 
 
+def show_errors(report: Path) -> None:
+    """Print why steps of a suite failed."""
+    features = json.loads(report.read_text()) if report.exists() else []
+    for feature in features:
+        for element in feature.get('elements', ()):
+            for step in element['steps']:
+                message = step.get('result', {}).get('error_message')
+                if message:
+                    print(f'{element["name"]}: {step["name"]}')
+                    print('\n'.join(message)[-OUTPUT_SHOWN:])
+
+
 def main() -> int:
     """Run all suites; return 0 only where every scenario passed."""
     chosen = [Path(argument).resolve() for argument in sys.argv[1:]]
