Build the recorder and links of both programs in one place

Entry and agent built them with the same lines; the instance library has them now, and steps run operator commands through the demonstration's system.

--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -4,8 +4,6 @@
 
 import secrets
 import signal
-import subprocess
-import sys
 import time
 from functools import partial
 from typing import Any
@@ -32,21 +30,6 @@
     return secrets.token_hex(8)
 
 
-def run_command(context: Any, *arguments: str) -> None:
-    """Run an operator command as an operator would."""
-    settings = context.system.write_operator_settings()
-    finished = subprocess.run(  # noqa: S603 - fixed command line
-        [
-            *(sys.executable, '-m', 'gypsumrelay_command', *arguments),
-            *('--settings', str(settings)),
-        ],
-        capture_output=True,
-        text=True,
-        check=False,
-    )
-    assert finished.returncode == 0, finished.stdout + finished.stderr
-
-
 def any_key(context: Any) -> Any:
     return next(iter(context.system.keys.values()))
 
@@ -93,7 +76,7 @@
 def drain_zone(context: Any, tokens: int) -> None:
     name = context.system.running_decode(tokens)
     context.zone = context.system.upstreams[name].availability_zone
-    run_command(context, 'drain', 'zone', context.zone)
+    context.system.run_command('drain', 'zone', context.zone)
     context.drained_at = time.monotonic()
 
 
@@ -139,7 +122,7 @@
 
 @when('the zone is taken back in')
 def undrain(context: Any) -> None:
-    run_command(context, 'drain', 'zone', context.zone, '--undo')
+    context.system.run_command('drain', 'zone', context.zone, '--undo')
 
 
 @then('the zone gets work again within {seconds:d} seconds')
--- a/features/steps/whole_path.py
+++ b/features/steps/whole_path.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import json
-import subprocess
-import sys
 from typing import Any
 
 from behave import given, then, when
@@ -145,25 +143,12 @@
     assert context.tally.is_clean, context.tally
 
 
-def command_output(context: Any, *arguments: str) -> Any:
-    settings = context.system.write_operator_settings()
-    finished = subprocess.run(  # noqa: S603 - fixed command line
-        [
-            *(sys.executable, '-m', 'gypsumrelay_command', *arguments),
-            *('--settings', str(settings), '--json'),
-        ],
-        capture_output=True,
-        text=True,
-        check=False,
-    )
-    assert finished.returncode == 0, finished.stdout + finished.stderr
-    return json.loads(finished.stdout)
-
-
 @then('the status command lists {count:d} processes at the same offset')
 def check_status(context: Any, count: int) -> None:
     def agrees() -> bool:
-        context.answer = command_output(context, 'status')
+        context.answer = json.loads(
+            context.system.run_command('status', '--json'),
+        )
         rows = context.answer['instances']
         offsets = {row['offset'] for row in rows}
         return len(rows) == count and len(offsets) == 1
@@ -174,7 +159,13 @@
 @then('the timeline command shows the request at entry and agents')
 def check_timeline(context: Any) -> None:
     request_id = context.reply.headers['X-Request-Id']
-    found = command_output(context, 'timeline', '--request', request_id)
+    output = context.system.run_command(
+        'timeline',
+        '--request',
+        request_id,
+        '--json',
+    )
+    found = json.loads(output)
     events = found if isinstance(found, list) else found['events']
     instances = {event['instance'] for event in events}
     assert 'entry-0' in instances, found
--- a/libs/agent/src/gypsumrelay_agent/building.py
+++ b/libs/agent/src/gypsumrelay_agent/building.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import secrets
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -16,6 +15,8 @@
     Keeper,
     PeerCallbacks,
     Peers,
+    new_peers,
+    new_recorder,
 )
 from gypsumrelay_limits import Member
 from gypsumrelay_platform import (
@@ -27,7 +28,7 @@
     SnapshotKeeper,
 )
 from gypsumrelay_telemetry import new_metrics
-from gypsumrelay_timeline import Recorder, Ring, Stamp
+from gypsumrelay_timeline import Recorder
 from gypsumrelay_upstreams import (
     ColdRamp,
     FenceSettings,
@@ -58,8 +59,6 @@
     from gypsumrelay_errors import Failure
     from gypsumrelay_settings import AgentSettings
 
-MS_PER_SECOND: Final = 1000
-INCARNATION_BYTES: Final = 4
 # Cancellations and questions need threads beside the runs.
 HEADROOM_THREADS: Final = 16
 
@@ -82,8 +81,13 @@
 
 def build(settings: AgentSettings) -> Parts:
     """Build the parts of an agent; nothing follows or listens yet."""
-    recorder = _new_recorder(settings)
-    peers = _new_peers(settings, recorder)
+    recorder = new_recorder(settings.instance, settings.telemetry)
+    peers = new_peers(
+        settings.instance,
+        settings.shared_secret,
+        'agent',
+        recorder,
+    )
     log_client = LogClient(settings.platform.log_url)
     built: list[AgentState] = []
 
@@ -136,33 +140,6 @@
     return tell
 
 
-def _new_recorder(settings: AgentSettings) -> Recorder:
-    return Recorder(
-        settings.instance.name,
-        Ring(settings.telemetry.events_kept),
-        lambda: int(time.time() * MS_PER_SECOND),
-    )
-
-
-def _new_peers(settings: AgentSettings, recorder: Recorder) -> Peers:
-    instance = settings.instance
-    identity = Identity(
-        instance.name,
-        instance.incarnation or secrets.token_hex(INCARNATION_BYTES),
-        'agent',
-        instance.availability_zone,
-    )
-    return Peers(
-        identity=identity,
-        secret=settings.shared_secret.encode(),
-        keeper=Keeper(),
-        stamp=lambda: attrs.astuple(recorder.stamp()),
-        merge_stamp=lambda wall_ms, counter: recorder.observe(
-            Stamp(wall_ms, counter),
-        ),
-    )
-
-
 def _new_state(
     settings: AgentSettings,
     recorder: Recorder,
--- a/libs/demo/src/gypsumrelay_demo/system.py
+++ b/libs/demo/src/gypsumrelay_demo/system.py
@@ -5,6 +5,8 @@
 import json
 import secrets
 import signal
+import subprocess
+import sys
 import time
 from functools import partial
 from pathlib import Path
@@ -333,6 +335,21 @@
             return 0
         return int(status['usable_upstreams'])
 
+    def run_command(self, *arguments: str) -> str:
+        """Run an operator command as an operator would; return its output."""
+        finished = subprocess.run(  # noqa: S603 - fixed command line
+            [
+                *(sys.executable, '-m', PROGRAM, *arguments),
+                *('--settings', str(self.write_operator_settings())),
+            ],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        if finished.returncode:
+            raise RuntimeError(finished.stdout + finished.stderr)
+        return finished.stdout
+
     def running_decode(self, tokens: int) -> str:
         """Wait for a run with some tokens; return its decode upstream."""
         found: list[str] = []
--- a/libs/entry/src/gypsumrelay_entry/process.py
+++ b/libs/entry/src/gypsumrelay_entry/process.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import secrets
 import threading
 import time
 from typing import TYPE_CHECKING, Any, Final
@@ -11,10 +10,10 @@
 import attrs
 from gypsumrelay_instance import (
     AdminCallbacks,
-    Keeper,
     PeerCallbacks,
-    Peers,
     listed_committers,
+    new_peers,
+    new_recorder,
     start_admin,
     start_server,
     wait_for_signal,
@@ -28,8 +27,8 @@
 )
 from gypsumrelay_routing import View
 from gypsumrelay_telemetry import new_metrics, set_up_logs
-from gypsumrelay_timeline import Recorder, Ring, Stamp, events_to_json
-from gypsumrelay_wire import CrashReport, Identity, Link, LoadReport, Message
+from gypsumrelay_timeline import events_to_json
+from gypsumrelay_wire import CrashReport, Link, LoadReport, Message
 from logbook import Logger
 
 from gypsumrelay_entry import events
@@ -132,31 +131,18 @@
 
 
 def _build(settings: EntrySettings) -> Entry:
-    keeper = Keeper()
-    recorder = Recorder(
-        settings.instance.name,
-        Ring(settings.telemetry.events_kept),
-        lambda: int(time.time() * MS_PER_SECOND),
+    recorder = new_recorder(settings.instance, settings.telemetry)
+    peers = new_peers(
+        settings.instance,
+        settings.shared_secret,
+        'entry',
+        recorder,
     )
+    keeper = peers.keeper
     mailboxes = Mailboxes()
     suspicions = Suspicions()
     actor = EntryActor.start(_view_state(settings))
-    identity = Identity(
-        settings.instance.name,
-        settings.instance.incarnation or secrets.token_hex(4),
-        'entry',
-        settings.instance.availability_zone,
-    )
-    peers = Peers(
-        identity=identity,
-        secret=settings.shared_secret.encode(),
-        keeper=keeper,
-        callbacks=_peer_callbacks(mailboxes, suspicions, actor),
-        stamp=lambda: attrs.astuple(recorder.stamp()),
-        merge_stamp=lambda wall_ms, counter: recorder.observe(
-            Stamp(wall_ms, counter),
-        ),
-    )
+    peers.callbacks = _peer_callbacks(mailboxes, suspicions, actor)
 
     def tell_drains() -> None:
         with keeper.lock:
--- a/libs/instance/src/gypsumrelay_instance/__init__.py
+++ b/libs/instance/src/gypsumrelay_instance/__init__.py
@@ -21,6 +21,10 @@
 from gypsumrelay_instance.shutdown import (
     wait_for_signal,
 )
+from gypsumrelay_instance.startup import (
+    new_peers,
+    new_recorder,
+)
 
 __all__ = (
     'AdminCallbacks',
@@ -31,6 +35,8 @@
     'StartResponse',
     'admin_application',
     'listed_committers',
+    'new_peers',
+    'new_recorder',
     'start_admin',
     'start_server',
     'wait_for_signal',
