--- a/libs/bench/src/gypsumrelay_bench/effects.py
+++ b/libs/bench/src/gypsumrelay_bench/effects.py
@@ -110,8 +110,8 @@
         ]
         return [status['offset'] for status in statuses if status]
 
-    log_url = system.platform['log'].url
-    end = int(get_json(system.pool, log_url)['next'])
+    log = get_json(system.pool, system.platform['log'].url) or {}
+    end = int(log['next'])
     return timed(lambda: append(system, record), lambda: min(offsets()) >= end)
 
 
