--- a/features/operators.feature
+++ b/features/operators.feature
@@ -26,6 +26,7 @@
     When a caller streams 150 tokens
     And the agent of the stream is terminated after 5 tokens
     Then the whole answer to its own prompt arrives
+    And it came from one decode run alone
     And the terminated agent has exited by itself
 
   Scenario: A leaving entry cuts no request
--- a/features/requests_survive.feature
+++ b/features/requests_survive.feature
@@ -30,6 +30,11 @@
     When a caller streams 200 tokens and goes away after 5
     Then no engine memory is held within 1.5 seconds
 
+  Scenario: A caller that goes away while it waits for one body frees it, too
+    Given two zones with engines that need 20 ms for a token
+    When a caller asks for a body of 200 tokens and goes away after 5
+    Then no engine memory is held within 1.5 seconds
+
   Scenario: The death of an entry frees the engine
     Given two zones with engines that need 20 ms for a token
     When a caller streams 200 tokens
--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -148,6 +148,17 @@
     entry.process.signal(signal.SIGTERM)
 
 
+@then('it came from one decode run alone')
+def check_one_run(context: Any) -> None:
+    states = [
+        run['state']
+        for name in context.system.upstreams
+        for run in context.system.runs_at(name)
+        if run.get('kind') == 'decode'
+    ]
+    assert states == ['finished'], states
+
+
 @then('the terminated agent has exited by itself')
 def check_exited(context: Any) -> None:
     assert context.agent.process.wait(10) == 0
--- a/features/steps/survival.py
+++ b/features/steps/survival.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import json
 import signal
+import socket
 import threading
 import time
 from typing import Any
@@ -134,6 +136,26 @@
     response.close()
 
 
+@when(
+    'a caller asks for a body of {tokens:d} tokens and goes away after {ran:d}'
+)
+def ask_and_leave(context: Any, tokens: int, ran: int) -> None:
+    entry = next(iter(context.system.entries.values()))
+    key = next(iter(context.system.keys.values())).secret
+    body = json.dumps(
+        {'model': 'model', 'prompt': PROMPT, 'max_tokens': tokens},
+    ).encode()
+    host, _, port = entry.url.removeprefix('http://').partition(':')
+    with socket.create_connection((host, int(port))) as connection:
+        head = (
+            'POST /v1/completions HTTP/1.1\r\nHost: a\r\n'
+            f'Authorization: Bearer {key}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
+        )
+        connection.sendall(head.encode() + body)
+        context.system.running_decode(ran)
+
+
 @then('no engine memory is held within {seconds:g} seconds')
 def check_memory(context: Any, seconds: float) -> None:
     if getattr(context, 'frozen', None) is not None:
