Give each capacity figure a name of its own

The memory of a share and of a fence had the names of their records on the wire, so the scaled configuration used 190 and 159 bytes for 371 and 284.

Figures of one name are refused now; the test fails with the old name and without the check.

--- a/libs/bench/src/gypsumrelay_bench/capacity.py
+++ b/libs/bench/src/gypsumrelay_bench/capacity.py
@@ -23,7 +23,7 @@
     capacity_wire,
 )
 from gypsumrelay_bench.capacity_budget import Judged, Unit, judge, sum_costs
-from gypsumrelay_bench.capacity_fit import Fit, fit_line
+from gypsumrelay_bench.capacity_fit import Fit, fit_line, merge_named
 
 BUILD: Final = Path('build')
 MICROSECONDS: Final = 1e6
@@ -44,9 +44,11 @@
 
     def slopes(self) -> dict[str, float]:
         """Return every slope and size by name."""
-        fits = {**self.memory, **self.seconds, **self.wire}
-        slopes = {name: fit.slope for name, fit in fits.items()}
-        return {**slopes, **self.messages}
+        slopes = [
+            {name: fit.slope for name, fit in fits.items()}
+            for fits in (self.memory, self.seconds, self.wire)
+        ]
+        return merge_named(*slopes, self.messages)
 
 
 def measure() -> Run:
--- a/libs/bench/src/gypsumrelay_bench/capacity_fit.py
+++ b/libs/bench/src/gypsumrelay_bench/capacity_fit.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import attrs
 
@@ -48,3 +48,18 @@
     )
     deviation = math.sqrt(squares / count)
     return Fit(slope, intercept, deviation / (abs(mean_value) or 1))
+
+
+def merge_named(*groups: Mapping[str, float]) -> dict[str, float]:
+    """Return all figures by name.
+
+    A name that two groups use is refused, since one figure would silently
+    stand for the other.
+    """
+    merged: dict[str, float] = {}
+    for group in groups:
+        doubled = merged.keys() & group.keys()
+        if doubled:
+            raise ValueError(f'figures of the same name: {sorted(doubled)}')
+        merged.update(group)
+    return merged
--- a/libs/bench/src/gypsumrelay_bench/capacity_memory.py
+++ b/libs/bench/src/gypsumrelay_bench/capacity_memory.py
@@ -217,8 +217,8 @@
 BUILDERS: dict[str, tuple[Callable[[int], Any], Sequence[int]]] = {
     'account (contract)': (_account, SIZES),
     'key': (_keys, SIZES),
-    'share record': (_shares, SIZES),
-    'fence record': (_fences, SIZES),
+    'share in the state': (_shares, SIZES),
+    'fence in the state': (_fences, SIZES),
     'held share': (lambda count: build_holder(count, 0), SIZES),
     'open draw': (lambda count: build_holder(1, count), SIZES),
     'upstream in view': (build_view, SIZES),
--- a/libs/bench/src/gypsumrelay_bench/capacity_scale.py
+++ b/libs/bench/src/gypsumrelay_bench/capacity_scale.py
@@ -119,8 +119,8 @@
     configuration = (
         scale.accounts * slopes['account (contract)']
         + scale.accounts * slopes['key']
-        + scale.accounts * scale.shares * slopes['share record']
-        + scale.agents * slopes['fence record']
+        + scale.accounts * scale.shares * slopes['share in the state']
+        + scale.agents * slopes['fence in the state']
     )
     changes = scale.changes / DAY_SECONDS
     read = slopes['log record read and applied']
--- a/libs/bench/tests/capacity.feature
+++ b/libs/bench/tests/capacity.feature
@@ -16,6 +16,9 @@
     Then a line through the sizes 5 and 5 is refused
     And a line through two sizes and one value is refused
 
+  Scenario: Two figures of one name are refused
+    Then the bytes on the wire never stand for the bytes in memory
+
   Scenario Outline: A cost passes up to its limit and not beyond
     Then <amount> of <unit> is judged <verdict>
 
--- a/libs/bench/tests/steps/capacity.py
+++ b/libs/bench/tests/steps/capacity.py
@@ -8,9 +8,14 @@
 from typing import Any
 
 from behave import given, then
-from gypsumrelay_bench import capacity_scale, capacity_sketch
+from gypsumrelay_bench import (
+    capacity_memory,
+    capacity_scale,
+    capacity_sketch,
+    capacity_wire,
+)
 from gypsumrelay_bench.capacity_budget import Cost, Unit, judge, sum_costs
-from gypsumrelay_bench.capacity_fit import fit_line
+from gypsumrelay_bench.capacity_fit import fit_line, merge_named
 
 VERDICTS = {None: 'no budget', True: 'pass', False: 'fail'}
 
@@ -90,6 +95,18 @@
     assert is_refused((5, 6), (1,))
 
 
+@then('the bytes on the wire never stand for the bytes in memory')
+def check_names(context: Any) -> None:
+    sizes = capacity_wire.message_bytes()
+    memory: dict[str, float] = dict.fromkeys(capacity_memory.BUILDERS, 1)
+    assert len(merge_named(memory, sizes)) == len(memory) + len(sizes)
+    try:
+        merge_named(memory, {'claim': 2})
+    except ValueError:
+        return
+    raise AssertionError('two figures of one name were merged')
+
+
 @then('{amount:g} of {unit} is judged {verdict}')
 def check_verdict(
     context: Any,
