Compress the configuration copy that peers give

Cause: the copy of 22,000 accounts is 21.6 MB of JSON, over the frame limit of 12 MiB, so a process that starts while the log is away could not start at the target size. Change: the copy is compressed, and unpacked up to 64 MiB only; a faulty copy is refused instead of ending the link's thread.

--- a/libs/instance/src/gypsumrelay_instance/keeper.py
+++ b/libs/instance/src/gypsumrelay_instance/keeper.py
@@ -5,10 +5,12 @@
 import json
 import threading
 import time
+import zlib
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Final
 
 import attrs
+import cattrs
 from gypsumrelay_configuration import (
     State,
     apply,
@@ -26,6 +28,12 @@
 
 log = Logger('configuration')
 
+# The copy of 22,000 accounts is 22 MB as JSON; more than this is refused
+# before it takes the process's memory.
+COPY_LIMIT_BYTES: Final = 67_108_864
+# Most of the gain for little time; the owner waits for the result.
+COMPRESSION_LEVEL: Final = 1
+
 NEVER: Final = float('-inf')
 
 
@@ -80,20 +88,21 @@
 
     def take_copy(self, encoded: bytes) -> None:
         """Take over a peer's copy where it is newer."""
-        dumped = _parse(encoded)
-        if dumped is None:
+        newer = _unpack(encoded)
+        if newer is None:
             log.warning('A peer sent a faulty copy of the configuration.')
             return
         with self.lock:
-            taken = replace(self.state, load_state(dumped))
+            taken = replace(self.state, newer)
         if taken:
             self.confirmed_at = time.monotonic()
             self._notify()
 
     def encode_copy(self) -> bytes:
-        """Return the state for a peer."""
+        """Return the state for a peer, compressed to fit into a frame."""
         with self.lock:
-            return json.dumps(dump_state(self.state)).encode()
+            dumped = dump_state(self.state)
+        return zlib.compress(json.dumps(dumped).encode(), COMPRESSION_LEVEL)
 
     def _apply_entry(self, entry: Entry) -> None:
         if isinstance(entry.record, Failure):
@@ -113,9 +122,10 @@
             listener()
 
 
-def _parse(encoded: bytes) -> dict[str, Any] | None:
+def _unpack(encoded: bytes) -> State | None:
+    unpacker = zlib.decompressobj()
     try:
-        dumped = json.loads(encoded)
-    except ValueError:
+        dumped = json.loads(unpacker.decompress(encoded, COPY_LIMIT_BYTES))
+        return load_state(dumped)
+    except (ValueError, TypeError, zlib.error, cattrs.BaseValidationError):
         return None
-    return dumped if isinstance(dumped, dict) else None
--- /dev/null
+++ b/libs/instance/tests/steps/copies.py
@@ -0,0 +1,82 @@
+"""Steps for copies of the configuration between peers."""
+
+from __future__ import annotations
+
+import zlib
+from typing import Any
+
+from behave import given, then, when
+from gypsumrelay_configuration import (
+    Contract,
+    Key,
+    Share,
+    State,
+    digest_of_key,
+    share_id,
+)
+from gypsumrelay_instance import Keeper
+from gypsumrelay_wire import FRAME_LIMIT_BYTES
+
+MEGABYTE = 1_000_000
+
+
+@given(
+    'a keeper with {count:d} accounts, a key and two shares each',
+)
+def make_large(context: Any, count: int) -> None:
+    state = State(offset=5)
+    for number in range(count):
+        name = f'account-{number:05d}'
+        digest = digest_of_key(name)
+        models = ('first-model', 'second-model')
+        state.contracts[name] = Contract(name, 5000, 20000, models)
+        state.contract_versions[name] = 1
+        state.keys[digest] = Key(f'key-{number}', name, digest)
+        state.key_ids[f'key-{number}'] = digest
+        for part in range(2):
+            share = Share(name, part, 1, f'agent-{number % 7600}', 'a1b2c3d4')
+            state.shares[share_id(name, part)] = share
+    context.keeper = Keeper(state)
+
+
+@given('a keeper at offset {offset:d}')
+def make_keeper(context: Any, offset: int) -> None:
+    context.keeper = Keeper(State(offset=offset))
+
+
+@then('its copy is smaller than the largest frame')
+def check_size(context: Any) -> None:
+    size = len(context.keeper.encode_copy())
+    print(f'{size} bytes of {FRAME_LIMIT_BYTES}')
+    assert size < FRAME_LIMIT_BYTES / 2, size
+
+
+@then('a fresh keeper that takes the copy has the same state')
+def check_same(context: Any) -> None:
+    fresh = Keeper()
+    fresh.take_copy(context.keeper.encode_copy())
+    assert fresh.state == context.keeper.state
+
+
+@when('it takes a copy at offset {offset:d}')
+def take_older(context: Any, offset: int) -> None:
+    older = Keeper(State(offset=offset))
+    context.keeper.take_copy(older.encode_copy())
+
+
+@when('it takes bytes that are no copy')
+def take_faulty(context: Any) -> None:
+    for encoded in (b'', b'{}', b'[1]', b'\xff' * 9, zlib.compress(b'[1]')):
+        context.keeper.take_copy(encoded)
+
+
+@when('it takes a copy that would unpack to {size:d} megabytes')
+def take_endless(context: Any, size: int) -> None:
+    packer = zlib.compressobj()
+    pieces = [packer.compress(b' ' * MEGABYTE) for _ in range(size)]
+    context.keeper.take_copy(b''.join((*pieces, packer.flush())))
+
+
+@then('it is still at offset {offset:d}')
+def check_offset(context: Any, offset: int) -> None:
+    assert context.keeper.state.offset == offset
--- a/libs/wire/src/gypsumrelay_wire/__init__.py
+++ b/libs/wire/src/gypsumrelay_wire/__init__.py
@@ -11,6 +11,7 @@
     to_retry_ms,
 )
 from gypsumrelay_wire.frames import (
+    FRAME_LIMIT_BYTES,
     FrameFault,
     FrameReader,
     FrameWriter,
@@ -68,6 +69,7 @@
 )
 
 __all__ = (
+    'FRAME_LIMIT_BYTES',
     'Address',
     'AnswerBody',
     'AnswerStart',
