--- a/libs/bench/src/gypsumrelay_bench/capacity_memory.py
+++ b/libs/bench/src/gypsumrelay_bench/capacity_memory.py
@@ -6,7 +6,7 @@
 import json
 import tracemalloc
 from collections.abc import Callable, Sequence
-from typing import Any
+from typing import Any, Final
 
 from gypsumrelay_claims import (
     Part,
@@ -53,7 +53,7 @@
 
 # Not powers of two: dictionaries grow by doubling, so that sizes which double
 # would all be measured at the same part of a step.
-SIZES = (600, 1000, 1700, 2900, 4700)
+SIZES: Final = (600, 1000, 1700, 2900, 4700)
 
 
 def reduce_records(make: Callable[[int], Record], count: int) -> State:
--- a/libs/bench/src/gypsumrelay_bench/capacity_samples.py
+++ b/libs/bench/src/gypsumrelay_bench/capacity_samples.py
@@ -4,7 +4,7 @@
 
 import hashlib
 import json
-from typing import Any
+from typing import Any, Final
 
 from gypsumrelay_claims import (
     Committer,
@@ -25,7 +25,7 @@
     record_to_json,
 )
 
-MODELS = ('model-a', 'model-b', 'model-c', 'model-d', 'model-e')
+MODELS: Final = ('model-a', 'model-b', 'model-c', 'model-d', 'model-e')
 
 
 def digest_of(number: int) -> str:
--- a/libs/bench/src/gypsumrelay_bench/capacity_scale.py
+++ b/libs/bench/src/gypsumrelay_bench/capacity_scale.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from typing import Final
 
 import attrs
 
 from gypsumrelay_bench.capacity_budget import Cost, Unit
 
-DAY_SECONDS = 86_400
+DAY_SECONDS: Final = 86_400
 
 
 @attrs.frozen
--- a/libs/entry/src/gypsumrelay_entry/modelrun.py
+++ b/libs/entry/src/gypsumrelay_entry/modelrun.py
@@ -4,7 +4,7 @@
 
 import time
 from collections.abc import Iterator
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import attrs
 from gypsumrelay_errors import Failure, Outcome
@@ -29,13 +29,28 @@
     from gypsumrelay_entry.keyed import KeyUse
     from gypsumrelay_entry.mailboxes import Mailbox
 
-PIECE_TOKENS = 2000
-REPLACE_SECONDS = 0.1
+# Tokens in one block of an engine's KV cache.
+PIECE_TOKENS: Final = 2000
+# Pause between two questions for another upstream.
+REPLACE_SECONDS: Final = 0.1
 
 
 @attrs.define
 class ModelRun:
-    """One accepted model request."""
+    """One accepted model request.
+
+    Attributes:
+        box: Where the messages of its agents arrive.
+        key_use: Its idempotency key, if it has one.
+        failed_upstreams: Upstreams that are not tried again.
+        attempts: Attempts begun.
+        completed: Whether the newest attempt finished the answer.
+        alone: Whether nothing may run beside it, as it is a suspect.
+        ran: Whether any attempt may have run.
+        measured: What the finished attempt tells of its upstreams' speed.
+        upstream: Upstream of the newest attempt.
+        lost_upstream: Whether an attempt ran and lost its upstream.
+    """
 
     entry: Entry
     caller: Caller
