Resume a charged answer although its account's holders have died

Cause: two decode agents killed one after the other left a caller without the rest of its answer. First, every upstream was excluded as one that had failed the request (no_upstream). Then, since both agents also held the account's shares, the resumption could not draw its tokens, which had been charged before the first attempt (deadline_unreachable). Change: where all upstreams have failed a request, each may be tried again; entries say in a reservation that the request was charged, and agents then run it also where the draw cannot be taken over. So that this never adds tokens, a failed attempt refunds nothing unless the entry says that the request is over, which it does for every request that it gives up.

--- a/features/requests_survive.feature
+++ b/features/requests_survive.feature
@@ -18,6 +18,12 @@
       | decode agent  | frozen |
       | decode engine | stalled |
 
+  Scenario: An answer survives the death of its agents one after the other
+    Given two zones with engines that need 20 ms for a token
+    When a caller streams 300 tokens
+    And each decode agent that runs the stream is killed, 2 in all
+    Then the whole answer to its own prompt arrives
+
   Scenario: A connection that goes silent for good is replaced
     Given two zones with relays before the agents
     When a caller streams 100 tokens
--- a/features/steps/survival.py
+++ b/features/steps/survival.py
@@ -97,6 +97,17 @@
         assert post_json(context.system.pool, url, {'stall': True})
 
 
+@when('each decode agent that runs the stream is killed, {times:d} in all')
+def kill_one_after_the_other(context: Any, times: int) -> None:
+    killed: set[str] = set()
+    for _ in range(times):
+        name = context.system.running_decode(10, besides=killed)
+        killed.add(name)
+        node = context.system.agents[f'agent-{name}']
+        context.system.kill(node)
+        context.system.restart(node)
+
+
 @when('the open connections go silent after {tokens:d} tokens')
 def silence(context: Any, tokens: int) -> None:
     context.system.running_decode(tokens)
--- a/libs/agent/src/gypsumrelay_agent/accounts.py
+++ b/libs/agent/src/gypsumrelay_agent/accounts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Callable
 from concurrent.futures import Executor
 from typing import TYPE_CHECKING, Final
@@ -20,9 +19,8 @@
 
     from gypsumrelay_agent.runs import Tell
 
-# A retry of the request elsewhere takes over its draw within this time;
-# after it, what the failed attempt did not use goes back. It exceeds the
-# time that an entry looks for another upstream (`queue_seconds`).
+# A retry of the request elsewhere takes over its draw within this time. It
+# exceeds the time that an entry looks for another upstream.
 SETTLE_SECONDS: Final = 15.0
 
 Decided = Callable[[Failure | None], None]
@@ -39,7 +37,8 @@
         contracts: Contracts as far as the holder has applied them.
         shares: Records of shares as far as they were applied.
         waiting: What to do when a draw is decided, by draw id.
-        settlements: Heap of draws to settle later, with the used tokens.
+        unsettled: Draws of failed attempts, with the instant from which
+            they count as spent and the tokens that ran; oldest first.
     """
 
     member: Member
@@ -57,7 +56,7 @@
     shares: dict[str, Share] = attrs.field(factory=dict)
     shares_per_account: int = 0
     waiting: dict[str, Decided] = attrs.field(factory=dict)
-    settlements: list[tuple[float, str, int]] = attrs.field(factory=list)
+    unsettled: dict[str, tuple[float, int]] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -90,14 +89,16 @@
     )
 
 
-def settle_later(
+def keep_unsettled(
     accounts: Accounts,
     draw_id: str,
     used: int,
     now: float,
 ) -> None:
-    """Settle the draw of a failed attempt unless a retry takes it over."""
-    heapq.heappush(
-        accounts.settlements,
-        (now + SETTLE_SECONDS, draw_id, used),
-    )
+    """Keep the draw of a failed attempt open for a retry elsewhere.
+
+    Only the entry knows whether one follows. A retry may run on the charge
+    of this draw without reaching its holder, so nothing is refunded unless
+    the entry says that the request is over.
+    """
+    accounts.unsettled[draw_id] = (now + SETTLE_SECONDS, used)
--- a/libs/agent/src/gypsumrelay_agent/acting.py
+++ b/libs/agent/src/gypsumrelay_agent/acting.py
@@ -28,7 +28,7 @@
 from logbook import Logger
 
 from gypsumrelay_agent import events
-from gypsumrelay_agent.accounts import settle_later
+from gypsumrelay_agent.accounts import keep_unsettled
 from gypsumrelay_agent.drawing import begin_draw, new_order
 from gypsumrelay_agent.keeping import KeptOutput, take_output
 from gypsumrelay_agent.replies import (
@@ -101,17 +101,17 @@
         min(place.deadline, now + DRAW_SECONDS),
         retry=action.key.attempt > 1,
     )
-    if isinstance(order, Failure):
-        _refuse_draw(state, action, order)
-        return
 
     def decided(failure: Failure | None) -> None:
-        if failure is None:
+        if failure is None or action.key in state.charged:
             confirm(state, action.key, action.link)
         else:
             _refuse_draw(state, action, failure)
 
-    begin_draw(state.accounts, order, decided, now)
+    if isinstance(order, Failure):
+        decided(order)
+    else:
+        begin_draw(state.accounts, order, decided, now)
 
 
 def _refuse_draw(state: AgentState, action: Granted, failure: Failure) -> None:
@@ -201,7 +201,7 @@
         run.cancelled.set()
         used = run.used_tokens
     if action.reason is not EndReason.finished:
-        settle_later(
+        keep_unsettled(
             state.accounts,
             action.key.request_id,
             used,
@@ -246,6 +246,7 @@
     state.orders.pop(key, None)
     state.deadlines.pop(key, None)
     state.digests.pop(key, None)
+    state.charged.discard(key)
 
 
 _ACTIONS: Final[dict[type[Action], Callable[[AgentState, Any], None]]] = {
--- a/libs/agent/src/gypsumrelay_agent/drawing.py
+++ b/libs/agent/src/gypsumrelay_agent/drawing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import heapq
+import sys
 from collections.abc import Iterable
 from functools import partial
 from typing import TYPE_CHECKING, Any, Final
@@ -49,6 +49,8 @@
 if TYPE_CHECKING:
     from gypsumrelay_agent.accounts import Accounts, Decided
 
+# More than any draw, so that nothing of it is refunded.
+ALL_TOKENS: Final = sys.maxsize
 REASONS: Final = {reason.value: reason for reason in Reason}
 
 
@@ -92,11 +94,24 @@
 
 
 def tick_draws(accounts: Accounts, now: float) -> None:
-    """Repeat unanswered draws and settle those that are due."""
+    """Repeat unanswered draws and end those that no retry took over."""
     perform(accounts, tick(accounts.drawer, now), now)
-    while accounts.settlements and accounts.settlements[0][0] <= now:
-        _, draw_id, used = heapq.heappop(accounts.settlements)
-        end_draw(accounts, draw_id, used, now)
+    for draw_id, (due, _) in list(accounts.unsettled.items()):
+        if due > now:
+            break
+        accounts.unsettled.pop(draw_id)
+        end_draw(accounts, draw_id, ALL_TOKENS, now)
+
+
+def settle_final(
+    accounts: Accounts,
+    draw_id: str,
+    used: int,
+    now: float,
+) -> None:
+    """Settle the draw of a request that its entry has given up."""
+    _, known = accounts.unsettled.pop(draw_id, (now, 0))
+    end_draw(accounts, draw_id, max(used, known), now)
 
 
 def resend(accounts: Accounts, member: Member, now: float) -> None:
--- a/libs/agent/src/gypsumrelay_agent/handling.py
+++ b/libs/agent/src/gypsumrelay_agent/handling.py
@@ -36,6 +36,7 @@
     receive_reply,
     receive_settlement,
     resend,
+    settle_final,
     tick_draws,
 )
 from gypsumrelay_agent.engine import UpstreamFault
@@ -112,6 +113,8 @@
     if not keep_response(state, request, event):
         return
     state.digests[request.key] = event.message.request_digest
+    if event.message.charged:
+        state.charged.add(request.key)
     found = ledger.reserve(state.ledger, request, link_id(event.link), now)
     act(state, found)
 
@@ -153,7 +156,7 @@
     used = run.used_tokens if run else 0
     act(state, ledger.cancel(state.ledger, key, now))
     if event.message.final:
-        end_draw(state.accounts, key.request_id, used, now)
+        settle_final(state.accounts, key.request_id, used, now)
 
 
 def _take_report(state: AgentState, event: events.Reported) -> None:
--- a/libs/agent/src/gypsumrelay_agent/state.py
+++ b/libs/agent/src/gypsumrelay_agent/state.py
@@ -72,6 +72,8 @@
         deadlines: Deadlines of plain service requests.
         suspected: A crash of the upstream that is not confirmed yet.
         crashes: Crashes that this process has seen.
+        charged: Attempts of requests that an earlier attempt was charged
+            for; they run also where the draw's holder has gone.
         digests: Digests of requests with a place, for crash attribution.
         links: Open links of peers by link id.
         load: What the upstream can take; read by other threads.
@@ -104,6 +106,7 @@
     suspected: Suspected | None = None
     crashes: int = 0
     digests: dict[Key, bytes] = attrs.field(factory=dict)
+    charged: set[Key] = attrs.field(factory=set)
     probed_at: float = float('-inf')
     lock: threading.Lock = attrs.field(factory=threading.Lock)
     claiming: Claiming = attrs.field(
--- a/libs/demo/src/gypsumrelay_demo/system.py
+++ b/libs/demo/src/gypsumrelay_demo/system.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Collection
 from functools import partial
 from pathlib import Path
 from typing import Any, Final
@@ -350,7 +351,11 @@
             raise RuntimeError(finished.stdout + finished.stderr)
         return finished.stdout
 
-    def running_decode(self, tokens: int) -> str:
+    def running_decode(
+        self,
+        tokens: int,
+        besides: Collection[str] = (),
+    ) -> str:
         """Wait for a run with some tokens; return its decode upstream."""
         found: list[str] = []
 
@@ -358,7 +363,7 @@
             found.extend(
                 place.name
                 for place in self.deployment.upstreams
-                if place.kind == 'decode'
+                if place.kind == 'decode' and place.name not in besides
                 for run in self.runs_at(place.name)
                 if run['state'] == 'running' and run['output_tokens'] >= tokens
             )
--- a/libs/entry/src/gypsumrelay_entry/attempts.py
+++ b/libs/entry/src/gypsumrelay_entry/attempts.py
@@ -57,6 +57,7 @@
         weight: Weight of the client account in fair queues.
         on_granted: Told each link on which a place was granted.
         alone: Whether nothing else may run beside the request.
+        charged: Whether an earlier attempt had its tokens drawn.
         key_digest: Digest of the idempotency key, b'' without one.
     """
 
@@ -69,6 +70,7 @@
     weight: int
     on_granted: Callable[[Link], None]
     alone: bool = False
+    charged: bool = False
     key_digest: bytes = b''
 
 
@@ -231,6 +233,7 @@
             weight=self.plan.weight,
             key_digest=self.plan.key_digest if is_decode else b'',
             alone=self.plan.alone,
+            charged=self.plan.charged,
         )
 
     def _prefill(self) -> Prefilled | AttemptFailed:
--- a/libs/entry/src/gypsumrelay_entry/modelrun.py
+++ b/libs/entry/src/gypsumrelay_entry/modelrun.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
-from gypsumrelay_errors import Failure, Outcome
+from gypsumrelay_errors import Failure, NoUpstream, Outcome
 from gypsumrelay_routing import Attempted, PlacementRequest
 from gypsumrelay_wire import Finished, Link, Tokens
 
@@ -47,6 +47,8 @@
         completed: Whether the newest attempt finished the answer.
         alone: Whether nothing may run beside it, as it is a suspect.
         ran: Whether any attempt may have run.
+        charged: Whether its tokens were drawn for an attempt.
+        last: The newest attempt.
         measured: What the finished attempt tells of its upstreams' speed.
         upstream: Upstream of the newest attempt.
         lost_upstream: Whether an attempt ran and lost its upstream.
@@ -64,6 +66,8 @@
     completed: bool = False
     alone: bool = False
     ran: bool = False
+    charged: bool = False
+    last: Attempt | None = None
     measured: events.Measured | None = None
     upstream: str = ''
     lost_upstream: bool = False
@@ -86,6 +90,7 @@
                 return
             self.ran = self.ran or failed.failure.outcome is not Outcome.not_run
             if not self._may_retry(failed):
+                self._give_up()
                 yield self._final(failed.failure)
                 return
             self.entry.metrics.count('entry.retries')
@@ -114,6 +119,14 @@
                 succeeded=succeeded,
             )
 
+    def _give_up(self) -> None:
+        """Tell the last agents that no attempt follows, for the refund.
+
+        Work with an idempotency key goes on for its caller's repeat.
+        """
+        if self.last is not None and self.key_use is None:
+            self.last.cancel(final=True)
+
     def _final(self, failure: Failure) -> Failure:
         """Return the failure with what is true of the whole request.
 
@@ -191,13 +204,17 @@
         """Return a placement; a request that lost its place waits for one.
 
         Right after a failure the view may have no upstream at all, while
-        links are opened anew.
+        links are opened anew. Where all have failed the request, each may be
+        tried again, since the failed one may be back by now; the number of
+        attempts and the crash attribution bound this.
         """
         deadline = self.queue_deadline()
         while True:
             placed = self.entry.place(self._wanted(prefixes))
             if not isinstance(placed, Failure) or self.attempts == 1:
                 return placed
+            if isinstance(placed, NoUpstream):
+                self.failed_upstreams.clear()
             pause_until = time.monotonic() + REPLACE_SECONDS
             if pause_until > deadline:
                 return placed
@@ -211,6 +228,7 @@
         plan: AttemptPlan,
     ) -> Iterator[Tokens | Finished | AttemptFailed]:
         attempt = self._new_attempt(plan)
+        self.last = attempt
         self._record('attempt', placed.main.upstream)
         try:
             for event in attempt.run():
@@ -278,6 +296,7 @@
             target = placed.main if link is decode else placed.prefill
             granted = events.AttemptGranted(placed.name, target.upstream)
             self.entry.actor.tell(granted)
+            self.charged = self.charged or link is decode
 
         return AttemptPlan(
             number=self.attempts,
@@ -289,6 +308,7 @@
             weight=max(1, self.caller.contract.tokens_per_second),
             on_granted=on_granted,
             alone=self.alone,
+            charged=self.charged,
             key_digest=(
                 self.key_use.request.key_digest if self.key_use else b''
             ),
--- a/libs/wire/src/gypsumrelay_wire/messages.py
+++ b/libs/wire/src/gypsumrelay_wire/messages.py
@@ -48,7 +48,10 @@
 
 @attrs.frozen
 class Reserve(Message):
-    """Asks an agent for a place at its upstream."""
+    """Asks an agent for a place at its upstream.
+
+    With `charged`, an earlier attempt of the request had its tokens drawn.
+    """
 
     tag: ClassVar[int] = 3
     request_id: str
@@ -66,6 +69,7 @@
     weight: int = 1
     key_digest: bytes = b''
     alone: bool = False
+    charged: bool = False
 
 
 @attrs.frozen
