--- a/libs/demo/src/gypsumrelay_demo/__main__.py
+++ b/libs/demo/src/gypsumrelay_demo/__main__.py
@@ -17,12 +17,13 @@
     read_deployment,
     smallest_deployment,
 )
-from gypsumrelay_demo.load import make_load, run_load
+from gypsumrelay_demo.load import Tally, make_load, run_load
 from gypsumrelay_demo.system import System
 
 BUILD: Final = Path('build')
 REQUESTS: Final = 300
 SEED: Final = 1
+PROGRESS_SECONDS: Final = 0.5
 CHAOS_SECONDS: Final = 60.0
 
 
@@ -62,13 +63,26 @@
         f'{len(system.entries)} entries, {len(system.agents)} agents, '
         f'{len(system.upstreams)} upstreams are up.',
     )
-    tally = run_load(system, make_load(system, requests, seed))
+    tally = Tally()
+    finished = threading.Event()
+    threading.Thread(
+        target=_show_progress,
+        args=(tally, finished),
+        daemon=True,
+    ).start()
+    run_load(system, make_load(system, requests, seed), tally)
+    finished.set()
     for code, count in sorted(tally.codes.items()):
         print(f'refused with {code}: {count}')
     print(tally.line())
     return 0 if tally.is_clean and tally.accepted else 1
 
 
+def _show_progress(tally: Tally, finished: threading.Event) -> None:
+    while not finished.wait(PROGRESS_SECONDS):
+        print(tally.progress(), flush=True)
+
+
 def _inject(system: System, seconds: float, seed: int) -> int:
     """Run random faults; return 0 where every promise held."""
     tally, chaos = run_chaos(system, seconds, seed)
--- a/libs/demo/src/gypsumrelay_demo/load.py
+++ b/libs/demo/src/gypsumrelay_demo/load.py
@@ -94,6 +94,13 @@
             and not self.refused_otherwise
         )
 
+    def progress(self) -> str:
+        """Return the counts so far, for a live summary."""
+        return (
+            f'{self.accepted + self.refused} sent, {self.answered} answered, '
+            f'{self.refused} refused'
+        )
+
     def line(self) -> str:
         """Return the summary line of the demonstration."""
         how = 'all not run'
@@ -137,9 +144,13 @@
     return call(pool, url + sent.path, sent.method, headers, payload)
 
 
-def run_load(system: System, load: list[Sent]) -> Tally:
+def run_load(
+    system: System,
+    load: list[Sent],
+    tally: Tally | None = None,
+) -> Tally:
     """Send a load from several callers and count what became of it."""
-    tally = Tally()
+    tally = tally or Tally()
     pool = urllib3.PoolManager(maxsize=CALLERS)
 
     def send_one(sent: Sent) -> None:
