--- /dev/null
+++ b/libs/dispatch/src/gypsumrelay_dispatch/accounts.py
@@ -0,0 +1,80 @@
+"""Token quotas of client accounts over the whole fleet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from gypsumrelay_limits import Bucket, ShareSize, refill, resize_bucket
+
+from gypsumrelay_dispatch.models import AccountRules
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+@attrs.define
+class Accounts:
+    """One bucket for each client account that has a limit."""
+
+    buckets: dict[str, Bucket] = attrs.field(factory=dict)
+
+
+def set_accounts(
+    accounts: Accounts,
+    rules: Iterable[AccountRules],
+    now: float,
+) -> None:
+    """Take over the limits of a configuration.
+
+    A new account starts with its whole burst; one that stays keeps its
+    level, so that a change of the configuration gives nothing away.
+    """
+    limited = [rule for rule in rules if rule.tokens_per_second > 0]
+    for rule in limited:
+        size = ShareSize(rule.tokens_per_second, rule.burst_tokens)
+        bucket = accounts.buckets.get(rule.name)
+        if bucket is None:
+            accounts.buckets[rule.name] = Bucket(
+                size,
+                now,
+                level=rule.burst_tokens,
+            )
+        else:
+            resize_bucket(bucket, size, now)
+    names = {rule.name for rule in limited}
+    for name in accounts.buckets.keys() - names:
+        accounts.buckets.pop(name)
+
+
+def retry_after(
+    accounts: Accounts,
+    name: str,
+    now: float,
+) -> float | None:
+    """Return when an account may send again, or None if it may now.
+
+    One request may overdraw the bucket, because a request larger than the
+    burst could otherwise never run; the debt delays the next one.
+    """
+    bucket = accounts.buckets.get(name)
+    if bucket is None:
+        return None
+    refill(bucket, now)
+    if bucket.level > 0 or not bucket.size.rate:
+        return None
+    return now - bucket.level / bucket.size.rate
+
+
+def charge(accounts: Accounts, name: str, tokens: int) -> None:
+    """Take the cost of an admitted request."""
+    bucket = accounts.buckets.get(name)
+    if bucket is not None:
+        bucket.level -= tokens
+
+
+def refund(accounts: Accounts, name: str, tokens: int) -> None:
+    """Give back the cost of a request that ran nowhere."""
+    bucket = accounts.buckets.get(name)
+    if bucket is not None:
+        bucket.level = min(bucket.level + tokens, bucket.size.burst)
--- /dev/null
+++ b/libs/dispatch/src/gypsumrelay_dispatch/board.py
@@ -0,0 +1,153 @@
+"""The coordinator's state: upstreams, places, queue, budgets."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from gypsumrelay_dispatch.accounts import Accounts, set_accounts
+from gypsumrelay_dispatch.blame import Blame
+from gypsumrelay_dispatch.loads import Load, Place
+from gypsumrelay_dispatch.models import (
+    AccountRules,
+    Need,
+    ServiceRules,
+    Upstream,
+)
+from gypsumrelay_dispatch.repeats import RepeatBudget, RepeatLimit
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from gypsumrelay_settings import DispatchSettings
+
+
+@attrs.define
+class Waiting:
+    """An attempt in the queue.
+
+    Attributes:
+        need: The attempt.
+        asked_at: When it was asked for.
+        give_up_at: When it is refused if it still has no place.
+    """
+
+    need: Need
+    asked_at: float
+    give_up_at: float
+
+
+@attrs.define
+class Board:
+    """Everything that the coordinator decides from."""
+
+    settings: DispatchSettings
+    services: dict[str, ServiceRules] = attrs.field(factory=dict)
+    evacuated: frozenset[str] = frozenset()
+    loads: dict[str, Load] = attrs.field(factory=dict)
+    places: dict[tuple[str, int], Place] = attrs.field(factory=dict)
+    queue: list[Waiting] = attrs.field(factory=list)
+    accounts: Accounts = attrs.field(factory=Accounts)
+    repeats: dict[str, RepeatBudget] = attrs.field(factory=dict)
+    blame: Blame = attrs.field(factory=Blame)
+
+    @property
+    def repeat_limit(self) -> RepeatLimit:
+        """Return the limit of repeats for each service."""
+        settings = self.settings
+        return RepeatLimit(
+            settings.repeat_window_seconds,
+            settings.repeat_ratio,
+            settings.repeat_slack,
+        )
+
+    def budget(self, service: str) -> RepeatBudget:
+        """Return a service's budget of repeats."""
+        return self.repeats.setdefault(service, RepeatBudget())
+
+
+def set_rules(
+    board: Board,
+    services: Iterable[ServiceRules],
+    accounts: Iterable[AccountRules],
+    now: float,
+) -> None:
+    """Take over a configuration."""
+    board.services = {service.name: service for service in services}
+    set_accounts(board.accounts, accounts, now)
+
+
+def set_upstreams(
+    board: Board,
+    upstreams: Iterable[Upstream],
+    now: float,
+    *,
+    lapsed: bool = False,
+) -> None:
+    """Take over a list of upstreams.
+
+    Args:
+        board: The state.
+        upstreams: All listed upstreams.
+        now: The present instant.
+        lapsed: Whether the store was away shortly before, so that a missing
+            entry may come back.
+    """
+    listed = {upstream.name: upstream for upstream in upstreams}
+    for name, upstream in listed.items():
+        load = board.loads.get(name)
+        if load is None or load.upstream.started_ms != upstream.started_ms:
+            board.loads[name] = Load(upstream)
+            continue
+        load.upstream = upstream
+        load.usable_until = float('inf')
+    for name in board.loads.keys() - listed.keys():
+        grace = board.settings.lapse_seconds if lapsed else 0
+        gone = board.loads[name]
+        gone.usable_until = min(gone.usable_until, now + grace)
+
+
+def usable(board: Board, load: Load, now: float) -> bool:
+    """Return whether an upstream may get new work at all."""
+    upstream = load.upstream
+    return (
+        not upstream.leaving
+        and upstream.availability_zone not in board.evacuated
+        and now < load.usable_until
+    )
+
+
+def occupy(board: Board, place: Place) -> None:
+    """Count a place against its upstreams."""
+    need = place.need
+    board.places[need.key] = place
+    load = board.loads.get(place.upstream)
+    if load is not None:
+        load.running.add(need.key)
+        load.tokens += need.prompt_tokens + need.output_tokens
+    reading = board.loads.get(place.prefill)
+    if reading is not None:
+        reading.reading_ms[need.key] = place.prefill_ms
+
+
+def vacate(board: Board, key: tuple[str, int]) -> Place | None:
+    """Take a place back from its upstreams."""
+    place = board.places.pop(key, None)
+    if place is None:
+        return None
+    load = board.loads.get(place.upstream)
+    if load is not None and key in load.running:
+        load.running.discard(key)
+        load.tokens -= place.need.prompt_tokens + place.need.output_tokens
+    reading = board.loads.get(place.prefill)
+    if reading is not None:
+        reading.reading_ms.pop(key, None)
+    return place
+
+
+def drop_gone(board: Board, now: float) -> None:
+    """Forget upstreams that are gone and have no work left."""
+    for name, load in list(board.loads.items()):
+        if now >= load.usable_until and not load.running | set(load.reading_ms):
+            board.loads.pop(name)
--- /dev/null
+++ b/libs/dispatch/src/gypsumrelay_dispatch/placing.py
@@ -0,0 +1,123 @@
+"""Choice of upstreams for one attempt."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from gypsumrelay_dispatch.board import Board, usable
+from gypsumrelay_dispatch.loads import Load, bears_send, is_phase, plain_score
+from gypsumrelay_dispatch.models import Need, Phase
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# A KV cache takes twice as long between zones; this share of an engine's
+# memory is a fair exchange for it.
+ZONE_WEIGHT: Final = 0.3
+
+
+@attrs.frozen
+class Choice:
+    """Upstreams for an attempt."""
+
+    upstream: Load
+    prefill: Load | None = None
+    prefill_ms: float = 0
+
+
+def choose(board: Board, need: Need, now: float) -> Choice | None:
+    """Return where an attempt can run now, or None if it has to wait."""
+    if not need.prompt_tokens:
+        return _choose_plain(board, need, now)
+    if need.read:
+        decode = _choose_decode(board, need, '', now)
+        return Choice(decode) if decode else None
+    return _choose_pair(board, need, now)
+
+
+def candidates(
+    board: Board,
+    need: Need,
+    phase: Phase,
+    now: float,
+) -> list[Load]:
+    """Return a pool's upstreams that may get an attempt now.
+
+    Suspended ones are left out unless there are no others.
+    """
+    service = board.services.get(need.service)
+    per_second = service.cold_per_second if service else 0
+    found = [
+        load
+        for load in board.loads.values()
+        if is_phase(load, need.service, phase)
+        and load.upstream.name not in need.excluded
+        and usable(board, load, now)
+    ]
+    healthy = [load for load in found if load.suspended_until <= now]
+    return [
+        load for load in healthy or found if bears_send(load, per_second, now)
+    ]
+
+
+def prefill_estimate_ms(board: Board, need: Need) -> float:
+    """Return the estimated time of reading a prompt."""
+    return need.prompt_tokens / board.settings.prefill_tokens_per_ms
+
+
+def _choose_plain(board: Board, need: Need, now: float) -> Choice | None:
+    free = [
+        load
+        for load in candidates(board, need, Phase.plain, now)
+        if len(load.running) < load.upstream.slots
+    ]
+    best = _least(free, lambda load: plain_score(load, need.availability_zone))
+    return Choice(best) if best else None
+
+
+def _choose_pair(board: Board, need: Need, now: float) -> Choice | None:
+    estimate = prefill_estimate_ms(board, need)
+    limit = board.settings.prefill_backlog_ms
+    free = [
+        load
+        for load in candidates(board, need, Phase.prefill, now)
+        if not load.reading_ms or load.backlog_ms + estimate <= limit
+    ]
+    prefill = _least(free, lambda load: load.backlog_ms * load.slowness)
+    if prefill is None:
+        return None
+    zone = prefill.upstream.availability_zone
+    decode = _choose_decode(board, need, zone, now)
+    return Choice(decode, prefill, estimate) if decode else None
+
+
+def _choose_decode(
+    board: Board,
+    need: Need,
+    zone: str,
+    now: float,
+) -> Load | None:
+    memory = board.services[need.service].memory_tokens
+    limit = memory * board.settings.memory_share
+    wanted = need.prompt_tokens + need.output_tokens
+    free = [
+        load
+        for load in candidates(board, need, Phase.decode, now)
+        if len(load.running) < load.upstream.slots
+        and (not load.running or load.tokens + wanted <= limit)
+    ]
+
+    def score(load: Load) -> float:
+        away = bool(zone) and load.upstream.availability_zone != zone
+        return load.tokens / max(1, memory) + ZONE_WEIGHT * away
+
+    return _least(free, score)
+
+
+def _least(
+    loads: list[Load],
+    score: Callable[[Load], float],
+) -> Load | None:
+    return min(loads, key=score, default=None)
--- /dev/null
+++ b/libs/dispatch/src/gypsumrelay_dispatch/repeats.py
@@ -0,0 +1,55 @@
+"""Budget of repeated sends to a service, over the whole fleet."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import attrs
+
+
+@attrs.frozen
+class RepeatLimit:
+    """How many repeats a service may get within a window."""
+
+    window_seconds: float
+    ratio: float
+    slack: float
+
+
+@attrs.define
+class RepeatBudget:
+    """First sends and repeats of one service within the window."""
+
+    firsts: deque[float] = attrs.field(factory=deque)
+    repeats: deque[float] = attrs.field(factory=deque)
+
+
+def count_first(budget: RepeatBudget, now: float) -> None:
+    """Count a request's first send."""
+    budget.firsts.append(now)
+
+
+def take_repeat(
+    budget: RepeatBudget,
+    limit: RepeatLimit,
+    now: float,
+) -> bool:
+    """Take one repeat if the budget has it."""
+    if allowance(budget, limit, now) < 1:
+        return False
+    budget.repeats.append(now)
+    return True
+
+
+def allowance(
+    budget: RepeatBudget,
+    limit: RepeatLimit,
+    now: float,
+) -> float:
+    """Return how many repeats may still be sent now."""
+    start = now - limit.window_seconds
+    for times in (budget.firsts, budget.repeats):
+        while times and times[0] < start:
+            times.popleft()
+    allowed = limit.slack + limit.ratio * len(budget.firsts)
+    return allowed - len(budget.repeats)
--- a/libs/errors/src/gypsumrelay_errors/failures.py
+++ b/libs/errors/src/gypsumrelay_errors/failures.py
@@ -179,6 +179,30 @@
     http_status: ClassVar[int] = 422
 
 
+@attrs.frozen
+class RequestQuarantined(Failure):
+    """Several upstreams broke off while they ran the same content."""
+
+    code: ClassVar[str] = 'request_quarantined'
+    http_status: ClassVar[int] = 503
+
+
+@attrs.frozen
+class DeadlinePassed(Failure):
+    """The caller's deadline or the route's timeout passed."""
+
+    code: ClassVar[str] = 'deadline_passed'
+    http_status: ClassVar[int] = 504
+
+
+@attrs.frozen
+class ConfigurationMissing(Failure):
+    """The instance has not received a configuration yet."""
+
+    code: ClassVar[str] = 'configuration_missing'
+    http_status: ClassVar[int] = 503
+
+
 @attrs.frozen
 class ClaimUnavailable(Failure):
     """The claim for an idempotency key cannot be recorded now."""
--- a/libs/instance/src/gypsumrelay_instance/__init__.py
+++ b/libs/instance/src/gypsumrelay_instance/__init__.py
@@ -11,6 +11,11 @@
 from gypsumrelay_instance.committers import (
     listed_committers,
 )
+from gypsumrelay_instance.httpheaders import (
+    HOP_BY_HOP,
+    environ_headers,
+    listed_headers,
+)
 from gypsumrelay_instance.keeper import (
     Keeper,
 )
@@ -27,6 +32,7 @@
 )
 
 __all__ = (
+    'HOP_BY_HOP',
     'AdminCallbacks',
     'Application',
     'Keeper',
@@ -34,7 +40,9 @@
     'Peers',
     'StartResponse',
     'admin_application',
+    'environ_headers',
     'listed_committers',
+    'listed_headers',
     'new_peers',
     'new_recorder',
     'start_admin',
--- a/libs/limits/src/gypsumrelay_limits/__init__.py
+++ b/libs/limits/src/gypsumrelay_limits/__init__.py
@@ -1,9 +1,14 @@
 """Token buckets of client accounts over the whole fleet."""
 
 from gypsumrelay_limits.bucket import (
+    Bucket,
     ShareSize,
+    refill,
     share_size,
 )
+from gypsumrelay_limits.bucket import (
+    resize as resize_bucket,
+)
 from gypsumrelay_limits.drawer import (
     finish,
     on_link_lost,
@@ -62,6 +67,7 @@
     'Action',
     'Admitted',
     'Agent',
+    'Bucket',
     'Draw',
     'DrawKey',
     'DrawOrder',
@@ -96,8 +102,10 @@
     'on_link_lost',
     'on_reply',
     'propose',
+    'refill',
     'renew_evidence',
     'resize',
+    'resize_bucket',
     'settle',
     'share_size',
     'start',
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/__init__.py
@@ -0,0 +1,51 @@
+"""The relay program: requests pass unchanged between callers and upstreams."""
+
+from .dialect import (
+    CallerFacts,
+    Dialect,
+    ReplyFacts,
+    Sending,
+)
+from .process import (
+    Surroundings,
+    run,
+)
+from .routes import (
+    Account,
+    CallerLimits,
+    Configuration,
+    Repeatability,
+    Route,
+    Target,
+)
+from .topics import (
+    Changes,
+    Expired,
+    OperatorOrders,
+    RecordReader,
+    Snapshot,
+    Store,
+    Topic,
+)
+
+__all__ = (
+    'Account',
+    'CallerFacts',
+    'CallerLimits',
+    'Changes',
+    'Configuration',
+    'Dialect',
+    'Expired',
+    'OperatorOrders',
+    'RecordReader',
+    'Repeatability',
+    'ReplyFacts',
+    'Route',
+    'Sending',
+    'Snapshot',
+    'Store',
+    'Surroundings',
+    'Target',
+    'Topic',
+    'run',
+)
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/accepting.py
@@ -0,0 +1,201 @@
+"""The WSGI application: a request's acceptance and its hand-over."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+from gypsumrelay_errors import (
+    BodyMalformed,
+    BodyTooLarge,
+    ConfigurationMissing,
+    Failure,
+    KeyMissing,
+    KeyUnknown,
+    RouteUnknown,
+)
+
+from gypsumrelay_relay import events
+from gypsumrelay_relay.exchange import (
+    Admitted,
+    Chunks,
+    Exchange,
+    StartResponse,
+    respond_with,
+)
+from gypsumrelay_relay.model import answer_model
+from gypsumrelay_relay.plain import answer_plain
+from gypsumrelay_relay.routes import (
+    Account,
+    Configuration,
+    Route,
+    choose_target,
+    find_route,
+)
+from gypsumrelay_relay.watch import Guard
+
+if TYPE_CHECKING:
+    from gypsumrelay_relay.context import Relay
+    from gypsumrelay_relay.dialect import CallerFacts
+
+MS_PER_SECOND: Final = 1000
+# Seconds after which a configuration can be expected at a new instance.
+CONFIGURATION_SECONDS: Final = 0.5
+# Seconds before the caller's deadline at which it gets its final answer, so
+# that this reaches it in time.
+ANSWER_MARGIN_SECONDS: Final = 0.03
+
+
+@attrs.define(eq=False)
+class Tracked:
+    """An answer that is watched until it was sent or given up."""
+
+    relay: Relay
+    guard: Guard
+    chunks: Chunks
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield the answer."""
+        return iter(self.chunks)
+
+    def close(self) -> None:
+        """End the answer and its watch."""
+        self.relay.watch.remove(self.guard)
+        closing = getattr(self.chunks, 'close', None)
+        if closing is not None:
+            closing()
+
+
+def application(relay: Relay) -> Callable[..., Chunks]:
+    """Return the WSGI application for callers."""
+
+    def respond(
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Chunks:
+        arrived_at = time.monotonic()
+        admitted = admit(relay, environ)
+        if isinstance(admitted, Failure):
+            return _refuse(relay, admitted, environ, start_response)
+        deadline = _deadline(admitted, arrived_at)
+        guard = Guard(deadline, environ['waitress.client_disconnected'])
+        exchange = Exchange(
+            relay,
+            environ,
+            start_response,
+            admitted,
+            guard,
+            arrived_at,
+            deadline,
+        )
+        relay.watch.add(guard)
+        try:
+            return Tracked(relay, guard, _hand_over(exchange))
+        except BaseException:
+            relay.watch.remove(guard)
+            raise
+
+    return respond
+
+
+def admit(relay: Relay, environ: dict[str, Any]) -> Admitted | Failure:
+    """Match a request to its route and account, and read its body."""
+    orders = relay.knowledge.orders
+    if orders is None:
+        retry_at = time.monotonic() + CONFIGURATION_SECONDS
+        return ConfigurationMissing('no configuration yet', retry_at=retry_at)
+    configuration = orders.configuration
+    facts = relay.dialect.read_caller(environ)
+    if isinstance(facts, Failure):
+        return facts
+    path = str(environ['REQUEST_URI']).partition('?')[0]
+    route = find_route(configuration, environ.get('HTTP_HOST', ''), path)
+    if route is None:
+        return RouteUnknown('no route has this host and path')
+    account = _account(configuration, route, facts)
+    if isinstance(account, Failure):
+        return account
+    body = environ['wsgi.input'].read()
+    if len(body) > configuration.limits.body_bytes:
+        return BodyTooLarge('the body is larger than allowed')
+    service = choose_target(route, relay.random.random())
+    return Admitted(facts, configuration, route, service, account, body)
+
+
+def _account(
+    configuration: Configuration,
+    route: Route,
+    facts: CallerFacts,
+) -> Account | Failure | None:
+    """Return the account, None on a public route, or a failure."""
+    if route.is_public or not configuration.account_rules:
+        return None
+    if not facts.key:
+        return KeyMissing('the request carries no key')
+    account = configuration.accounts.get(facts.key)
+    return account or KeyUnknown('no account has this key')
+
+
+def _deadline(admitted: Admitted, arrived_at: float) -> float:
+    waits = [admitted.route.timeout_ms]
+    if admitted.facts.wait_ms is not None:
+        waits.append(admitted.facts.wait_ms)
+    return arrived_at + min(waits) / MS_PER_SECOND - ANSWER_MARGIN_SECONDS
+
+
+def _hand_over(exchange: Exchange) -> Chunks:
+    admitted = exchange.admitted
+    facts = admitted.facts
+    exchange.log(
+        events.Accepted(
+            facts.request_id,
+            admitted.route.name,
+            admitted.service,
+            exchange.account_name,
+            admitted.configuration.version,
+            exchange.relay.knowledge.position,
+            facts.tokens,
+            exchange.remaining_ms(),
+        ),
+    )
+    service = admitted.configuration.services.get(admitted.service)
+    if service is not None and service.memory_tokens:
+        if not facts.prompt_tokens:
+            return exchange.refuse(BodyMalformed('the token counts are missing'))
+        return answer_model(exchange)
+    return answer_plain(exchange)
+
+
+def _refuse(
+    relay: Relay,
+    failure: Failure,
+    environ: dict[str, Any],
+    start_response: StartResponse,
+) -> Chunks:
+    """Answer a request that was not admitted."""
+    orders = relay.knowledge.orders
+    facts = relay.dialect.read_caller(environ)
+    relay.output.decide(
+        events.RequestRefused.event,
+        attrs.asdict(
+            events.RequestRefused(
+                '' if isinstance(facts, Failure) else facts.request_id,
+                failure.code,
+                failure.http_status,
+                failure.outcome.value,
+                0,
+                0,
+                0,
+                orders.configuration.version if orders else 0,
+                failure.sentence,
+            ),
+        ),
+        routine=False,
+    )
+    relay.metrics.count_refused(failure.code)
+    headers = [('Content-Type', 'application/json')]
+    if failure.retry_at is not None:
+        headers.append(('Retry-After', str(CONFIGURATION_SECONDS)))
+    return respond_with(start_response, failure, headers)
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/attempts.py
@@ -0,0 +1,171 @@
+"""Steps that attempts of all kinds of requests have in common."""
+
+from __future__ import annotations
+
+import queue
+import time
+from typing import TYPE_CHECKING, Final
+
+import attrs
+from gypsumrelay_dispatch import Ending
+from gypsumrelay_errors import (
+    DeadlinePassed,
+    Failure,
+    Outcome,
+    Overloaded,
+    UpstreamFailed,
+)
+
+from gypsumrelay_relay import events
+from gypsumrelay_relay.placement import Placed
+from gypsumrelay_relay.sending import Call, Reply, SendFailed, send
+from gypsumrelay_relay.watch import Cause
+
+if TYPE_CHECKING:
+    from gypsumrelay_dispatch import Need
+
+    from gypsumrelay_relay.dialect import ReplyFacts, Sending
+    from gypsumrelay_relay.exchange import Exchange
+
+MS_PER_SECOND: Final = 1000
+# Seconds that a caller waits where nothing says when room will come.
+RETRY_SECONDS: Final = 1.0
+MISDIRECTED: Final = 421
+FIRST_ERROR: Final = 400
+FIRST_SERVER_ERROR: Final = 500
+
+
+@attrs.frozen
+class Verdict:
+    """What an answer's head says about the attempt."""
+
+    ending: Ending
+    reason: str = ''
+
+
+def obtain_place(exchange: Exchange, need: Need) -> Placed | Failure:
+    """Wait for a place; a failure where there is none in time."""
+    coordination = exchange.relay.coordination
+    asking = coordination.place(need)
+    interrupted = DeadlinePassed('the request ended while it waited')
+    exchange.guard.interrupt_with(lambda: asking.answers.put(interrupted))
+    try:
+        answer = asking.answers.get(
+            timeout=max(0, exchange.deadline - time.monotonic()),
+        )
+    except queue.Empty:
+        answer = interrupted
+    exchange.guard.interrupt_with(None)
+    if isinstance(answer, Placed):
+        exchange.log(
+            events.PlaceGiven(
+                need.request_id,
+                need.attempt,
+                coordination.leader,
+                answer.upstream,
+                answer.prefill,
+                answer.load,
+                answer.waited_ms,
+            ),
+        )
+    elif isinstance(answer, DeadlinePassed):
+        coordination.finish(need, Ending.cancelled)
+        return no_time(exchange)
+    return answer
+
+
+def deliver(
+    exchange: Exchange,
+    address: str,
+    sending: Sending,
+    deadline: float,
+    *,
+    fresh: bool,
+) -> Reply | SendFailed:
+    """Send the caller's request to an upstream."""
+    headers = exchange.relay.dialect.upstream_headers(exchange.environ, sending)
+    call = Call(
+        exchange.environ['REQUEST_METHOD'],
+        exchange.target,
+        headers,
+        exchange.admitted.body,
+    )
+    return send(
+        exchange.relay.connections,
+        address,
+        call,
+        exchange.guard,
+        fresh=fresh,
+        deadline=deadline,
+    )
+
+
+def judge(exchange: Exchange, reply: Reply) -> Verdict:
+    """Return what the head of an answer says."""
+    facts = read_facts(exchange, reply)
+    if facts.request_id and facts.request_id != exchange.request_id:
+        return Verdict(Ending.lost, 'the answer belongs to another request')
+    if facts.not_run or reply.status == MISDIRECTED:
+        return Verdict(Ending.rejected, f'not run, status {reply.status}')
+    if 'Content-Encoding' in reply.headers:
+        return Verdict(Ending.lost, 'the answer is encoded')
+    if reply.status >= FIRST_SERVER_ERROR:
+        return Verdict(Ending.failed, f'status {reply.status}')
+    if reply.status < FIRST_ERROR and not facts.signed:
+        return Verdict(Ending.lost, 'the answer is not signed')
+    return Verdict(Ending.answered)
+
+
+def read_facts(exchange: Exchange, reply: Reply) -> ReplyFacts:
+    """Return what the head of an answer says."""
+    return exchange.relay.dialect.read_reply(reply.status, reply.headers)
+
+
+def end_attempt(
+    exchange: Exchange,
+    given: Placed,
+    verdict: Verdict,
+    status: int,
+    started_at: float,
+) -> None:
+    """Free a place and log how its use ended."""
+    need = given.need
+    ending = verdict.ending
+    if exchange.guard.cause is not None and ending is not Ending.answered:
+        ending = Ending.cancelled
+    exchange.relay.coordination.finish(need, ending)
+    exchange.relay.metrics.count_attempt(ending.value)
+    exchange.log(
+        events.AttemptEnded(
+            need.request_id,
+            need.attempt,
+            given.upstream,
+            ending.value,
+            status,
+            int((time.monotonic() - started_at) * MS_PER_SECOND),
+            verdict.reason,
+        ),
+    )
+
+
+def no_time(exchange: Exchange) -> Failure:
+    """Return the failure of a request that ended early."""
+    if exchange.runs:
+        return DeadlinePassed('the deadline passed', Outcome.unknown)
+    retry_at = time.monotonic() + RETRY_SECONDS
+    return Overloaded('no place came free in time', retry_at=retry_at)
+
+
+def given_up(exchange: Exchange, failure: Failure) -> Failure:
+    """Return what the caller is told after the last attempt.
+
+    A request that may have run is never refused as one that has not.
+    """
+    if exchange.runs and failure.outcome is Outcome.not_run:
+        return UpstreamFailed(failure.sentence, Outcome.unknown)
+    return failure
+
+
+def has_left(exchange: Exchange) -> bool:
+    """Return whether the caller has closed its connection."""
+    return exchange.guard.cause is Cause.gone
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/callers.py
@@ -0,0 +1,107 @@
+"""The HTTP server for callers, and the page for probes and metrics."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, Final
+
+from gypsumrelay_instance import start_server
+from waitress.channel import HTTPChannel
+from waitress.task import WSGITask
+
+from gypsumrelay_relay.accepting import application
+
+if TYPE_CHECKING:
+    from gypsumrelay_relay.context import Relay
+    from gypsumrelay_relay.routes import CallerLimits
+
+BACKLOG: Final = 1024
+# Bodies and answers stay in memory, since the instances have no disk.
+MEMORY_BUFFER_BYTES: Final = 67_108_864
+# A slow reader stops its own answer, not the process's memory.
+ANSWER_BUFFER_BYTES: Final = 1_048_576
+# Seconds between two looks for connections that were idle for too long.
+CLEANUP_SECONDS: Final = 1
+# Seconds that a connection may be idle longer than callers are told.
+IDLE_MARGIN_SECONDS: Final = 2
+# Descriptors that connections of callers may take.
+CONNECTION_LIMIT: Final = 2000
+
+
+def serve_callers(relay: Relay) -> Any:
+    """Start the HTTP server for callers and return it."""
+    settings = relay.settings
+
+    class DrainingTask(WSGITask):  # type: ignore[misc]
+        """Closes the connection after an answer once the relay drains."""
+
+        def start(self) -> None:
+            """Begin the answer."""
+            super().start()
+            if relay.draining.is_set():
+                self.set_close_on_finish()
+
+    class CallerChannel(HTTPChannel):  # type: ignore[misc]
+        """A caller's connection."""
+
+        task_class = DrainingTask
+
+    return start_server(
+        application(relay),
+        split_address(settings.instance.caller_address),
+        CallerChannel,
+        threads=settings.max_open_requests,
+        backlog=BACKLOG,
+        connection_limit=CONNECTION_LIMIT,
+        channel_request_lookahead=1,
+        cleanup_interval=CLEANUP_SECONDS,
+        inbuf_overflow=MEMORY_BUFFER_BYTES,
+        outbuf_overflow=MEMORY_BUFFER_BYTES,
+        outbuf_high_watermark=ANSWER_BUFFER_BYTES,
+        send_bytes=1,
+        ident=None,
+        clear_untrusted_proxy_headers=False,
+    )
+
+
+def apply_limits(server: Any, limits: CallerLimits) -> None:
+    """Set what callers may send, from the configuration."""
+    server.adj.max_request_header_size = limits.header_bytes
+    server.adj.max_request_body_size = limits.body_bytes
+    server.adj.channel_timeout = limits.idle_seconds + IDLE_MARGIN_SECONDS
+
+
+def serve_probes(
+    relay: Relay,
+    is_ready: Callable[[], bool],
+    status: Callable[[], bytes],
+) -> list[Any]:
+    """Start the servers for the load balancer and for metrics."""
+    instance = relay.settings.instance
+
+    def respond(environ: dict[str, Any], start_response: Any) -> list[bytes]:
+        if environ['PATH_INFO'] == '/metrics':
+            return _reply(start_response, '200 OK', relay.metrics.page())
+        if environ['PATH_INFO'] == '/status':
+            return _reply(start_response, '200 OK', status())
+        if is_ready():
+            return _reply(start_response, '200 OK', b'ready\n')
+        return _reply(start_response, '503 Service Unavailable', b'not ready\n')
+
+    ready = split_address(instance.ready_address)
+    metrics = (instance.host, instance.metrics_port)
+    return [
+        start_server(respond, address, threads=1, ident=None)
+        for address in (ready, metrics)
+    ]
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of `host:port`."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+def _reply(start_response: Any, status: str, body: bytes) -> list[bytes]:
+    start_response(status, [('Content-Length', str(len(body)))])
+    return [body]
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -0,0 +1,294 @@
+"""Asking the coordinator for places, here or on another instance."""
+
+from __future__ import annotations
+
+import queue
+import threading
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+import msgpack
+from gypsumrelay_dispatch import Action, Ending, Need, Refused
+from gypsumrelay_errors import Failure, LinkClosed
+from gypsumrelay_wire import (
+    Endpoint,
+    Heartbeat,
+    Link,
+    Message,
+    PlaceEnded,
+    PlaceGranted,
+    PlaceHeld,
+    PlaceRefused,
+    PlaceRequest,
+    PromptRead,
+    RecordsCopy,
+    RecordsRequest,
+    dial,
+)
+from logbook import Logger
+
+from gypsumrelay_relay import coordinator as events
+from gypsumrelay_relay.knowledge import Knowledge, learn
+from gypsumrelay_relay.membership import Members, coordinator
+from gypsumrelay_relay.placement import (
+    Placed,
+    answer_message,
+    answer_of,
+    ending_of,
+    held_message,
+    held_place,
+    need_of,
+    own_place,
+    placed,
+    request_message,
+)
+
+if TYPE_CHECKING:
+    import pykka
+
+log = Logger('coordination')
+
+# Seconds for which a member that could not be reached is not asked again.
+AVOID_SECONDS: Final = 1.0
+
+Answer = Placed | Failure
+
+
+@attrs.define(eq=False)
+class Asking:
+    """An attempt that waits for its place."""
+
+    need: Need
+    answers: queue.SimpleQueue[Answer] = attrs.field(factory=queue.SimpleQueue)
+
+
+@attrs.define(eq=False)
+class Coordination:
+    """Where this instance gets its places from.
+
+    All attributes that change are guarded by `lock`.
+
+    Attributes:
+        name: Name of this instance.
+        members: The other relays.
+        knowledge: The operators' orders.
+        actor: The coordinator of this instance, used where it coordinates.
+        endpoint: Identity and secret of the links.
+        link_port: Port of the links, the same on all instances.
+        asking: Attempts that wait, by key.
+        active: Places in use, by key.
+        leader: Name of the instance that is asked.
+        link: Link to it; None where it is this instance.
+        incoming: Links of instances that ask this one.
+    """
+
+    name: str
+    members: Members
+    knowledge: Knowledge
+    link_port: int
+    secret: bytes
+    lock: threading.RLock = attrs.field(factory=threading.RLock)
+    actor: pykka.ActorRef[Any] = attrs.field(init=False)
+    endpoint: Endpoint = attrs.field(init=False)
+    asking: dict[tuple[str, int], Asking] = attrs.field(factory=dict)
+    active: dict[tuple[str, int], Placed] = attrs.field(factory=dict)
+    leader: str = ''
+    link: Link | None = None
+    incoming: dict[str, Link] = attrs.field(factory=dict)
+    changing: threading.Lock = attrs.field(factory=threading.Lock)
+
+    def place(self, need: Need) -> Asking:
+        """Ask for a place; the answer comes into the returned queue."""
+        asking = Asking(need)
+        with self.lock:
+            self.asking[need.key] = asking
+            self._ask(need)
+        return asking
+
+    def prompt_read(self, given: Placed, ending: Ending) -> None:
+        """Tell that a prompt was read, or that this failed."""
+        need = given.need
+        with self.lock:
+            if self.link is None:
+                self.actor.tell(events.PromptEnded(need.key, ending))
+            else:
+                message = PromptRead(need.request_id, need.attempt, ending.value)
+                self.link.send(message)
+
+    def finish(self, need: Need, ending: Ending) -> None:
+        """Tell that a place is free, or that none is wanted any more."""
+        with self.lock:
+            self.asking.pop(need.key, None)
+            self.active.pop(need.key, None)
+            if self.link is None:
+                self.actor.tell(events.Ended(need.key, ending))
+            else:
+                message = PlaceEnded(need.request_id, need.attempt, ending.value)
+                self.link.send(message)
+
+    def deliver(self, action: Action) -> None:
+        """Pass an answer of the own coordinator to who asked."""
+        need = action.need
+        if need.entry == self.name:
+            given = (
+                action.failure if isinstance(action, Refused) else placed(action)
+            )
+            self._answer(need.key, given)
+            return
+        with self.lock:
+            link = self.incoming.get(need.entry)
+        if link is not None:
+            link.send(answer_message(action, time.monotonic()))
+
+    def follow_leader(self) -> None:
+        """Turn to another coordinator where the members have changed."""
+        with self.changing:
+            while self._step():
+                log.debug('The coordinator changed; checking again.')
+
+    def on_message(self, link: Link, message: Message) -> None:
+        """Take a message from another instance."""
+        now = time.monotonic()
+        sender = link.peer.name
+        match message:
+            case PlaceRequest():
+                self.actor.tell(events.Asked(need_of(message, sender, now)))
+            case PlaceHeld():
+                self.actor.tell(events.Held(held_place(message, sender, now)))
+            case PromptRead():
+                key = (message.request_id, message.attempt)
+                ending = ending_of(message.ending)
+                self.actor.tell(events.PromptEnded(key, ending))
+            case PlaceEnded():
+                key = (message.request_id, message.attempt)
+                ending = ending_of(message.ending)
+                self.actor.tell(events.Ended(key, ending))
+            case PlaceGranted() | PlaceRefused():
+                self._take_answer(message, now)
+            case RecordsRequest():
+                self._copy_records(link, message)
+            case RecordsCopy():
+                records = msgpack.unpackb(message.records)
+                learn(self.knowledge, message.position, records, sender)
+
+    def on_link(self, link: Link) -> None:
+        """Take a link that another instance opened."""
+        with self.lock:
+            self.incoming[link.peer.name] = link
+
+    def on_close(self, link: Link, reason: Failure) -> None:
+        """Take note that a link is closed."""
+        log.info('Link with {} closed: {}.', link.peer.name, reason.sentence)
+        with self.lock:
+            if self.incoming.get(link.peer.name) is link:
+                self.incoming.pop(link.peer.name)
+                self.actor.tell(events.EntryGone(link.peer.name))
+            if self.link is not link:
+                return
+            self.leader = ''
+            until = time.monotonic() + AVOID_SECONDS
+            self.members.avoided[link.peer.name] = until
+        threading.Thread(target=self.follow_leader, daemon=True).start()
+
+    def beat(self) -> None:
+        """Keep the links from looking silent."""
+        with self.lock:
+            links = [*self.incoming.values(), *filter(None, (self.link,))]
+        for link in links:
+            link.send(Heartbeat(max(0, self.knowledge.position), 0, 0))
+
+    def _step(self) -> bool:
+        """Move to the present coordinator; return whether to look again."""
+        now = time.monotonic()
+        with self.lock:
+            chosen = coordinator(self.members, now)
+            if chosen.name == self.leader:
+                return False
+            own = chosen.name == self.name
+        link = None if own else self._open(chosen.host, chosen.name)
+        if link is None and not own:
+            return True
+        with self.lock:
+            old, self.link = self.link, link
+            if old is None and link is not None:
+                # The own coordinator keeps nothing that another one counts.
+                self.actor.tell(events.EntryGone(self.name))
+            self.leader = chosen.name
+            log.info(
+                'Coordinator is {}, seniority {}; {} places and {} requests.',
+                chosen.name,
+                chosen.seniority,
+                len(self.active),
+                len(self.asking),
+            )
+            self._introduce(now)
+        if old is not None and not old.closed.is_set():
+            old.close(LinkClosed('another instance coordinates'))
+        return False
+
+    def _open(self, host: str, name: str) -> Link | None:
+        link = dial((host, self.link_port), self.endpoint)
+        if isinstance(link, Failure):
+            log.warning('No link to coordinator {}: {}.', name, link.sentence)
+            with self.lock:
+                until = time.monotonic() + AVOID_SECONDS
+                self.members.avoided[name] = until
+            return None
+        link.start()
+        return link
+
+    def _introduce(self, now: float) -> None:
+        """Tell a new coordinator what is in use and what is wanted."""
+        for given in self.active.values():
+            if self.link is None:
+                self.actor.tell(events.Held(own_place(given, now)))
+            else:
+                self.link.send(held_message(given))
+        for asking in list(self.asking.values()):
+            self._ask(asking.need)
+
+    def _ask(self, need: Need) -> None:
+        if self.link is None:
+            self.actor.tell(events.Asked(need))
+        else:
+            self.link.send(request_message(need, time.monotonic()))
+
+    def _take_answer(
+        self,
+        message: PlaceGranted | PlaceRefused,
+        now: float,
+    ) -> None:
+        key = (message.request_id, message.attempt)
+        with self.lock:
+            asking = self.asking.get(key)
+        if asking is not None:
+            self._answer(key, answer_of(message, asking.need, now))
+
+    def _answer(self, key: tuple[str, int], answer: Answer) -> None:
+        with self.lock:
+            asking = self.asking.pop(key, None)
+            if asking is None:
+                return
+            if isinstance(answer, Placed):
+                self.active[key] = answer
+        asking.answers.put(answer)
+
+    def _copy_records(self, link: Link, message: RecordsRequest) -> None:
+        with self.knowledge.lock:
+            position = self.knowledge.position
+            records = msgpack.packb(self.knowledge.records)
+        if position > message.position:
+            link.send(RecordsCopy(position, records))
+
+
+def ask_for_records(coordination: Coordination, now: float) -> None:
+    """Ask the coordinator for its orders where they are newer."""
+    with coordination.lock:
+        link = coordination.link
+        known = coordination.members.known.get(coordination.leader)
+    position = coordination.knowledge.position
+    if link is not None and known is not None and known.position > position:
+        link.send(RecordsRequest(position))
+
+
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -0,0 +1,178 @@
+"""Actor that owns the coordinator's state of this instance."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import gypsumrelay_dispatch as dispatch
+import pykka
+from logbook import Logger
+
+if TYPE_CHECKING:
+    from gypsumrelay_dispatch import (
+        Action,
+        Board,
+        Ending,
+        Need,
+        Place,
+        Upstream,
+    )
+
+    from gypsumrelay_settings import DispatchSettings
+
+    from gypsumrelay_relay.topics import OperatorOrders
+
+log = Logger('coordinator')
+
+Deliver = Callable[['Action'], None]
+
+
+@attrs.frozen
+class Asked:
+    """A request for a place."""
+
+    need: Need
+
+
+@attrs.frozen
+class PromptEnded:
+    """The prefill of an attempt ended."""
+
+    key: tuple[str, int]
+    ending: Ending
+
+
+@attrs.frozen
+class Ended:
+    """The use of a place ended."""
+
+    key: tuple[str, int]
+    ending: Ending
+
+
+@attrs.frozen
+class Held:
+    """A place that an earlier coordinator gave out."""
+
+    place: Place
+
+
+@attrs.frozen
+class EntryGone:
+    """An instance is out of reach; its places are free."""
+
+    entry: str
+
+
+@attrs.frozen
+class OrdersChanged:
+    """The operators' orders changed."""
+
+    orders: OperatorOrders
+
+
+@attrs.frozen
+class UpstreamsChanged:
+    """The list of upstreams changed."""
+
+    upstreams: tuple[Upstream, ...]
+    lapsed: bool
+
+
+@attrs.frozen
+class SettingsChanged:
+    """The policy's settings were read again."""
+
+    settings: DispatchSettings
+
+
+@attrs.frozen
+class Ticked:
+    """Time passed."""
+
+
+@attrs.frozen
+class CountUsed:
+    """Asks for figures of the state, for status and metrics."""
+
+
+class Coordinator(pykka.ThreadingActor):  # type: ignore[misc]
+    """Applies events to the board and delivers the answers."""
+
+    use_daemon_thread = True
+
+    def __init__(self, board: Board, deliver: Deliver) -> None:
+        """Take the state and the way of answers."""
+        super().__init__()
+        self.board = board
+        self.deliver = deliver
+
+    def on_receive(self, message: Any) -> Any:
+        """Apply one event."""
+        now = time.monotonic()
+        if isinstance(message, CountUsed):
+            return _figures(self.board)
+        try:
+            actions = list(self._apply(message, now))
+        except Exception:
+            # One faulty event must not end the coordinator for all others.
+            log.exception('Event {} failed.', type(message).__name__)
+            return None
+        for action in actions:
+            self.deliver(action)
+        return None
+
+    def _apply(self, message: Any, now: float) -> Iterable[Action]:
+        board = self.board
+        match message:
+            case Asked(need):
+                return dispatch.ask(board, need, now)
+            case PromptEnded(key, ending):
+                return dispatch.end_prefill(board, key, ending, now)
+            case Ended(key, ending):
+                return dispatch.end(board, key, ending, now)
+            case EntryGone(entry):
+                return dispatch.forget_entry(board, entry, now)
+            case Held(place):
+                dispatch.hold(board, place)
+            case OrdersChanged(orders):
+                _set_orders(board, orders, now)
+            case SettingsChanged(settings):
+                board.settings = settings
+            case UpstreamsChanged(upstreams, lapsed):
+                dispatch.set_upstreams(board, upstreams, now, lapsed=lapsed)
+        return dispatch.tick(board, now)
+
+
+def _set_orders(board: Board, orders: OperatorOrders, now: float) -> None:
+    configuration = orders.configuration
+    board.evacuated = orders.evacuated
+    dispatch.set_rules(
+        board,
+        configuration.services.values(),
+        configuration.account_rules,
+        now,
+    )
+
+
+def _figures(board: Board) -> dict[str, Any]:
+    return {
+        'waiting': len(board.queue),
+        'places': len(board.places),
+        'upstreams': {
+            name: {
+                'service': load.upstream.service,
+                'phase': load.upstream.phase.value,
+                'running': len(load.running),
+                'tokens': load.tokens,
+                'backlog_ms': int(load.backlog_ms),
+                'slowness': round(load.slowness, 2),
+                'success': round(load.success, 2),
+                'leaving': load.upstream.leaving,
+            }
+            for name, load in board.loads.items()
+        },
+    }
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/exchange.py
@@ -0,0 +1,243 @@
+"""One request of a caller from its acceptance to its answer."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import time
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+from gypsumrelay_dispatch import Need
+from gypsumrelay_errors import Failure
+from gypsumrelay_wire import to_remaining_ms
+
+from gypsumrelay_relay import events
+from gypsumrelay_relay.watch import Cause, Guard
+
+if TYPE_CHECKING:
+    from gypsumrelay_relay.context import Relay
+    from gypsumrelay_relay.dialect import CallerFacts
+    from gypsumrelay_relay.routes import Account, Configuration, Route
+
+MS_PER_SECOND: Final = 1000
+DIGEST_BYTES: Final = 12
+# Decimals of `Retry-After`; callers accept fractions of a second.
+RETRY_DECIMALS: Final = 2
+
+StartResponse = Callable[..., Any]
+Chunks = Iterable[bytes]
+
+
+@attrs.frozen
+class Admitted:
+    """What acceptance found out about a request.
+
+    Attributes:
+        facts: What its headers say.
+        configuration: The version that it was matched against.
+        route: Its route.
+        service: The service that runs it.
+        account: The account that it runs for; None on public routes.
+        body: Its body.
+    """
+
+    facts: CallerFacts
+    configuration: Configuration
+    route: Route
+    service: str
+    account: Account | None
+    body: bytes
+
+
+@attrs.define(eq=False)
+class Exchange:
+    """A request that is being answered.
+
+    Attributes:
+        relay: The parts of this instance.
+        environ: The request in WSGI form.
+        start_response: Begins the answer.
+        admitted: What acceptance found out.
+        guard: Ends the request early.
+        arrived_at: When the request was read.
+        deadline: When the caller stops waiting.
+        attempts: Asks for places so far.
+        runs: Sends so far that may have run.
+        excluded: Upstreams that are not tried again.
+    """
+
+    relay: Relay
+    environ: dict[str, Any]
+    start_response: StartResponse
+    admitted: Admitted
+    guard: Guard
+    arrived_at: float
+    deadline: float
+    attempts: int = 0
+    runs: int = 0
+    excluded: set[str] = attrs.field(factory=set)
+
+    @property
+    def request_id(self) -> str:
+        """Return the caller's name for this request."""
+        return self.admitted.facts.request_id
+
+    @property
+    def account_name(self) -> str:
+        """Return the account's name, empty on public routes."""
+        account = self.admitted.account
+        return account.name if account else ''
+
+    @property
+    def aim_at(self) -> float:
+        """Return the instant until which an answer is on time."""
+        return self.arrived_at + self.admitted.route.aim_ms / MS_PER_SECOND
+
+    @property
+    def target(self) -> str:
+        """Return path and query exactly as the caller sent them."""
+        return str(self.environ['REQUEST_URI'])
+
+    def remaining_ms(self) -> int:
+        """Return the time until the caller stops waiting."""
+        return to_remaining_ms(self.deadline, time.monotonic())
+
+    def elapsed_ms(self) -> int:
+        """Return the time since the request was read."""
+        return int((time.monotonic() - self.arrived_at) * MS_PER_SECOND)
+
+    def next_need(self, *, read: bool = False) -> Need:
+        """Return the need of the next attempt."""
+        self.attempts += 1
+        admitted = self.admitted
+        facts = admitted.facts
+        account = admitted.account
+        priority = admitted.route.priority
+        if account is not None and account.priority is not None:
+            priority = account.priority
+        relay = self.relay.settings.instance
+        return Need(
+            request_id=facts.request_id,
+            attempt=self.attempts,
+            entry=relay.name,
+            availability_zone=relay.availability_zone,
+            service=admitted.service,
+            client_account=self.account_name,
+            cost_tokens=self._cost(),
+            priority=priority,
+            aim_at=self.aim_at,
+            deadline=self.deadline,
+            prompt_tokens=facts.prompt_tokens if self._uses_engine() else 0,
+            output_tokens=facts.output_tokens,
+            read=read,
+            excluded=frozenset(self.excluded),
+            digest=self._digest(),
+        )
+
+    def log(self, decision: events.Decision) -> None:
+        """Log a decision about this request."""
+        self.relay.output.decide(
+            decision.event,
+            attrs.asdict(decision),
+            routine=decision.routine,
+        )
+
+    def refuse(self, failure: Failure) -> Chunks:
+        """Answer with a failure."""
+        now = time.monotonic()
+        retry_ms = 0
+        headers = [('Content-Type', 'application/json')]
+        if failure.retry_at is not None:
+            seconds = round(max(0, failure.retry_at - now), RETRY_DECIMALS)
+            retry_ms = int(seconds * MS_PER_SECOND)
+            headers.append(('Retry-After', str(seconds)))
+        self.log(
+            events.RequestRefused(
+                self.request_id,
+                failure.code,
+                failure.http_status,
+                failure.outcome.value,
+                retry_ms,
+                self.elapsed_ms(),
+                self.attempts,
+                self.admitted.configuration.version,
+                failure.sentence,
+            ),
+        )
+        self.relay.metrics.count_refused(failure.code)
+        return respond_with(self.start_response, failure, headers)
+
+    def refuse_gone(self) -> Chunks:
+        """End a request whose caller has left."""
+        self.log(
+            events.RequestBroken(
+                self.request_id,
+                Cause.gone.value,
+                self.elapsed_ms(),
+                self.attempts,
+                'the caller closed its connection',
+            ),
+        )
+        raise ConnectionError('the caller closed its connection')
+
+    def answered(self, status: int) -> None:
+        """Note that the request was answered in full."""
+        elapsed = self.elapsed_ms()
+        self.log(
+            events.RequestAnswered(
+                self.request_id,
+                status,
+                elapsed,
+                self.attempts,
+            ),
+        )
+        self.relay.metrics.observe_answer(
+            self.admitted.route.repeatability.value,
+            elapsed / MS_PER_SECOND,
+        )
+
+    def _uses_engine(self) -> bool:
+        service = self.admitted.configuration.services.get(
+            self.admitted.service,
+        )
+        return bool(service and service.memory_tokens)
+
+    def _cost(self) -> int:
+        account = self.admitted.account
+        if account is None:
+            return 0
+        return self.admitted.facts.tokens or account.plain_tokens
+
+    def _digest(self) -> bytes:
+        """Return what names this content when it is sent again."""
+        content = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        for part in (self.target, self.account_name):
+            content.update(part.encode('latin-1', 'replace') + b'\0')
+        content.update(self.admitted.body)
+        return content.digest()
+
+
+def respond_with(
+    start_response: StartResponse,
+    failure: Failure,
+    headers: list[tuple[str, str]],
+) -> Chunks:
+    """Begin the answer of a failure and return its body."""
+    body = json.dumps(
+        {
+            'error': {
+                'code': failure.code,
+                'message': failure.sentence,
+                'outcome': failure.outcome.value,
+            },
+        },
+    ).encode()
+    status = HTTPStatus(failure.http_status)
+    length = ('Content-Length', str(len(body)))
+    start_response(f'{status.value} {status.phrase}', [*headers, length])
+    return [body]
+
+
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/following.py
@@ -0,0 +1,120 @@
+"""Threads that follow the store's topics."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING, Final
+
+import attrs
+from gypsumrelay_errors import Failure
+from logbook import Logger
+
+from gypsumrelay_relay.knowledge import Knowledge, learn
+from gypsumrelay_relay.topics import (
+    RecordReader,
+    Store,
+    Topic,
+    TopicCopy,
+    refresh,
+)
+
+if TYPE_CHECKING:
+    from gypsumrelay_dispatch import Upstream
+    from gypsumrelay_settings import StoreSettings
+
+log = Logger('store')
+
+# Seconds between two tries while the store does not answer.
+RETRY_SECONDS: Final = 0.3
+# Seconds after the store's return for which a missing entry may come back.
+RETURN_SECONDS: Final = 2.5
+
+OnUpstreams = Callable[[tuple['Upstream', ...], bool], None]
+
+
+@attrs.define(eq=False)
+class Following:
+    """Follows the operators' records and the list of upstreams.
+
+    Attributes:
+        store: The store.
+        settings: How often it is read.
+        reader: Reads records.
+        knowledge: Takes the operators' records.
+        on_upstreams: Takes the list of upstreams, and whether the store was
+            away shortly before.
+        is_in_line: Whether this instance has to have the newest list.
+        unreadable: Records that were reported as unusable, by key.
+    """
+
+    store: Store
+    settings: StoreSettings
+    reader: RecordReader
+    knowledge: Knowledge
+    on_upstreams: OnUpstreams
+    is_in_line: Callable[[], bool]
+    unreadable: dict[str, bytes] = attrs.field(factory=dict)
+    hurry: threading.Event = attrs.field(factory=threading.Event)
+    stopped: threading.Event = attrs.field(factory=threading.Event)
+
+    def start(self) -> None:
+        """Start both threads."""
+        for target in (self.follow_operator, self.follow_upstreams):
+            threading.Thread(target=target, daemon=True).start()
+
+    def follow_operator(self) -> None:
+        """Take each change of the operators' records at once."""
+        copy = TopicCopy(Topic.operator)
+        while not self.stopped.is_set():
+            changed = self._refresh(copy, self.settings.watch_seconds)
+            if changed is None:
+                self.stopped.wait(RETRY_SECONDS)
+            elif changed:
+                learn(self.knowledge, copy.position, copy.records, 'store')
+
+    def follow_upstreams(self) -> None:
+        """Read the list of upstreams again and again."""
+        copy = TopicCopy(Topic.upstreams)
+        while not self.stopped.is_set():
+            changed = self._refresh(copy, 0)
+            now = time.monotonic()
+            lapsed = now - copy.returned_at < RETURN_SECONDS
+            if changed or (changed is not None and lapsed):
+                self.on_upstreams(self._read(copy.records), lapsed)
+            self.hurry.wait(self._pause(failed=changed is None))
+            self.hurry.clear()
+
+    def _refresh(self, copy: TopicCopy, wait_seconds: float) -> bool | None:
+        was_failing = copy.failing
+        outcome = refresh(copy, self.store, wait_seconds)
+        if isinstance(outcome, Failure):
+            if not was_failing:
+                log.warning(
+                    'Lost the store for {}: {}.',
+                    copy.topic.value,
+                    outcome.sentence,
+                )
+            return None
+        if was_failing:
+            log.info('The store answers again for {}.', copy.topic.value)
+        return outcome
+
+    def _pause(self, *, failed: bool) -> float:
+        if failed:
+            return RETRY_SECONDS
+        if self.is_in_line():
+            return self.settings.list_poll_seconds
+        return self.settings.idle_poll_seconds
+
+    def _read(self, records: Mapping[str, bytes]) -> tuple[Upstream, ...]:
+        upstreams = []
+        for key, record in records.items():
+            upstream = self.reader.upstream(key, record)
+            if not isinstance(upstream, Failure):
+                upstreams.append(upstream)
+            elif self.unreadable.get(key) != record:
+                self.unreadable[key] = record
+                log.warning('Entry {} left out: {}.', key, upstream.sentence)
+        return tuple(upstreams)
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/heartbeats.py
@@ -0,0 +1,168 @@
+"""Heartbeats between relays, as datagrams."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+import msgpack
+from logbook import Logger
+
+from gypsumrelay_relay.membership import (
+    Member,
+    Members,
+    add_hosts,
+    alive,
+    hear,
+    heartbeat_targets,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+log = Logger('heartbeats')
+
+# Seconds; four of them fit into the time after which a member counts as dead.
+INTERVAL_SECONDS: Final = 0.25
+# Members above which heartbeats become rarer, so that their cost per
+# instance stays the same.
+FULL_RATE_MEMBERS: Final = 32
+# Seconds; a longer gap between two own heartbeats means that the process
+# stood still and others have taken over.
+PAUSE_SECONDS: Final = 1.0
+VERSION: Final = 1
+DATAGRAM_BYTES: Final = 8192
+# Addresses in one heartbeat; keeps it within one packet.
+HOSTS_TOLD: Final = 48
+
+
+@attrs.define(eq=False)
+class Heartbeats:
+    """Sends and receives heartbeats in two threads.
+
+    Attributes:
+        members: What is known about the others; guarded by `lock`.
+        port: UDP port, the same on all instances.
+        on_change: Called after each heartbeat round and each new member.
+        on_pause: Called where this process stood still.
+        lock: Guards `members`.
+    """
+
+    members: Members
+    port: int
+    on_change: Callable[[], None]
+    on_pause: Callable[[], None]
+    lock: threading.RLock
+    link: socket.socket
+    stopped: threading.Event = attrs.field(factory=threading.Event)
+
+    def start(self) -> None:
+        """Start both threads."""
+        for target in (self.run_sender, self.run_receiver):
+            threading.Thread(target=target, daemon=True).start()
+
+    def run_sender(self) -> None:
+        """Send heartbeats until the process stops."""
+        last = time.monotonic()
+        while not self.stopped.wait(self._pause()):
+            now = time.monotonic()
+            if now - last > self._pause() + PAUSE_SECONDS:
+                log.warning('The process stood still for {:.1f} s.', now - last)
+                self.on_pause()
+            last = now
+            self.send_round(now)
+            self.on_change()
+
+    def send_round(self, now: float) -> None:
+        """Send one heartbeat to each address that is due."""
+        with self.lock:
+            targets = heartbeat_targets(self.members, now)
+            live = [member.host for member in alive(self.members, now)]
+            payload = pack(self.members.own, live[:HOSTS_TOLD])
+        for host in targets:
+            self._send(payload, host)
+
+    def run_receiver(self) -> None:
+        """Receive heartbeats until the socket closes."""
+        while not self.stopped.is_set():
+            try:
+                payload, address = self.link.recvfrom(DATAGRAM_BYTES)
+            except OSError as error:
+                if not self.stopped.is_set():
+                    log.warning('Receiving a heartbeat failed: {}.', error)
+                    self.stopped.wait(INTERVAL_SECONDS)
+                continue
+            self._take(payload, address[0])
+
+    def stop(self) -> None:
+        """End both threads."""
+        self.stopped.set()
+        self.link.close()
+
+    def _take(self, payload: bytes, sender: str) -> None:
+        unpacked = unpack(payload)
+        if unpacked is None:
+            log.warning('A datagram from {} is no heartbeat.', sender)
+            return
+        member, hosts = unpacked
+        now = time.monotonic()
+        with self.lock:
+            is_new = hear(self.members, member, now)
+            add_hosts(self.members, hosts, now)
+        if is_new:
+            log.info(
+                'Heard of {} at {}, seniority {}.',
+                member.name,
+                member.host,
+                member.seniority,
+            )
+            self._send(self._own_payload(), member.host)
+            self.on_change()
+
+    def _own_payload(self) -> bytes:
+        with self.lock:
+            return pack(self.members.own, [])
+
+    def _send(self, payload: bytes, host: str) -> None:
+        try:
+            self.link.sendto(payload, (host, self.port))
+        except OSError as error:
+            log.debug('No heartbeat to {}: {}.', host, error)
+
+    def _pause(self) -> float:
+        crowd = len(self.members.known) / FULL_RATE_MEMBERS
+        return INTERVAL_SECONDS * max(1, crowd)
+
+
+def pack(member: Member, hosts: list[str]) -> bytes:
+    """Return a heartbeat as bytes."""
+    packed: bytes = msgpack.packb([VERSION, *attrs.astuple(member), hosts])
+    return packed
+
+
+def unpack(payload: bytes) -> tuple[Member, list[str]] | None:
+    """Return the sender and the hosts in a heartbeat."""
+    try:
+        frame: Any = msgpack.unpackb(payload)
+    except (ValueError, msgpack.UnpackException):
+        return None
+    fields = attrs.fields(Member)
+    if not isinstance(frame, list) or len(frame) < len(fields) + 2:
+        return None
+    given = frame[1 : len(fields) + 1]
+    types = [type(default) for default in attrs.astuple(Member('', '', ''))]
+    if any(type(part) is not kind for part, kind in zip(given, types)):
+        return None
+    hosts = [host for host in frame[len(fields) + 1] if isinstance(host, str)]
+    return Member(*given), hosts
+
+
+def open_socket(host: str, port: int) -> socket.socket:
+    """Return the bound socket for heartbeats."""
+    link = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    link.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    link.bind((host, port))
+    return link
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/measures.py
@@ -0,0 +1,89 @@
+"""Counters and histograms of a relay, as a page of text and by statsd."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import attrs
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+if TYPE_CHECKING:
+    from gypsumrelay_telemetry import Metrics
+
+# Seconds; from a fast plain answer to the longest stream.
+BUCKETS: Final = (0.02, 0.05, 0.1, 0.2, 0.4, 0.9, 2, 4, 8, 14)
+
+
+@attrs.define(eq=False)
+class Measures:
+    """Metrics with names and labels of bounded number."""
+
+    statsd: Metrics
+    registry: CollectorRegistry = attrs.field(factory=CollectorRegistry)
+    answered: Histogram = attrs.field(init=False)
+    first_event: Histogram = attrs.field(init=False)
+    refused: Counter = attrs.field(init=False)
+    attempts: Counter = attrs.field(init=False)
+    gauges: Gauge = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Register the metrics."""
+        self.answered = Histogram(
+            'gypsumrelay_answer_seconds',
+            'Time from a request to the end of its answer.',
+            ['kind'],
+            buckets=BUCKETS,
+            registry=self.registry,
+        )
+        self.first_event = Histogram(
+            'gypsumrelay_first_event_seconds',
+            'Time from a request to the first event of its stream.',
+            buckets=BUCKETS,
+            registry=self.registry,
+        )
+        self.refused = Counter(
+            'gypsumrelay_refused',
+            'Requests that were refused or failed, by code.',
+            ['code'],
+            registry=self.registry,
+        )
+        self.attempts = Counter(
+            'gypsumrelay_attempts',
+            'Sends to upstreams, by their end.',
+            ['ending'],
+            registry=self.registry,
+        )
+        self.gauges = Gauge(
+            'gypsumrelay_state',
+            'Present figures of the instance.',
+            ['figure'],
+            registry=self.registry,
+        )
+
+    def observe_answer(self, kind: str, seconds: float) -> None:
+        """Record an answer in full."""
+        self.answered.labels(kind).observe(seconds)
+        self.statsd.count('relay.answered')
+
+    def observe_first_event(self, seconds: float) -> None:
+        """Record the first event of a stream."""
+        self.first_event.observe(seconds)
+
+    def count_refused(self, code: str) -> None:
+        """Count a refused or failed request."""
+        self.refused.labels(code).inc()
+        self.statsd.count('relay.refused')
+
+    def count_attempt(self, ending: str) -> None:
+        """Count a send to an upstream."""
+        self.attempts.labels(ending).inc()
+
+    def page(self) -> bytes:
+        """Return all metrics as text."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/membership.py
@@ -0,0 +1,145 @@
+"""Which relays are alive and which of them coordinates."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# Seconds without a heartbeat after which a member counts as dead: four
+# missed heartbeats, since datagrams get lost.
+ALIVE_SECONDS: Final = 1.0
+# Seconds for which a silent member is still sent heartbeats, so that both
+# sides find each other again after a partition.
+REMEMBER_SECONDS: Final = 120.0
+# Seconds between heartbeats to a member that does not answer.
+PROBE_SECONDS: Final = 2.0
+# Cores and Mbit/s below which an instance coordinates only if no larger one
+# is alive; a coordinator handles the traffic of all.
+COORDINATOR_CORES: Final = 0.7
+COORDINATOR_MBPS: Final = 50
+# Rank of a member that the store has not numbered yet.
+UNRANKED: Final = 1 << 53
+
+
+@attrs.frozen
+class Member:
+    """A relay as its heartbeats describe it.
+
+    Attributes:
+        name: Name of the instance.
+        incarnation: Differs for every start of the process.
+        host: IP address of its link port.
+        seniority: Position of its registration in the store; it grows with
+            each registration.
+        is_small: Whether it should not coordinate.
+        leaving: Whether it shuts down.
+        position: Position of its operators' records.
+    """
+
+    name: str
+    incarnation: str
+    host: str
+    seniority: int = UNRANKED
+    is_small: bool = False
+    leaving: bool = False
+    position: int = -1
+
+    @property
+    def rank(self) -> tuple[bool, int, str]:
+        """Order in which members coordinate, the least first."""
+        return (self.is_small, self.seniority, self.name)
+
+
+@attrs.define
+class Members:
+    """What a relay knows about the others.
+
+    Attributes:
+        own: This relay.
+        known: Newest heartbeat of each other member.
+        heard_at: When that came.
+        hosts: Addresses to which heartbeats go, with the instant from which
+            they are forgotten.
+        probed_at: When a silent address was sent the last heartbeat.
+        avoided: Members that could not be reached, until an instant.
+    """
+
+    own: Member
+    known: dict[str, Member] = attrs.field(factory=dict)
+    heard_at: dict[str, float] = attrs.field(factory=dict)
+    hosts: dict[str, float] = attrs.field(factory=dict)
+    probed_at: dict[str, float] = attrs.field(factory=dict)
+    avoided: dict[str, float] = attrs.field(factory=dict)
+
+
+def hear(members: Members, member: Member, now: float) -> bool:
+    """Take a heartbeat; return whether the sender is new or restarted."""
+    if member.name == members.own.name:
+        return False
+    known = members.known.get(member.name)
+    members.known[member.name] = member
+    members.heard_at[member.name] = now
+    members.hosts[member.host] = now + REMEMBER_SECONDS
+    return known is None or known.incarnation != member.incarnation
+
+
+def add_hosts(members: Members, hosts: Iterable[str], now: float) -> None:
+    """Add addresses that members may have."""
+    for host in hosts:
+        if host != members.own.host:
+            members.hosts.setdefault(host, now + REMEMBER_SECONDS)
+
+
+def alive(members: Members, now: float) -> list[Member]:
+    """Return the other members that were heard lately."""
+    return [
+        member
+        for name, member in members.known.items()
+        if now - members.heard_at[name] < ALIVE_SECONDS
+    ]
+
+
+def coordinator(members: Members, now: float) -> Member:
+    """Return the member that coordinates, as far as is known here.
+
+    A member that leaves still ends its own requests, so it may ask others
+    but is not asked.
+    """
+    choices = [
+        member
+        for member in alive(members, now)
+        if not member.leaving and members.avoided.get(member.name, 0) <= now
+    ]
+    if not members.own.leaving or not choices:
+        choices.append(members.own)
+    return min(choices, key=lambda member: member.rank)
+
+
+def is_in_line(members: Members, now: float, places: int) -> bool:
+    """Return whether this relay is among the first to coordinate."""
+    before = [
+        member
+        for member in alive(members, now)
+        if not member.leaving and member.rank < members.own.rank
+    ]
+    return len(before) < places
+
+
+def heartbeat_targets(members: Members, now: float) -> list[str]:
+    """Return the addresses that get a heartbeat now."""
+    live = {member.host for member in alive(members, now)}
+    targets = []
+    for host, forget_at in list(members.hosts.items()):
+        if host in live:
+            targets.append(host)
+        elif now >= forget_at:
+            members.hosts.pop(host)
+            members.probed_at.pop(host, None)
+        elif now - members.probed_at.get(host, float('-inf')) >= PROBE_SECONDS:
+            members.probed_at[host] = now
+            targets.append(host)
+    return targets
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/model.py
@@ -0,0 +1,373 @@
+"""Requests to models: prompt read in one pool, answer streamed by another."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Final
+
+import attrs
+from gypsumrelay_dispatch import Ending
+from gypsumrelay_errors import Failure, Outcome, UpstreamFailed
+
+from gypsumrelay_relay import events
+from gypsumrelay_relay.attempts import (
+    Verdict,
+    deliver,
+    end_attempt,
+    given_up,
+    has_left,
+    judge,
+    no_time,
+    obtain_place,
+)
+from gypsumrelay_relay.dialect import Sending
+from gypsumrelay_relay.eventstream import Events, Splitter
+from gypsumrelay_relay.plain import Whole
+from gypsumrelay_relay.prompts import Cache, read_prompt, release
+from gypsumrelay_relay.sending import FAULTS, Reply, SendFailed
+from gypsumrelay_relay.watch import Cause
+
+if TYPE_CHECKING:
+    from gypsumrelay_relay.exchange import Chunks, Exchange
+    from gypsumrelay_relay.placement import Placed
+
+MS_PER_SECOND: Final = 1000
+# Seconds without a byte after which a stream that may go on elsewhere is
+# taken from its upstream; far above the pause of a sound one.
+SILENCE_SECONDS: Final = 1.0
+# Seconds after which a read prompt is not sent to a decode upstream any
+# more: caches live half a second, and fetching one takes time.
+CACHE_SECONDS: Final = 0.4
+# Asks for a place by one request; bounds the load of one that keeps failing.
+MAX_ASKS: Final = 5
+
+
+@attrs.define(eq=False)
+class Opened:
+    """A stream whose first event has arrived.
+
+    Attributes:
+        given: Its place.
+        reply: The answer.
+        started_at: When it was sent.
+        splitter: Cuts the answer into events.
+        first: The first events; None where the answer ended before any.
+        pieces: The rest of the answer.
+    """
+
+    given: Placed
+    reply: Reply
+    started_at: float
+    splitter: Splitter
+    first: Events | None
+    pieces: Iterator[bytes]
+
+
+@attrs.define(eq=False)
+class StreamRun:
+    """State of one streamed request.
+
+    Attributes:
+        exchange: The request.
+        last_event: Id of the last event that went to the caller.
+        cache: A read prompt that no decode upstream has taken yet.
+        current: The stream that is being passed on.
+    """
+
+    exchange: Exchange
+    last_event: str
+    cache: Cache | None = None
+    current: Opened | None = None
+
+    @property
+    def may_go_on(self) -> bool:
+        """Return whether the stream may run at another upstream."""
+        exchange = self.exchange
+        route = exchange.admitted.route
+        return (
+            route.resumable
+            and exchange.guard.cause is None
+            and exchange.runs < route.max_attempts
+        )
+
+
+def answer_model(exchange: Exchange) -> Chunks:
+    """Run a request and stream its answer."""
+    run = StreamRun(exchange, exchange.admitted.facts.last_event)
+    opened = open_stream(run)
+    if has_left(exchange):
+        if isinstance(opened, Opened):
+            _close(run, opened, Verdict(Ending.cancelled, 'the caller left'))
+        return exchange.refuse_gone()
+    if isinstance(opened, Failure):
+        return exchange.refuse(given_up(exchange, opened))
+    if isinstance(opened, Whole):
+        return _pass_whole(exchange, opened)
+    status = HTTPStatus(opened.reply.status)
+    headers = opened.reply.headers.items()
+    exchange.start_response(
+        f'{status.value} {status.phrase}',
+        exchange.relay.dialect.caller_headers(headers),
+    )
+    exchange.log(
+        events.FirstEvent(
+            exchange.request_id,
+            exchange.attempts,
+            exchange.elapsed_ms(),
+        ),
+    )
+    exchange.relay.metrics.observe_first_event(
+        exchange.elapsed_ms() / MS_PER_SECOND,
+    )
+    return _stream(run, opened)
+
+
+def open_stream(run: StreamRun) -> Opened | Whole | Failure:
+    """Try upstreams until a stream starts or no attempt is left."""
+    exchange = run.exchange
+    last: Whole | Failure | None = None
+    asked = exchange.attempts
+    while exchange.attempts - asked < MAX_ASKS:
+        need = exchange.next_need(read=run.cache is not None)
+        given = obtain_place(exchange, need)
+        if isinstance(given, Failure):
+            _drop_cache(run)
+            return last or given
+        opened = _attempt(run, given)
+        if isinstance(opened, Opened):
+            return opened
+        if not isinstance(opened, Verdict):
+            last = opened
+        if exchange.guard.cause is not None:
+            _drop_cache(run)
+            return no_time(exchange)
+        if not _may_try_again(run, opened):
+            break
+    _drop_cache(run)
+    if last is None:
+        outcome = Outcome.unknown if exchange.runs else Outcome.not_run
+        return UpstreamFailed('no upstream answered', outcome)
+    return last
+
+
+def _attempt(run: StreamRun, given: Placed) -> Opened | Whole | Verdict:
+    """Read the prompt where needed, then start the stream."""
+    exchange = run.exchange
+    started_at = time.monotonic()
+    if run.cache is None and given.prefill:
+        outcome = read_prompt(exchange, given)
+        if isinstance(outcome, Verdict):
+            exchange.excluded.add(given.prefill)
+            exchange.relay.coordination.finish(given.need, Ending.cancelled)
+            return Verdict(Ending.rejected, outcome.reason)
+        run.cache = outcome
+    return _decode(run, given, started_at)
+
+
+def _decode(
+    run: StreamRun,
+    given: Placed,
+    started_at: float,
+) -> Opened | Whole | Verdict:
+    exchange = run.exchange
+    cache = run.cache
+    sending = Sending(
+        given.upstream,
+        exchange.account_name,
+        exchange.remaining_ms(),
+        cache_source=cache.source if cache else '',
+        last_event=run.last_event,
+    )
+    deadline = exchange.deadline
+    if run.may_go_on and exchange.runs + 1 < exchange.admitted.route.max_attempts:
+        deadline = min(deadline, time.monotonic() + SILENCE_SECONDS)
+    reply = deliver(exchange, given.address, sending, deadline, fresh=True)
+    if isinstance(reply, SendFailed):
+        verdict = Verdict(reply.ending, reply.reason)
+        _count_run(run, verdict)
+        exchange.excluded.add(given.upstream)
+        end_attempt(exchange, given, verdict, 0, started_at)
+        return verdict
+    return _judge_start(run, given, reply, started_at)
+
+
+def _judge_start(
+    run: StreamRun,
+    given: Placed,
+    reply: Reply,
+    started_at: float,
+) -> Opened | Whole | Verdict:
+    exchange = run.exchange
+    verdict = judge(exchange, reply)
+    _count_run(run, verdict)
+    if verdict.ending is Ending.answered:
+        opened = _first_events(run, given, reply, started_at)
+        if isinstance(opened, Opened):
+            return opened
+        verdict = opened
+    exchange.excluded.add(given.upstream)
+    whole = _read_failure(exchange, reply, verdict)
+    end_attempt(exchange, given, verdict, reply.status, started_at)
+    return whole or verdict
+
+
+def _first_events(
+    run: StreamRun,
+    given: Placed,
+    reply: Reply,
+    started_at: float,
+) -> Opened | Verdict:
+    exchange = run.exchange
+    silence = exchange.deadline - time.monotonic()
+    if run.may_go_on:
+        silence = min(silence, SILENCE_SECONDS)
+    pieces = reply.pieces(silence)
+    splitter = Splitter()
+    opened = Opened(given, reply, started_at, splitter, None, pieces)
+    try:
+        for piece in pieces:
+            opened.first = splitter.feed(piece)
+            if opened.first is not None:
+                return opened
+    except FAULTS as error:
+        return Verdict(Ending.lost, f'the stream broke off: {error}')
+    return opened
+
+
+def _stream(run: StreamRun, opened: Opened) -> Iterator[bytes]:
+    """Yield events; go on at another upstream where that is allowed."""
+    exchange = run.exchange
+    current: Opened | Whole | Failure = opened
+    try:
+        while isinstance(current, Opened):
+            run.current = current
+            verdict = yield from _pass_events(run, current)
+            run.current = None
+            if verdict.ending is Ending.answered:
+                _end(run, current, verdict)
+                exchange.answered(current.reply.status)
+                return
+            _close(run, current, verdict)
+            exchange.excluded.add(current.given.upstream)
+            if not run.may_go_on:
+                break
+            current = open_stream(run)
+    except GeneratorExit:
+        _note_broken(exchange, Cause.gone.value, 'the caller left')
+        raise
+    finally:
+        if run.current is not None:
+            left = Verdict(Ending.cancelled, 'the answer was not taken')
+            _close(run, run.current, left)
+        _drop_cache(run)
+    cause = exchange.guard.cause
+    _note_broken(exchange, cause.value if cause else 'lost', 'the stream ended')
+    raise ConnectionError('the stream ended early')
+
+
+def _pass_events(
+    run: StreamRun,
+    opened: Opened,
+) -> Iterator[bytes]:
+    """Yield the whole events of one upstream's answer."""
+    try:
+        for found in _whole_events(opened):
+            run.last_event = found.last_id or run.last_event
+            yield found.raw
+    except FAULTS as error:
+        return Verdict(Ending.lost, f'the stream broke off: {error}')
+    if opened.splitter.rest:
+        return Verdict(Ending.lost, 'the stream ended inside an event')
+    return Verdict(Ending.answered)
+
+
+def _whole_events(opened: Opened) -> Iterator[Events]:
+    if opened.first is not None:
+        yield opened.first
+    for piece in opened.pieces:
+        found = opened.splitter.feed(piece)
+        if found is not None:
+            yield found
+
+
+def _count_run(run: StreamRun, verdict: Verdict) -> None:
+    """Count a send that may have run; a taken cache is not offered again."""
+    if verdict.ending is Ending.unreached:
+        return
+    if verdict.ending is Ending.rejected:
+        cache = run.cache
+        if cache and time.monotonic() - cache.read_at > CACHE_SECONDS:
+            _drop_cache(run)
+        return
+    run.exchange.runs += 1
+    run.cache = None
+
+
+def _may_try_again(run: StreamRun, outcome: Whole | Verdict) -> bool:
+    if isinstance(outcome, Verdict):
+        if outcome.ending in {Ending.rejected, Ending.unreached}:
+            return True
+    return run.may_go_on
+
+
+def _read_failure(
+    exchange: Exchange,
+    reply: Reply,
+    verdict: Verdict,
+) -> Whole | None:
+    """Return an upstream's own failure, which the caller may be given."""
+    if verdict.ending is Ending.lost:
+        reply.close()
+        return None
+    try:
+        body = reply.read(exchange.deadline)
+    except FAULTS:
+        reply.close()
+        return None
+    reply.keep()
+    if verdict.ending is not Ending.failed:
+        return None
+    headers = exchange.relay.dialect.caller_headers(reply.headers.items())
+    return Whole(reply.status, headers, body)
+
+
+def _pass_whole(exchange: Exchange, whole: Whole) -> Chunks:
+    status = HTTPStatus(whole.status)
+    exchange.start_response(
+        f'{status.value} {status.phrase}',
+        [*whole.headers, ('Content-Length', str(len(whole.body)))],
+    )
+    exchange.answered(whole.status)
+    return [whole.body]
+
+
+def _end(run: StreamRun, opened: Opened, verdict: Verdict) -> None:
+    status = opened.reply.status
+    opened.reply.keep()
+    end_attempt(run.exchange, opened.given, verdict, status, opened.started_at)
+
+
+def _close(run: StreamRun, opened: Opened, verdict: Verdict) -> None:
+    opened.reply.close()
+    status = opened.reply.status
+    end_attempt(run.exchange, opened.given, verdict, status, opened.started_at)
+
+
+def _drop_cache(run: StreamRun) -> None:
+    cache, run.cache = run.cache, None
+    if cache is not None:
+        release(run.exchange, cache)
+
+
+def _note_broken(exchange: Exchange, cause: str, reason: str) -> None:
+    exchange.log(
+        events.RequestBroken(
+            exchange.request_id,
+            cause,
+            exchange.elapsed_ms(),
+            exchange.attempts,
+            reason,
+        ),
+    )
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/placement.py
@@ -0,0 +1,212 @@
+"""What a request gets from the coordinator, and the messages for it."""
+
+from __future__ import annotations
+
+import inspect
+from typing import Final
+
+import attrs
+import gypsumrelay_errors
+from gypsumrelay_dispatch import (
+    Ending,
+    Granted,
+    Need,
+    Place,
+    Refused,
+)
+from gypsumrelay_errors import Failure, Overloaded
+from gypsumrelay_wire import (
+    PlaceGranted,
+    PlaceHeld,
+    PlaceRefused,
+    PlaceRequest,
+    to_deadline,
+    to_remaining_ms,
+    to_retry_at,
+    to_retry_ms,
+)
+
+MS_PER_SECOND: Final = 1000
+
+_FAILURES: Final = {
+    kind.code: kind
+    for _, kind in inspect.getmembers(gypsumrelay_errors, inspect.isclass)
+    if issubclass(kind, Failure)
+}
+
+
+@attrs.frozen
+class Placed:
+    """Upstreams for one attempt.
+
+    Attributes:
+        need: The attempt.
+        upstream: Name of the upstream that runs it.
+        address: Its `host:port`.
+        prefill: Name of the upstream that reads the prompt; empty where
+            the first one does that itself.
+        prefill_address: Its `host:port`.
+        load: Requests or tokens in use at the upstream before.
+        waited_ms: Time that the attempt waited for its place.
+    """
+
+    need: Need
+    upstream: str
+    address: str
+    prefill: str = ''
+    prefill_address: str = ''
+    load: int = 0
+    waited_ms: int = 0
+
+
+def placed(granted: Granted) -> Placed:
+    """Return a grant in the form of the requesting side."""
+    prefill = granted.prefill
+    return Placed(
+        granted.need,
+        granted.upstream.name,
+        granted.upstream.address,
+        prefill.name if prefill else '',
+        prefill.address if prefill else '',
+        granted.load,
+        int(granted.waited_seconds * MS_PER_SECOND),
+    )
+
+
+def request_message(need: Need, now: float) -> PlaceRequest:
+    """Return the message that asks for a place."""
+    return PlaceRequest(
+        need.request_id,
+        need.attempt,
+        need.availability_zone,
+        need.service,
+        need.client_account,
+        need.cost_tokens,
+        need.priority,
+        to_remaining_ms(need.aim_at, now),
+        to_remaining_ms(need.deadline, now),
+        need.prompt_tokens,
+        need.output_tokens,
+        need.read,
+        sorted(need.excluded),
+        need.digest,
+    )
+
+
+def need_of(message: PlaceRequest, entry: str, now: float) -> Need:
+    """Return the need in a message from another instance."""
+    return Need(
+        message.request_id,
+        message.attempt,
+        entry,
+        message.availability_zone,
+        message.service,
+        message.client_account,
+        message.cost_tokens,
+        message.priority,
+        to_deadline(message.aim_ms, now),
+        to_deadline(message.remaining_ms, now),
+        message.prompt_tokens,
+        message.output_tokens,
+        message.read,
+        frozenset(message.excluded),
+        message.digest,
+    )
+
+
+def answer_message(
+    action: Granted | Refused,
+    now: float,
+) -> PlaceGranted | PlaceRefused:
+    """Return the message that answers a need."""
+    need = action.need
+    if isinstance(action, Refused):
+        failure = action.failure
+        return PlaceRefused(
+            need.request_id,
+            need.attempt,
+            failure.code,
+            failure.sentence,
+            to_retry_ms(failure.retry_at, now),
+        )
+    given = placed(action)
+    return PlaceGranted(
+        need.request_id,
+        need.attempt,
+        given.upstream,
+        given.address,
+        given.prefill,
+        given.prefill_address,
+        given.load,
+        given.waited_ms,
+    )
+
+
+def answer_of(
+    message: PlaceGranted | PlaceRefused,
+    need: Need,
+    now: float,
+) -> Placed | Failure:
+    """Return the coordinator's answer to a need of this instance."""
+    if isinstance(message, PlaceRefused):
+        kind = _FAILURES.get(message.code, Overloaded)
+        return kind(
+            message.sentence,
+            retry_at=to_retry_at(message.retry_ms, now),
+        )
+    return Placed(
+        need,
+        message.upstream,
+        message.address,
+        message.prefill,
+        message.prefill_address,
+        message.load,
+        message.waited_ms,
+    )
+
+
+def held_message(given: Placed) -> PlaceHeld:
+    """Return the message that tells a new coordinator of a place."""
+    need = given.need
+    return PlaceHeld(
+        need.request_id,
+        need.attempt,
+        need.service,
+        need.prompt_tokens,
+        need.output_tokens,
+        given.upstream,
+        need.digest,
+    )
+
+
+def held_place(message: PlaceHeld, entry: str, now: float) -> Place:
+    """Return the place in a message from another instance."""
+    need = Need(
+        request_id=message.request_id,
+        attempt=message.attempt,
+        entry=entry,
+        availability_zone='',
+        service=message.service,
+        client_account='',
+        cost_tokens=0,
+        priority=0,
+        aim_at=now,
+        deadline=now,
+        prompt_tokens=message.prompt_tokens,
+        output_tokens=message.output_tokens,
+        digest=message.digest,
+    )
+    return Place(need, message.upstream, '', 0, now)
+
+
+def own_place(given: Placed, now: float) -> Place:
+    """Return a place of this instance for its own coordinator state."""
+    return Place(given.need, given.upstream, '', 0, now)
+
+
+def ending_of(text: str) -> Ending:
+    """Return the ending in a message; an unknown one teaches nothing."""
+    try:
+        return Ending(text)
+    except ValueError:
+        return Ending.cancelled
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/prompts.py
@@ -0,0 +1,161 @@
+"""Reading a prompt at a prefill upstream, and its KV cache."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Final
+
+import attrs
+from gypsumrelay_dispatch import Ending
+from gypsumrelay_errors import Failure
+
+from gypsumrelay_relay import events
+from gypsumrelay_relay.attempts import Verdict, deliver, read_facts
+from gypsumrelay_relay.dialect import Sending
+from gypsumrelay_relay.sending import (
+    FAULTS,
+    Call,
+    Reply,
+    SendFailed,
+    send,
+)
+from gypsumrelay_relay.watch import Guard
+
+if TYPE_CHECKING:
+    from gypsumrelay_relay.exchange import Exchange
+    from gypsumrelay_relay.placement import Placed
+
+MS_PER_SECOND: Final = 1000
+OK: Final = 200
+# Seconds for reading one prompt; the longest take a fifth of a second and
+# the coordinator gives out as much work again before them.
+READ_SECONDS: Final = 1.5
+# Seconds for freeing a KV cache; it lapses by itself soon after.
+RELEASE_SECONDS: Final = 0.5
+
+
+@attrs.frozen
+class Cache:
+    """The KV cache of a prompt that was read.
+
+    Attributes:
+        upstream: Name of the upstream that keeps it.
+        address: Its `host:port`.
+        name: The upstream's name for the cache.
+        source: Where a decode upstream fetches it.
+        read_at: When the prompt was read.
+    """
+
+    upstream: str
+    address: str
+    name: str
+    source: str
+    read_at: float
+
+
+def read_prompt(exchange: Exchange, given: Placed) -> Cache | Verdict:
+    """Have a prompt read; return its cache, or why there is none."""
+    started_at = time.monotonic()
+    sending = Sending(
+        given.prefill,
+        exchange.account_name,
+        exchange.remaining_ms(),
+        only_read=True,
+    )
+    deadline = min(exchange.deadline, started_at + READ_SECONDS)
+    reply = deliver(
+        exchange,
+        given.prefill_address,
+        sending,
+        deadline,
+        fresh=False,
+    )
+    if isinstance(reply, SendFailed):
+        outcome: Cache | Verdict = Verdict(reply.ending, reply.reason)
+    else:
+        outcome = _cache(exchange, given, reply, deadline)
+    _report(exchange, given, outcome, reply, started_at)
+    return outcome
+
+
+def release(exchange: Exchange, cache: Cache) -> None:
+    """Free a cache that nobody takes."""
+    method, target = exchange.relay.dialect.release_cache(cache.name)
+    deadline = time.monotonic() + RELEASE_SECONDS
+    reply = send(
+        exchange.relay.connections,
+        cache.address,
+        Call(method, target, {}),
+        Guard(deadline, lambda: False),
+        fresh=False,
+        deadline=deadline,
+    )
+    if isinstance(reply, SendFailed):
+        return
+    try:
+        reply.read(deadline)
+    except FAULTS:
+        reply.close()
+        return
+    reply.keep()
+
+
+def _cache(
+    exchange: Exchange,
+    given: Placed,
+    reply: Reply,
+    deadline: float,
+) -> Cache | Verdict:
+    facts = read_facts(exchange, reply)
+    if facts.request_id and facts.request_id != exchange.request_id:
+        reply.close()
+        return Verdict(Ending.lost, 'the answer belongs to another request')
+    try:
+        body = reply.read(deadline)
+    except FAULTS as error:
+        reply.close()
+        return Verdict(Ending.lost, f'the answer broke off: {error}')
+    reply.keep()
+    if facts.not_run:
+        return Verdict(Ending.rejected, f'not run, status {reply.status}')
+    if reply.status != OK:
+        return Verdict(Ending.failed, f'status {reply.status}')
+    dialect = exchange.relay.dialect
+    name = dialect.read_cache_name(body)
+    if isinstance(name, Failure):
+        return Verdict(Ending.failed, name.sentence)
+    source = dialect.cache_source(given.prefill_address, name)
+    return Cache(
+        given.prefill,
+        given.prefill_address,
+        name,
+        source,
+        time.monotonic(),
+    )
+
+
+def _report(
+    exchange: Exchange,
+    given: Placed,
+    outcome: Cache | Verdict,
+    reply: Reply | SendFailed,
+    started_at: float,
+) -> None:
+    verdict = (
+        Verdict(Ending.answered) if isinstance(outcome, Cache) else outcome
+    )
+    ending = verdict.ending
+    if exchange.guard.cause is not None and ending is not Ending.answered:
+        ending = Ending.cancelled
+    exchange.relay.coordination.prompt_read(given, ending)
+    exchange.log(
+        events.PromptDone(
+            exchange.request_id,
+            given.need.attempt,
+            given.prefill,
+            ending.value,
+            reply.status if isinstance(reply, Reply) else 0,
+            int((time.monotonic() - started_at) * MS_PER_SECOND),
+            verdict.reason,
+        ),
+    )
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/sending.py
@@ -0,0 +1,189 @@
+"""One send to an upstream and the answer to it."""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Iterator, Mapping
+from http.client import HTTPException
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+from gypsumrelay_dispatch import Ending
+from urllib3.exceptions import HTTPError
+
+if TYPE_CHECKING:
+    from gypsumrelay_relay.connections import Connections
+    from gypsumrelay_relay.watch import Guard
+    from urllib3 import BaseHTTPResponse
+    from urllib3.connection import HTTPConnection
+
+# What the libraries raise where a connection fails or an answer is broken.
+FAULTS: Final = (OSError, HTTPError, HTTPException, ValueError)
+READ_BYTES: Final = 65_536
+# An answer beyond this is refused, since it is kept in memory.
+ANSWER_BYTES: Final = 16_777_216
+# Shortest socket timeout; zero would mean not to wait at all.
+MIN_SECONDS: Final = 0.01
+
+
+@attrs.frozen
+class Call:
+    """A request as an upstream gets it."""
+
+    method: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes = b''
+
+
+@attrs.frozen
+class SendFailed:
+    """No answer came.
+
+    Attributes:
+        ending: `unreached` where nothing was sent, else `lost`.
+        reason: What failed.
+    """
+
+    ending: Ending
+    reason: str
+
+
+@attrs.define(eq=False)
+class Reply:
+    """An answer whose body may still arrive."""
+
+    address: str
+    response: BaseHTTPResponse
+    connection: HTTPConnection
+    link: socket.socket
+    connections: Connections
+
+    @property
+    def status(self) -> int:
+        """Return the status code."""
+        return self.response.status
+
+    @property
+    def headers(self) -> Mapping[str, str]:
+        """Return the headers; names are found in any case."""
+        return self.response.headers
+
+    def pieces(self, silence_seconds: float) -> Iterator[bytes]:
+        """Yield the body as it arrives; raises one of `FAULTS`."""
+        self.link.settimeout(max(MIN_SECONDS, silence_seconds))
+        while True:
+            piece = self.response.read1(READ_BYTES, decode_content=False)
+            if not piece:
+                return
+            yield piece
+
+    def read(self, deadline: float) -> bytes:
+        """Return the whole body; raises one of `FAULTS`."""
+        pieces = []
+        size = 0
+        for piece in self.pieces(deadline - time.monotonic()):
+            size += len(piece)
+            if size > ANSWER_BYTES:
+                raise ValueError('the answer is too large')
+            pieces.append(piece)
+        return b''.join(pieces)
+
+    def keep(self) -> None:
+        """Keep the connection, whose answer was read to its end."""
+        headers = self.headers
+        closing = headers.get('Connection', '').lower() == 'close'
+        if closing or self.connection.sock is None:
+            self.close()
+            return
+        self.response.release_conn()
+        keep_alive = headers.get('Keep-Alive', '')
+        self.connections.keep(self.address, self.connection, keep_alive)
+
+    def close(self) -> None:
+        """Close the connection; an upstream then drops the request."""
+        shut(self.link)
+        self.response.close()
+        self.connection.close()
+
+
+def send(
+    connections: Connections,
+    address: str,
+    call: Call,
+    guard: Guard,
+    *,
+    fresh: bool,
+    deadline: float,
+) -> Reply | SendFailed:
+    """Send a request and wait for the head of its answer.
+
+    Args:
+        connections: Kept connections.
+        address: `host:port` of the upstream.
+        call: The request.
+        guard: Interrupts the wait where the request ends early.
+        fresh: Whether a connection that was idle for long is not used.
+        deadline: Instant until which the head has to arrive.
+    """
+    connection = connections.take(address, fresh=fresh)
+    if connection is None:
+        try:
+            connection = connections.open(
+                address,
+                max(MIN_SECONDS, deadline - time.monotonic()),
+            )
+        except FAULTS as error:
+            return SendFailed(Ending.unreached, _describe(error))
+    link = connection.sock
+    if link is None:
+        return SendFailed(Ending.unreached, 'the connection is closed')
+    guard.interrupt_with(lambda: shut(link))
+    if guard.cause is not None:
+        connection.close()
+        return SendFailed(Ending.unreached, 'the request has ended')
+    try:
+        response = _exchange(connection, link, call, deadline)
+    except FAULTS as error:
+        shut(link)
+        connection.close()
+        return SendFailed(Ending.lost, _describe(error))
+    return Reply(address, response, connection, link, connections)
+
+
+def shut(link: socket.socket) -> None:
+    """Shut a connection so that a thread that reads from it wakes."""
+    try:
+        link.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        return
+
+
+def _exchange(
+    connection: HTTPConnection,
+    link: socket.socket,
+    call: Call,
+    deadline: float,
+) -> BaseHTTPResponse:
+    seconds = max(MIN_SECONDS, deadline - time.monotonic())
+    connection.timeout = seconds
+    link.settimeout(seconds)
+    connection.request(
+        call.method,
+        call.target,
+        body=call.body or _empty_body(call.method),
+        headers=call.headers,
+        preload_content=False,
+        decode_content=False,
+    )
+    return connection.getresponse()
+
+
+def _empty_body(method: str) -> bytes | None:
+    """Return an empty body where its length has to be stated."""
+    return b'' if method in {'POST', 'PUT', 'PATCH'} else None
+
+
+def _describe(error: Any) -> str:
+    return f'{type(error).__name__}: {error}'[:160]
--- a/libs/settings/src/gypsumrelay_settings/models.py
+++ b/libs/settings/src/gypsumrelay_settings/models.py
@@ -127,6 +127,122 @@
     committers: int = bounded(1, 1000, default=3)
 
 
+@attrs.frozen
+class DispatchSettings:
+    """Policy of the coordinator that gives out places at upstreams.
+
+    Attributes:
+        prefill_backlog_ms: Estimated prefill work that an upstream may have
+            at once; more waits in the queue, where its order can change.
+        prefill_tokens_per_ms: First estimate of the prefill rate, replaced
+            by measured ones.
+        memory_share: Part of an engine's memory that is given out.
+        queue_factor: Longest wait for a place as a multiple of the time to
+            the latency objective.
+        queue_share: Longest wait as a part of the time to the deadline.
+        repeat_ratio: Repeats per first send to a service.
+        repeat_slack: Repeats that a service may get besides.
+        repeat_window_seconds: Window in which both are counted.
+        suspend_seconds: First pause of an upstream that fell silent or
+            could not be reached; it doubles each time.
+        max_suspend_seconds: Longest such pause.
+        blame_after: Upstreams that a request's content may lose before it
+            is refused.
+        blame_seconds: How long such content is remembered.
+        lapse_seconds: How long an upstream that vanished from the list
+            while the store was away is still used after its return.
+    """
+
+    prefill_backlog_ms: float = bounded(1, 60_000, default=200)
+    prefill_tokens_per_ms: float = bounded(0.01, 100_000, default=30)
+    memory_share: float = bounded(0.1, 1, default=0.95)
+    queue_factor: float = bounded(0, 100, default=3)
+    queue_share: float = bounded(0, 1, default=0.5)
+    repeat_ratio: float = bounded(0, 10, default=0.15)
+    repeat_slack: float = bounded(0, 100_000, default=10)
+    repeat_window_seconds: float = bounded(0.1, 600, default=10)
+    suspend_seconds: float = bounded(0, 60, default=0.5)
+    max_suspend_seconds: float = bounded(0, 600, default=4)
+    blame_after: int = bounded(1, 100, default=3)
+    blame_seconds: float = bounded(1, 86_400, default=120)
+    lapse_seconds: float = bounded(0, 60, default=2.5)
+
+
+@attrs.frozen
+class RelayInstance:
+    """Who a relay is and where it listens.
+
+    Attributes:
+        name: Name of the instance.
+        availability_zone: Where it runs.
+        caller_address: `host:port` for callers.
+        ready_address: `host:port` for the load balancer's readiness probe.
+        host: IP address for links and metrics.
+        link_port: Port of the links (TCP) and of the heartbeats (UDP).
+        metrics_port: Port of the metrics page.
+        seeds: Addresses of some instances; only their hosts are used, as
+            the link port is the same everywhere.
+        processor_cores: Share of the processor that the instance has.
+        link_mbps: Rate of the instance's network link.
+    """
+
+    name: str
+    availability_zone: str
+    caller_address: str
+    ready_address: str
+    host: str
+    link_port: int = bounded(1, 65535)
+    metrics_port: int = bounded(1, 65535)
+    seeds: tuple[str, ...] = ()
+    processor_cores: float = bounded(0.01, 1024, default=1)
+    link_mbps: float = bounded(0.1, 1_000_000, default=1000)
+
+
+@attrs.frozen
+class StoreSettings:
+    """The platform's store.
+
+    Attributes:
+        address: `host:port`.
+        list_poll_seconds: Pause between two reads of the list of upstreams.
+        idle_poll_seconds: The same for instances that are not next in line
+            to coordinate.
+        watch_seconds: Longest wait of one read of the configuration.
+    """
+
+    address: str
+    list_poll_seconds: float = bounded(0.05, 60, default=0.4)
+    idle_poll_seconds: float = bounded(0.05, 60, default=1.5)
+    watch_seconds: float = bounded(0.1, 30, default=4)
+
+
+@attrs.frozen
+class ShutdownSettings:
+    """Times of a graceful shutdown, from the signal on.
+
+    Attributes:
+        accept_seconds: For how long new connections are still accepted,
+            until the load balancer has noticed.
+        total_seconds: When the process ends at the latest.
+    """
+
+    accept_seconds: float = bounded(0, 600, default=3)
+    total_seconds: float = bounded(0, 3600, default=7.5)
+
+
+@attrs.frozen
+class RelaySettings:
+    """Settings of `gypsumrelay relay`."""
+
+    instance: RelayInstance
+    store: StoreSettings
+    shared_secret: str
+    dispatch: DispatchSettings = DispatchSettings()
+    shutdown: ShutdownSettings = ShutdownSettings()
+    telemetry: TelemetrySettings = TelemetrySettings()
+    max_open_requests: int = bounded(1, MAXIMUM_THREADS, default=128)
+
+
 @attrs.frozen
 class UpstreamSettings:
     """The upstream that an agent stands beside.
--- a/libs/wire/src/gypsumrelay_wire/codec.py
+++ b/libs/wire/src/gypsumrelay_wire/codec.py
@@ -25,10 +25,12 @@
     'bool': bool,
     'bytes': bytes,
     'list[bytes]': list,
+    'list[str]': list,
     'list[list[str]]': list,
 }
 _ELEMENTS: Final[dict[str, type]] = {
     'list[bytes]': bytes,
+    'list[str]': str,
     'list[list[str]]': list,
 }
 _FIELDS: Final = {
--- a/libs/wire/src/gypsumrelay_wire/messages.py
+++ b/libs/wire/src/gypsumrelay_wire/messages.py
@@ -373,3 +373,105 @@
     request_id: str
     client_account: str
     key_digest: bytes
+
+
+@attrs.frozen
+class PlaceRequest(Message):
+    """Asks the coordinator for a place at an upstream of a service.
+
+    With `read`, the prompt's KV cache exists already.
+    """
+
+    tag: ClassVar[int] = 40
+    request_id: str
+    attempt: int
+    availability_zone: str
+    service: str
+    client_account: str
+    cost_tokens: int
+    priority: int
+    aim_ms: int
+    remaining_ms: int
+    prompt_tokens: int
+    output_tokens: int
+    read: bool
+    excluded: list[str]
+    digest: bytes
+
+
+@attrs.frozen
+class PlaceGranted(Message):
+    """Names the upstreams of an attempt; an empty prefill means none."""
+
+    tag: ClassVar[int] = 41
+    request_id: str
+    attempt: int
+    upstream: str
+    address: str
+    prefill: str
+    prefill_address: str
+    load: int
+    waited_ms: int
+
+
+@attrs.frozen
+class PlaceRefused(Message):
+    """Says why an attempt gets no place."""
+
+    tag: ClassVar[int] = 42
+    request_id: str
+    attempt: int
+    code: str
+    sentence: str
+    retry_ms: int
+
+
+@attrs.frozen
+class PromptRead(Message):
+    """Says how the prefill of an attempt ended."""
+
+    tag: ClassVar[int] = 43
+    request_id: str
+    attempt: int
+    ending: str
+
+
+@attrs.frozen
+class PlaceEnded(Message):
+    """Says how the use of a place ended."""
+
+    tag: ClassVar[int] = 44
+    request_id: str
+    attempt: int
+    ending: str
+
+
+@attrs.frozen
+class PlaceHeld(Message):
+    """Tells a new coordinator of a place that is in use."""
+
+    tag: ClassVar[int] = 45
+    request_id: str
+    attempt: int
+    service: str
+    prompt_tokens: int
+    output_tokens: int
+    upstream: str
+    digest: bytes
+
+
+@attrs.frozen
+class RecordsRequest(Message):
+    """Asks a peer for the operators' records if its copy is newer."""
+
+    tag: ClassVar[int] = 46
+    position: int
+
+
+@attrs.frozen
+class RecordsCopy(Message):
+    """Carries a peer's copy of the operators' records."""
+
+    tag: ClassVar[int] = 47
+    position: int
+    records: bytes
