Forecast engine memory, prefer cheap requests while memory is short, keep places for urgent ones

Cause: decode memory binds in bursts. Places took a fixed part of the expected output, which ignores that running requests end at different times; 30 to 60 preemptions followed where more was given out. Prompts whose KV cache lapsed or could not be fetched were offered again and again until the caller left. Tests: forecast.feature; the scenario of the costly request failed before the places were kept.

--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -13,6 +13,9 @@
     hold,
     tick,
 )
+from gypsumrelay_dispatch.forecast import (
+    expected_output,
+)
 from gypsumrelay_dispatch.loads import (
     Load,
     Place,
@@ -45,6 +48,7 @@
     'ask',
     'end',
     'end_prefill',
+    'expected_output',
     'forget_entry',
     'hold',
     'set_rules',
--- a/libs/dispatch/src/gypsumrelay_dispatch/board.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/board.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import attrs
 
@@ -23,6 +23,10 @@
     from gypsumrelay_settings import DispatchSettings
 
 
+# Milliseconds per token before the first stream has ended.
+FIRST_PACE_MS: Final = 3.0
+
+
 @attrs.define
 class Waiting:
     """An attempt in the queue.
@@ -33,17 +37,34 @@
         give_up_at: When it is refused if it still has no place.
         overdrawn: Whether its account has used more than its limit, so
             that it comes after all others.
+        delay: Seconds by which it ranks later because of its cost.
     """
 
     need: Need
     asked_at: float
     give_up_at: float
     overdrawn: bool = False
+    delay: float = 0
 
 
 @attrs.define
 class Board:
-    """Everything that the coordinator decides from."""
+    """Everything that the coordinator decides from.
+
+    Attributes:
+        settings: The policy.
+        services: Rules by service.
+        evacuated: Zones that get no work.
+        loads: Upstreams by name.
+        places: Places in use, by attempt.
+        queue: Attempts that wait.
+        accounts: Quotas.
+        repeats: Budgets of repeats, by service.
+        blame: Contents that take down upstreams.
+        pace_ms: Moving average of the time per expected token.
+        usual_cost: Moving average of the memory and time of a prompt's
+            request, in tokens times tokens.
+    """
 
     settings: DispatchSettings
     services: dict[str, ServiceRules] = attrs.field(factory=dict)
@@ -54,6 +75,8 @@
     accounts: Accounts = attrs.field(factory=Accounts)
     repeats: dict[str, RepeatBudget] = attrs.field(factory=dict)
     blame: Blame = attrs.field(factory=Blame)
+    pace_ms: float = FIRST_PACE_MS
+    usual_cost: float = 0
 
     @property
     def repeat_limit(self) -> RepeatLimit:
@@ -121,20 +144,13 @@
     )
 
 
-def memory_of(board: Board, need: Need) -> int:
-    """Return the engine memory that a place takes on average."""
-    output = need.output_tokens * board.settings.output_share
-    return need.prompt_tokens + int(output)
-
-
 def occupy(board: Board, place: Place) -> None:
     """Count a place against its upstreams."""
     need = place.need
     board.places[need.key] = place
     load = board.loads.get(place.upstream)
     if load is not None:
-        load.running.add(need.key)
-        load.tokens += memory_of(board, need)
+        load.running[need.key] = place
     reading = board.loads.get(place.prefill)
     if reading is not None:
         reading.reading_ms[need.key] = place.prefill_ms
@@ -146,9 +162,8 @@
     if place is None:
         return None
     load = board.loads.get(place.upstream)
-    if load is not None and key in load.running:
-        load.running.discard(key)
-        load.tokens -= memory_of(board, place.need)
+    if load is not None:
+        load.running.pop(key, None)
     reading = board.loads.get(place.prefill)
     if reading is not None:
         reading.reading_ms.pop(key, None)
@@ -158,5 +173,6 @@
 def drop_gone(board: Board, now: float) -> None:
     """Forget upstreams that are gone and have no work left."""
     for name, load in list(board.loads.items()):
-        if now >= load.usable_until and not load.running | set(load.reading_ms):
+        idle = not load.running and not load.reading_ms
+        if idle and now >= load.usable_until:
             board.loads.pop(name)
--- a/libs/dispatch/src/gypsumrelay_dispatch/coordinating.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/coordinating.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import enum
 from functools import partial
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from gypsumrelay_errors import (
     NoUpstream,
@@ -12,7 +13,7 @@
     RequestQuarantined,
 )
 
-from gypsumrelay_dispatch import accounts, blame, repeats
+from gypsumrelay_dispatch import accounts, blame, forecast, repeats
 from gypsumrelay_dispatch.board import (
     Board,
     Waiting,
@@ -26,6 +27,7 @@
     Place,
     is_phase,
     observe_ending,
+    observe_fetch,
     observe_prefill,
 )
 from gypsumrelay_dispatch.models import (
@@ -38,10 +40,25 @@
 )
 from gypsumrelay_dispatch.placing import Choice, choose, prefill_estimate_ms
 
+if TYPE_CHECKING:
+    from gypsumrelay_settings import DispatchSettings
+
 MS_PER_SECOND: Final = 1000
+# Seconds that a prompt needs until its first token; a request whose place
+# comes later than that before its objective is late.
+LATE_MARGIN_SECONDS: Final = 0.2
 # Part of the overdraft that is used; the rest covers a change of the
 # coordinator, after which all buckets are full again.
 OVERDRAFT_SHARE: Final = 0.5
+# Weight of the newest request in the usual cost.
+COST_SMOOTHING: Final = 0.05
+# Multiple of the usual cost beyond which a request is not delayed further.
+MAX_COST_RATIO: Final = 3.0
+# Milliseconds per token; beyond these an observation is an outlier.
+MIN_PACE_MS: Final = 0.5
+MAX_PACE_MS: Final = 50.0
+# Weight of the newest stream in the pace; hints are often far off.
+PACE_SMOOTHING: Final = 0.03
 # Seconds; a client that returns sooner would find the same queue.
 MIN_RETRY_SECONDS: Final = 0.2
 MAX_RETRY_SECONDS: Final = 4.0
@@ -49,6 +66,14 @@
 UNKNOWN_RETRY_SECONDS: Final = 1.0
 
 
+class Stage(enum.Enum):
+    """How near a waiting attempt is to its objective, in serving order."""
+
+    urgent = 0
+    usual = 1
+    late = 2
+
+
 def ask(board: Board, need: Need, now: float) -> list[Action]:
     """Take a request for a place; answer it now or put it in the queue."""
     refused = _check(board, need, now)
@@ -57,7 +82,8 @@
     wait = expected_wait(board, need)
     limit = longest_wait(board, need, now)
     overdrawn = accounts.is_overdrawn(board.accounts, need.client_account)
-    board.queue.append(Waiting(need, now, now + limit, overdrawn))
+    delay = _cost_delay(board, need)
+    board.queue.append(Waiting(need, now, now + limit, overdrawn, delay))
     actions = serve(board, now)
     if wait > limit and _withdraw(board, need.key):
         _give_back(board, need)
@@ -88,7 +114,9 @@
     if ending is Ending.answered:
         observe_prefill(load, place.prefill_ms, seconds)
     observe_ending(load, ending, seconds, board.settings, now)
+    place.read_by = place.prefill
     place.prefill = ''
+    place.started_at = now
     return serve(board, now)
 
 
@@ -109,6 +137,11 @@
         observe_ending(load, ending, seconds, board.settings, now)
         started = load.upstream.started_ms
         _note_blame(board, place, (place.upstream, started), ending, now)
+        if ending is Ending.answered:
+            _note_pace(board, place, now)
+    reader = board.loads.get(place.read_by)
+    if reader is not None:
+        observe_fetch(reader, ending, board.settings, now)
     return serve(board, now)
 
 
@@ -127,13 +160,20 @@
     """Give free places to waiting attempts, and refuse overdue ones."""
     actions: list[Action] = []
     remaining = []
-    board.queue.sort(key=partial(_rank, now))
+    settings = board.settings
+    board.queue.sort(key=partial(_rank, settings, now))
+    # Services whose next places are kept for a request that would be late.
+    kept: set[str] = set()
     for waiting in board.queue:
-        action = _serve_one(board, waiting, now)
-        if action is None:
-            remaining.append(waiting)
-        else:
+        need = waiting.need
+        is_kept = need.service in kept and bool(need.prompt_tokens)
+        action = _serve_one(board, waiting, now, is_kept=is_kept)
+        if action is not None:
             actions.append(action)
+            continue
+        remaining.append(waiting)
+        if _stage(settings, need, now) is Stage.urgent:
+            kept.add(need.service)
     board.queue = remaining
     return actions
 
@@ -170,6 +210,21 @@
     return min(by_aim, by_deadline) if by_aim else by_deadline
 
 
+def _cost_delay(board: Board, need: Need) -> float:
+    """Return the seconds by which a costly request ranks later.
+
+    While memory is short, cheap requests first serve more callers; the
+    bound keeps costly ones from waiting for ever.
+    """
+    if not need.prompt_tokens:
+        return 0
+    own = forecast.cost(need.prompt_tokens, need.expected_tokens)
+    usual = board.usual_cost or own
+    board.usual_cost = usual + COST_SMOOTHING * (own - usual)
+    ratio = own / max(1, board.usual_cost)
+    return min(MAX_COST_RATIO, ratio) * board.settings.cost_delay_seconds
+
+
 def _pool(board: Board, service: str, phase: Phase) -> list[Load]:
     return [
         load
@@ -211,9 +266,15 @@
     return None
 
 
-def _serve_one(board: Board, waiting: Waiting, now: float) -> Action | None:
+def _serve_one(
+    board: Board,
+    waiting: Waiting,
+    now: float,
+    *,
+    is_kept: bool,
+) -> Action | None:
     need = waiting.need
-    choice = choose(board, need, now)
+    choice = None if is_kept else choose(board, need, now)
     if choice is not None:
         return _grant(board, waiting, choice, now)
     if now < waiting.give_up_at:
@@ -240,7 +301,6 @@
     need = waiting.need
     prefill = choice.prefill.upstream if choice.prefill else None
     load = choice.upstream
-    used = load.tokens if need.prompt_tokens else len(load.running)
     for sent in filter(None, (load, choice.prefill)):
         sent.sent.append(now)
     if need.attempt == 1:
@@ -252,15 +312,32 @@
         choice.prefill_ms,
         now,
     )
+    if prefill is None:
+        place.started_at = now
+    used = len(load.running)
     occupy(board, place)
     return Granted(need, load.upstream, prefill, now - waiting.asked_at, used)
 
 
-def _rank(now: float, waiting: Waiting) -> tuple[bool, int, bool, float]:
-    """Order by priority; those that are late already come after others."""
+def _rank(
+    settings: DispatchSettings,
+    now: float,
+    waiting: Waiting,
+) -> tuple[bool, int, int, float]:
+    """Return the order of a waiting attempt, the least first."""
     need = waiting.need
-    late = need.aim_at <= now
-    return (waiting.overdrawn, need.priority, late, need.aim_at)
+    stage = _stage(settings, need, now)
+    due = need.aim_at + waiting.delay
+    return (waiting.overdrawn, need.priority, stage.value, due)
+
+
+def _stage(settings: DispatchSettings, need: Need, now: float) -> Stage:
+    if not need.prompt_tokens:
+        return Stage.late if need.aim_at <= now else Stage.usual
+    left = need.aim_at - now - LATE_MARGIN_SECONDS
+    if left <= 0:
+        return Stage.late
+    return Stage.urgent if left < settings.urgent_seconds else Stage.usual
 
 
 def _withdraw(board: Board, key: tuple[str, int]) -> bool:
@@ -283,6 +360,14 @@
     )
 
 
+def _note_pace(board: Board, place: Place, now: float) -> None:
+    expected = place.need.expected_tokens
+    if expected:
+        pace_ms = (now - place.started_at) * MS_PER_SECOND / expected
+        pace_ms = min(MAX_PACE_MS, max(MIN_PACE_MS, pace_ms))
+        board.pace_ms += PACE_SMOOTHING * (pace_ms - board.pace_ms)
+
+
 def _note_blame(
     board: Board,
     place: Place,
--- a/libs/dispatch/src/gypsumrelay_dispatch/loads.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/loads.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from gypsumrelay_dispatch.forecast import Growth, growth
 from gypsumrelay_dispatch.models import Ending, Need, Phase, Upstream
 
 if TYPE_CHECKING:
@@ -21,6 +22,8 @@
 MS_PER_SECOND: Final = 1000
 # Losses in a row; one lost answer alone says little about an upstream.
 LOSSES_TO_SUSPEND: Final = 2
+# KV caches in a row; one may also be refused for lack of memory.
+UNFETCHED_TO_SUSPEND: Final = 3
 COLD_WINDOW_SECONDS: Final = 1.0
 
 
@@ -32,8 +35,11 @@
         need: The attempt.
         upstream: Where it runs, or will after its prompt was read.
         prefill: Where its prompt is being read; empty afterwards.
+        read_by: Where its prompt was read; empty before.
         prefill_ms: Estimated work of reading it there.
         granted_at: When the place was granted.
+        started_at: When its output probably began; infinite while its
+            prompt is read.
     """
 
     need: Need
@@ -41,6 +47,8 @@
     prefill: str
     prefill_ms: float
     granted_at: float
+    started_at: float = float('inf')
+    read_by: str = ''
 
 
 @attrs.define
@@ -49,14 +57,14 @@
 
     Attributes:
         upstream: The upstream as listed last.
-        tokens: Engine memory that is given out.
-        running: Attempts that have a place here.
+        running: Places in use here, by attempt.
         reading_ms: Estimated prefill work by attempt.
         sent: Instants of the newest sends, for the cold limit.
         latency: Moving average of the seconds of a request.
         success: Moving average of the share of requests that succeed.
         slowness: Moving average of measured over estimated prefill time.
         losses: Losses in a row.
+        unfetched: KV caches in a row that could not be fetched from here.
         suspended_until: Instant before which it gets work only if there is
             no other upstream.
         usable_until: Instant at which an upstream that vanished from the
@@ -64,14 +72,14 @@
     """
 
     upstream: Upstream
-    tokens: int = 0
-    running: set[tuple[str, int]] = attrs.field(factory=set)
+    running: dict[tuple[str, int], Place] = attrs.field(factory=dict)
     reading_ms: dict[tuple[str, int], float] = attrs.field(factory=dict)
     sent: deque[float] = attrs.field(factory=deque)
     latency: float = FIRST_LATENCY_SECONDS
     success: float = 1
     slowness: float = 1
     losses: int = 0
+    unfetched: int = 0
     suspended_until: float = 0
     usable_until: float = float('inf')
 
@@ -101,7 +109,7 @@
     now: float,
 ) -> None:
     """Learn from the end of an attempt at an upstream."""
-    if ending is Ending.cancelled:
+    if ending in {Ending.cancelled, Ending.unfetched}:
         return
     if ending is Ending.answered:
         load.losses = 0
@@ -113,6 +121,21 @@
         _suspend(load, ending, settings, now)
 
 
+def observe_fetch(
+    load: Load,
+    ending: Ending,
+    settings: DispatchSettings,
+    now: float,
+) -> None:
+    """Learn whether KV caches can be fetched from an upstream."""
+    if ending is Ending.answered:
+        load.unfetched = 0
+    if ending is Ending.unfetched:
+        load.unfetched += 1
+        if load.unfetched >= UNFETCHED_TO_SUSPEND:
+            load.suspended_until = now + settings.max_suspend_seconds
+
+
 def observe_prefill(load: Load, estimated_ms: float, seconds: float) -> None:
     """Learn how slow an upstream reads prompts against the estimate."""
     if estimated_ms <= 0:
@@ -122,6 +145,18 @@
     load.slowness += SMOOTHING * (ratio - load.slowness)
 
 
+def growth_of(place: Place, pace_ms: float, now: float) -> Growth:
+    """Return the forecast of a place's engine memory."""
+    need = place.need
+    elapsed_ms = max(0, now - place.started_at) * MS_PER_SECOND
+    return growth(
+        need.prompt_tokens,
+        need.expected_tokens,
+        need.output_tokens,
+        elapsed_ms / pace_ms,
+    )
+
+
 def plain_score(load: Load, availability_zone: str) -> float:
     """Return a cost of sending a plain request here; the least is best."""
     busy = (len(load.running) + 1) / max(1, load.upstream.slots)
--- a/libs/dispatch/src/gypsumrelay_dispatch/placing.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/placing.py
@@ -6,8 +6,15 @@
 
 import attrs
 
-from gypsumrelay_dispatch.board import Board, memory_of, usable
-from gypsumrelay_dispatch.loads import Load, bears_send, is_phase, plain_score
+from gypsumrelay_dispatch.board import Board, usable
+from gypsumrelay_dispatch.forecast import Growth, peak
+from gypsumrelay_dispatch.loads import (
+    Load,
+    bears_send,
+    growth_of,
+    is_phase,
+    plain_score,
+)
 from gypsumrelay_dispatch.models import Need, Phase
 
 if TYPE_CHECKING:
@@ -47,19 +54,31 @@
 
     Suspended ones are left out unless there are no others.
     """
-    service = board.services.get(need.service)
-    per_second = service.cold_per_second if service else 0
-    found = [
+    found = _usable(board, need, phase, now)
+    healthy = [load for load in found if load.suspended_until <= now]
+    return _warm(board, need, healthy or found, now)
+
+
+def _usable(board: Board, need: Need, phase: Phase, now: float) -> list[Load]:
+    return [
         load
         for load in board.loads.values()
         if is_phase(load, need.service, phase)
         and load.upstream.name not in need.excluded
         and usable(board, load, now)
     ]
-    healthy = [load for load in found if load.suspended_until <= now]
-    return [
-        load for load in healthy or found if bears_send(load, per_second, now)
-    ]
+
+
+def _warm(
+    board: Board,
+    need: Need,
+    loads: list[Load],
+    now: float,
+) -> list[Load]:
+    """Return the upstreams whose cold limit allows a send now."""
+    service = board.services.get(need.service)
+    per_second = service.cold_per_second if service else 0
+    return [load for load in loads if bears_send(load, per_second, now)]
 
 
 def prefill_estimate_ms(board: Board, need: Need) -> float:
@@ -78,11 +97,27 @@
 
 
 def _choose_pair(board: Board, need: Need, now: float) -> Choice | None:
+    readers = _usable(board, need, Phase.prefill, now)
+    healthy = [load for load in readers if load.suspended_until <= now]
+    if not healthy:
+        # A decode upstream reads more slowly, but at once.
+        decode = _choose_decode(board, need, '', now)
+        if decode is not None or not readers:
+            return Choice(decode) if decode else None
+    return _choose_reader(board, need, healthy or readers, now)
+
+
+def _choose_reader(
+    board: Board,
+    need: Need,
+    readers: list[Load],
+    now: float,
+) -> Choice | None:
     estimate = prefill_estimate_ms(board, need)
     limit = board.settings.prefill_backlog_ms
     free = [
         load
-        for load in candidates(board, need, Phase.prefill, now)
+        for load in _warm(board, need, readers, now)
         if not load.reading_ms or load.backlog_ms + estimate <= limit
     ]
     prefill = _least(free, lambda load: load.backlog_ms * load.slowness)
@@ -101,21 +136,33 @@
 ) -> Load | None:
     memory = board.services[need.service].memory_tokens
     limit = memory * board.settings.memory_share
-    wanted = memory_of(board, need)
-    free = [
-        load
+    peaks = {
+        load.upstream.name: forecast_peak(board, load, need, now)
         for load in candidates(board, need, Phase.decode, now)
         if len(load.running) < load.upstream.slots
-        and (not load.running or load.tokens + wanted <= limit)
+    }
+    free = [
+        board.loads[name]
+        for name, tokens in peaks.items()
+        if tokens <= limit or not board.loads[name].running
     ]
 
     def score(load: Load) -> float:
         away = bool(zone) and load.upstream.availability_zone != zone
-        return load.tokens / max(1, memory) + ZONE_WEIGHT * away
+        return peaks[load.upstream.name] / memory + ZONE_WEIGHT * away
 
     return _least(free, score)
 
 
+def forecast_peak(board: Board, load: Load, need: Need, now: float) -> float:
+    """Return the most memory that an engine will need with one more request."""
+    growths = [
+        growth_of(place, board.pace_ms, now) for place in load.running.values()
+    ]
+    growths.append(Growth(need.prompt_tokens, need.expected_tokens))
+    return peak(growths)
+
+
 def _least(
     loads: list[Load],
     score: Callable[[Load], float],
--- a/libs/dispatch/tests/steps/boards.py
+++ b/libs/dispatch/tests/steps/boards.py
@@ -11,6 +11,7 @@
     Action,
     Board,
     Granted,
+    Load,
     Need,
     Phase,
     Refused,
@@ -20,6 +21,8 @@
     set_rules,
     set_upstreams,
 )
+from gypsumrelay_dispatch.forecast import peak
+from gypsumrelay_dispatch.loads import growth_of
 from gypsumrelay_settings import DispatchSettings
 
 SERVICE = 'service'
@@ -129,6 +132,14 @@
     return played
 
 
+def forecast(played: Played, load: Load) -> float:
+    """Return the most memory that an upstream's requests will need."""
+    pace_ms = played.board.pace_ms
+    return peak(
+        growth_of(place, pace_ms, played.now) for place in load.running.values()
+    )
+
+
 def limit_account(played: Played, rate: float, burst: float) -> None:
     """Give the account `account` a limit."""
     rules = played.board.services.values()
--- /dev/null
+++ b/libs/dispatch/tests/steps/forecasts.py
@@ -0,0 +1,102 @@
+"""Steps of forecast.feature."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from behave import given, then
+from boards import model_board
+from gypsumrelay_dispatch import Ending, end, end_prefill, expected_output
+from gypsumrelay_dispatch.forecast import Growth, growth, peak
+
+
+@then('{count:d} random sets of requests have the peak that a simulation finds')
+def check_peaks(context: Any, count: int) -> None:
+    rng = random.Random(5)
+    for _ in range(count):
+        requests = [
+            Growth(rng.randrange(5000), rng.randrange(200))
+            for _ in range(rng.randrange(1, 12))
+        ]
+        assert peak(requests) == _simulated(requests)
+
+
+@given('a request that ends after {first:d} tokens and one after {second:d}')
+def give_two(context: Any, first: int, second: int) -> None:
+    context.requests = [Growth(3000, first), Growth(3000, second)]
+
+
+@then('their peak is below the sum of their final sizes')
+def check_below(context: Any) -> None:
+    final = sum(one.held + one.remaining for one in context.requests)
+    assert peak(context.requests) < final
+
+
+@given('a request that has generated twice what was expected')
+def give_overtime(context: Any) -> None:
+    context.overtime = growth(1000, 500, 2700, 1000)
+    context.near_end = growth(1000, 500, 2700, 2600)
+
+
+@then('it is forecast to grow by half of that and never above the most')
+def check_overtime(context: Any) -> None:
+    assert context.overtime == Growth(2000, 500)
+    assert context.near_end == Growth(3600, 100)
+
+
+@then('a hint of {hint:d} of at most {most:d} is taken for more than {low:d}')
+def check_more(context: Any, hint: int, most: int, low: int) -> None:
+    assert low < expected_output(hint, most) < most
+
+
+@then('a hint of {hint:d} of at most {most:d} is taken for less than {high:d}')
+def check_less(context: Any, hint: int, most: int, high: int) -> None:
+    assert 0 < expected_output(hint, most) < high
+
+
+@then('without a hint the usual length is taken')
+def check_usual(context: Any) -> None:
+    assert expected_output(0, 1000) == 350
+
+
+@given('a queue with a costly request and cheap ones that keep coming')
+def give_queue(context: Any) -> None:
+    played = model_board(1, 1, 9000)
+    first = played.ask(prompt_tokens=4000, output_tokens=100, expected_tokens=9)
+    played.now += 0.1
+    ending = Ending.answered
+    played.take(end_prefill(played.board, first.key, ending, played.now))
+    context.costly = played.ask(
+        prompt_tokens=6000,
+        output_tokens=2700,
+        expected_tokens=2000,
+    )
+    context.started = played.now
+    for _ in range(60):
+        played.now += 0.1
+        played.ask(prompt_tokens=4000, output_tokens=300, expected_tokens=200)
+        for key, place in list(played.board.places.items()):
+            if place.prefill:
+                played.take(end_prefill(played.board, key, ending, played.now))
+            else:
+                played.take(end(played.board, key, ending, played.now))
+        if context.costly.key in played.answers:
+            break
+    context.waited = played.now - context.started
+    context.answers = played.answers
+
+
+@then('the costly one gets a place within {seconds:g} seconds')
+def check_costly(context: Any, seconds: float) -> None:
+    assert context.costly.key in context.answers
+    assert context.waited <= seconds, context.waited
+
+
+def _simulated(requests: list[Growth]) -> float:
+    """Return the peak, found by letting all grow token by token."""
+    longest = max(int(one.remaining) for one in requests)
+    return max(
+        sum(one.held + step for one in requests if one.remaining >= step)
+        for step in range(longest + 1)
+    )
--- a/libs/relay/src/gypsumrelay_relay/accepting.py
+++ b/libs/relay/src/gypsumrelay_relay/accepting.py
@@ -157,6 +157,7 @@
             admitted.configuration.version,
             exchange.relay.knowledge.position,
             facts.tokens,
+            facts.expected_tokens,
             exchange.remaining_ms(),
         ),
     )
--- a/libs/relay/src/gypsumrelay_relay/attempts.py
+++ b/libs/relay/src/gypsumrelay_relay/attempts.py
@@ -130,9 +130,7 @@
 ) -> None:
     """Free a place and log how its use ended."""
     need = given.need
-    ending = verdict.ending
-    if exchange.guard.cause is not None and ending is not Ending.answered:
-        ending = Ending.cancelled
+    ending = ending_for(exchange, verdict)
     exchange.relay.coordination.finish(need, ending)
     exchange.relay.metrics.count_attempt(ending.value)
     exchange.log(
@@ -148,6 +146,19 @@
     )
 
 
+def ending_for(exchange: Exchange, verdict: Verdict) -> Ending:
+    """Return how an attempt ended as far as its upstream is concerned.
+
+    Where the caller left or its time ran out, nothing is held against the
+    upstream.
+    """
+    if verdict.ending is Ending.answered:
+        return verdict.ending
+    if exchange.guard.cause is not None or exchange.is_overdue():
+        return Ending.cancelled
+    return verdict.ending
+
+
 def no_time(exchange: Exchange) -> Failure:
     """Return the failure of a request that ended early."""
     if exchange.runs:
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -172,7 +172,6 @@
                 'service': load.upstream.service,
                 'phase': load.upstream.phase.value,
                 'running': len(load.running),
-                'tokens': load.tokens,
                 'backlog_ms': int(load.backlog_ms),
                 'slowness': round(load.slowness, 2),
                 'success': round(load.success, 2),
--- a/libs/relay/src/gypsumrelay_relay/events.py
+++ b/libs/relay/src/gypsumrelay_relay/events.py
@@ -34,6 +34,7 @@
     configuration: int
     position: int
     tokens: int
+    expected_tokens: int
     wait_ms: int
 
 
--- a/libs/relay/src/gypsumrelay_relay/exchange.py
+++ b/libs/relay/src/gypsumrelay_relay/exchange.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
-from gypsumrelay_dispatch import Need
+from gypsumrelay_dispatch import Need, expected_output
 from gypsumrelay_errors import Failure
 from gypsumrelay_wire import to_remaining_ms
 
@@ -24,6 +24,8 @@
 
 MS_PER_SECOND: Final = 1000
 DIGEST_BYTES: Final = 12
+# Seconds by which a timeout may fire early.
+CLOCK_STEP_SECONDS: Final = 0.005
 # Decimals of `Retry-After`; callers accept fractions of a second.
 RETRY_DECIMALS: Final = 2
 
@@ -105,11 +107,15 @@
         """Return the time until the caller stops waiting."""
         return to_remaining_ms(self.deadline, time.monotonic())
 
+    def is_overdue(self) -> bool:
+        """Return whether the caller's time has run out."""
+        return time.monotonic() >= self.deadline - CLOCK_STEP_SECONDS
+
     def elapsed_ms(self) -> int:
         """Return the time since the request was read."""
         return int((time.monotonic() - self.arrived_at) * MS_PER_SECOND)
 
-    def next_need(self, *, read: bool = False) -> Need:
+    def next_need(self) -> Need:
         """Return the need of the next attempt."""
         self.attempts += 1
         admitted = self.admitted
@@ -131,8 +137,11 @@
             aim_at=self.aim_at,
             deadline=self.deadline,
             prompt_tokens=facts.prompt_tokens if self._uses_engine() else 0,
-            output_tokens=self._expected_output(),
-            read=read,
+            output_tokens=facts.output_tokens,
+            expected_tokens=expected_output(
+                facts.expected_tokens,
+                facts.output_tokens,
+            ),
             excluded=frozenset(self.excluded),
             digest=self._digest(),
         )
@@ -205,11 +214,6 @@
         )
         return bool(service and service.memory_tokens)
 
-    def _expected_output(self) -> int:
-        facts = self.admitted.facts
-        expected = facts.expected_tokens or facts.output_tokens
-        return min(expected, facts.output_tokens)
-
     def _cost(self) -> int:
         account = self.admitted.account
         if account is None:
--- a/libs/relay/src/gypsumrelay_relay/placement.py
+++ b/libs/relay/src/gypsumrelay_relay/placement.py
@@ -91,6 +91,7 @@
         to_remaining_ms(need.deadline, now),
         need.prompt_tokens,
         need.output_tokens,
+        need.expected_tokens,
         need.read,
         sorted(need.excluded),
         need.digest,
@@ -112,6 +113,7 @@
         to_deadline(message.remaining_ms, now),
         message.prompt_tokens,
         message.output_tokens,
+        message.expected_tokens,
         message.read,
         frozenset(message.excluded),
         message.digest,
@@ -178,6 +180,7 @@
         need.service,
         need.prompt_tokens,
         need.output_tokens,
+        need.expected_tokens,
         given.upstream,
         need.digest,
     )
@@ -198,14 +201,15 @@
         deadline=now,
         prompt_tokens=message.prompt_tokens,
         output_tokens=message.output_tokens,
+        expected_tokens=message.expected_tokens,
         digest=message.digest,
     )
-    return Place(need, message.upstream, '', 0, now)
+    return Place(need, message.upstream, '', 0, now, started_at=now)
 
 
 def own_place(given: Placed, now: float) -> Place:
     """Return a place of this instance for its own coordinator state."""
-    return Place(given.need, given.upstream, '', 0, now)
+    return Place(given.need, given.upstream, '', 0, now, started_at=now)
 
 
 def ending_of(text: str) -> Ending:
--- a/libs/relay/src/gypsumrelay_relay/plain.py
+++ b/libs/relay/src/gypsumrelay_relay/plain.py
@@ -110,7 +110,9 @@
 
 def may_repeat(exchange: Exchange, ending: Ending) -> bool:
     """Return whether another attempt is allowed and can help."""
-    if exchange.guard.cause is not None or ending is Ending.answered:
+    if exchange.guard.cause is not None or exchange.is_overdue():
+        return False
+    if ending is Ending.answered:
         return False
     if ending in {Ending.rejected, Ending.unreached}:
         return True
@@ -150,6 +152,6 @@
 
 
 def _failure(exchange: Exchange, verdict: Verdict) -> Failure:
-    if exchange.guard.cause is not None:
+    if exchange.guard.cause is not None or exchange.is_overdue():
         return no_time(exchange)
     return UpstreamFailed(verdict.reason, Outcome.unknown)
--- a/libs/relay/src/gypsumrelay_relay/prompts.py
+++ b/libs/relay/src/gypsumrelay_relay/prompts.py
@@ -10,7 +10,12 @@
 from gypsumrelay_errors import Failure
 
 from gypsumrelay_relay import events
-from gypsumrelay_relay.attempts import Verdict, deliver, read_facts
+from gypsumrelay_relay.attempts import (
+    Verdict,
+    deliver,
+    ending_for,
+    read_facts,
+)
 from gypsumrelay_relay.dialect import Sending
 from gypsumrelay_relay.sending import (
     FAULTS,
@@ -149,9 +154,7 @@
     verdict = (
         Verdict(Ending.answered) if isinstance(outcome, Cache) else outcome
     )
-    ending = verdict.ending
-    if exchange.guard.cause is not None and ending is not Ending.answered:
-        ending = Ending.cancelled
+    ending = ending_for(exchange, verdict)
     exchange.relay.coordination.prompt_read(given, ending)
     exchange.log(
         events.PromptDone(
--- a/libs/wire/src/gypsumrelay_wire/messages.py
+++ b/libs/wire/src/gypsumrelay_wire/messages.py
@@ -394,6 +394,7 @@
     remaining_ms: int
     prompt_tokens: int
     output_tokens: int
+    expected_tokens: int
     read: bool
     excluded: list[str]
     digest: bytes
@@ -456,6 +457,7 @@
     service: str
     prompt_tokens: int
     output_tokens: int
+    expected_tokens: int
     upstream: str
     digest: bytes
 
