Divide a model's upstreams between prefill and decode by what requests need

Cause: both sites start with three prefill and three decode replicas; in bursts the decode memory was full with 20 to 25 streams while at most one of two seconds of prefill was used. Change: the coordinator learns the usual work of a request for both pools and plans a change of phase where the busier pool gains 8 per cent for three seconds; the shell gives the order with a fencing token that is the offset of a record appended only at the end that it knows, so that of two instances one gets none. Tests: rebalancing.feature.

--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -31,6 +31,11 @@
     ServiceRules,
     Upstream,
 )
+from gypsumrelay_dispatch.rebalancing import (
+    PhaseChange,
+    note_change,
+    plan,
+)
 
 __all__ = (
     'AccountRules',
@@ -41,6 +46,7 @@
     'Load',
     'Need',
     'Phase',
+    'PhaseChange',
     'Place',
     'Refused',
     'ServiceRules',
@@ -51,6 +57,8 @@
     'expected_output',
     'forget_entry',
     'hold',
+    'note_change',
+    'plan',
     'set_rules',
     'set_upstreams',
     'tick',
--- a/libs/dispatch/src/gypsumrelay_dispatch/board.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/board.py
@@ -22,6 +22,8 @@
 
     from gypsumrelay_settings import DispatchSettings
 
+    from gypsumrelay_dispatch.rebalancing import Shape
+
 
 # Milliseconds per token before the first stream has ended.
 FIRST_PACE_MS: Final = 3.0
@@ -62,6 +64,7 @@
         repeats: Budgets of repeats, by service.
         blame: Contents that take down upstreams.
         pace_ms: Moving average of the time per expected token.
+        shapes: Usual work of the requests, by service.
         usual_cost: Moving average of the memory and time of a prompt's
             request, in tokens times tokens.
     """
@@ -76,6 +79,7 @@
     repeats: dict[str, RepeatBudget] = attrs.field(factory=dict)
     blame: Blame = attrs.field(factory=Blame)
     pace_ms: float = FIRST_PACE_MS
+    shapes: dict[str, Shape] = attrs.field(factory=dict)
     usual_cost: float = 0
 
     @property
@@ -126,6 +130,9 @@
         if load is None or load.upstream.started_ms != upstream.started_ms:
             board.loads[name] = Load(upstream)
             continue
+        if upstream.phase is load.changing_to:
+            load.changing_to = None
+            load.changing_until = 0
         load.upstream = upstream
         load.usable_until = float('inf')
     for name in board.loads.keys() - listed.keys():
--- a/libs/dispatch/src/gypsumrelay_dispatch/coordinating.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/coordinating.py
@@ -13,7 +13,7 @@
     RequestQuarantined,
 )
 
-from gypsumrelay_dispatch import accounts, blame, forecast, repeats
+from gypsumrelay_dispatch import accounts, blame, forecast, rebalancing, repeats
 from gypsumrelay_dispatch.board import (
     Board,
     Waiting,
@@ -83,6 +83,8 @@
     limit = longest_wait(board, need, now)
     overdrawn = accounts.is_overdrawn(board.accounts, need.client_account)
     delay = _cost_delay(board, need)
+    if need.prompt_tokens and need.attempt == 1:
+        rebalancing.observe_need(board, need)
     board.queue.append(Waiting(need, now, now + limit, overdrawn, delay))
     actions = serve(board, now)
     if wait > limit and _withdraw(board, need.key):
--- a/libs/dispatch/src/gypsumrelay_dispatch/loads.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/loads.py
@@ -67,6 +67,8 @@
         unfetched: KV caches in a row that could not be fetched from here.
         suspended_until: Instant before which it gets work only if there is
             no other upstream.
+        changing_to: Phase to which it was ordered; None for none.
+        changing_until: When that order is taken for lost.
         usable_until: Instant at which an upstream that vanished from the
             list is given up; infinite for listed ones.
     """
@@ -81,8 +83,14 @@
     losses: int = 0
     unfetched: int = 0
     suspended_until: float = 0
+    changing_to: Phase | None = None
+    changing_until: float = 0
     usable_until: float = float('inf')
 
+    def is_changing(self, now: float) -> bool:
+        """Return whether it is on its way to another phase."""
+        return now < self.changing_until
+
     @property
     def backlog_ms(self) -> float:
         """Return the estimated prefill work that was given out."""
--- a/libs/dispatch/src/gypsumrelay_dispatch/placing.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/placing.py
@@ -65,6 +65,7 @@
         for load in board.loads.values()
         if is_phase(load, need.service, phase)
         and load.upstream.name not in need.excluded
+        and not load.is_changing(now)
         and usable(board, load, now)
     ]
 
--- a/libs/relay/src/gypsumrelay_relay/__init__.py
+++ b/libs/relay/src/gypsumrelay_relay/__init__.py
@@ -4,6 +4,7 @@
     Surroundings,
 )
 from .dialect import (
+    Call,
     CallerFacts,
     Dialect,
     ReplyFacts,
@@ -32,6 +33,7 @@
 
 __all__ = (
     'Account',
+    'Call',
     'CallerFacts',
     'CallerLimits',
     'Changes',
--- a/libs/relay/src/gypsumrelay_relay/attempts.py
+++ b/libs/relay/src/gypsumrelay_relay/attempts.py
@@ -17,8 +17,9 @@
 )
 
 from gypsumrelay_relay import events
+from gypsumrelay_relay.dialect import Call
 from gypsumrelay_relay.placement import Placed
-from gypsumrelay_relay.sending import Call, Reply, SendFailed, send
+from gypsumrelay_relay.sending import Reply, SendFailed, send
 from gypsumrelay_relay.watch import Cause
 
 if TYPE_CHECKING:
--- a/libs/relay/src/gypsumrelay_relay/building.py
+++ b/libs/relay/src/gypsumrelay_relay/building.py
@@ -33,6 +33,7 @@
 
     from gypsumrelay_relay.dialect import Dialect
     from gypsumrelay_relay.following import Following
+    from gypsumrelay_relay.ordering import Ordering
     from gypsumrelay_relay.topics import RecordReader, Store
 
 INCARNATION_BYTES: Final = 4
@@ -64,6 +65,7 @@
     surroundings: Surroundings
     heartbeats: Heartbeats
     following: Following | None = None
+    ordering: Ordering | None = None
     servers: list[Any] = attrs.field(factory=list)
     stopped: threading.Event = attrs.field(factory=threading.Event)
 
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -17,6 +17,7 @@
         Board,
         Ending,
         Need,
+        PhaseChange,
         Place,
         Upstream,
     )
@@ -93,6 +94,18 @@
     """Time passed."""
 
 
+@attrs.frozen
+class PlanPhases:
+    """Asks for a change of phase that is due."""
+
+
+@attrs.frozen
+class PhaseChanging:
+    """An upstream accepted a change of phase, or may have."""
+
+    change: PhaseChange
+
+
 @attrs.frozen
 class CountUsed:
     """Asks for figures of the state, for status and metrics."""
@@ -114,6 +127,8 @@
         now = time.monotonic()
         if isinstance(message, CountUsed):
             return _figures(self.board)
+        if isinstance(message, PlanPhases):
+            return dispatch.plan(self.board, now)
         try:
             actions = list(self._apply(message, now))
         except Exception:
@@ -146,6 +161,8 @@
     match message:
         case OrdersChanged(orders):
             _set_orders(board, orders, now)
+        case PhaseChanging(change):
+            dispatch.note_change(board, change, now)
         case SettingsChanged(settings):
             board.settings = settings
         case UpstreamsChanged(upstreams, lapsed):
--- a/libs/relay/src/gypsumrelay_relay/dialect.py
+++ b/libs/relay/src/gypsumrelay_relay/dialect.py
@@ -6,9 +6,20 @@
 from typing import Any
 
 import attrs
+from gypsumrelay_dispatch import Phase
 from gypsumrelay_errors import Failure
 
 
+@attrs.frozen
+class Call:
+    """A request as an upstream gets it."""
+
+    method: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes = b''
+
+
 @attrs.frozen
 class CallerFacts:
     """What a request's headers say.
@@ -91,6 +102,8 @@
             prompt that was only read.
         cache_source: Joins an upstream's address and a cache's name.
         release_cache: Returns method and path that free a KV cache.
+        phase_order: Returns the call that orders an upstream into a phase,
+            from the upstream, the phase, the holder and the fencing token.
     """
 
     read_caller: Callable[[Mapping[str, Any]], CallerFacts | Failure]
@@ -100,3 +113,4 @@
     read_cache_name: Callable[[bytes], str | Failure]
     cache_source: Callable[[str, str], str]
     release_cache: Callable[[str], tuple[str, str]]
+    phase_order: Callable[[str, Phase, str, int], Call]
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -24,6 +24,7 @@
 from gypsumrelay_relay.coordination import ask_for_records
 from gypsumrelay_relay.following import Following
 from gypsumrelay_relay.membership import add_hosts, is_in_line
+from gypsumrelay_relay.ordering import Ordering
 from gypsumrelay_relay.registration import (
     change_own,
     keep_registered,
@@ -99,6 +100,8 @@
     process.following = _following(process)
     coordination.on_leader = process.following.hurry.set
     process.following.start()
+    process.ordering = Ordering(relay, process.surroundings.store)
+    process.ordering.start()
     for target in (keep_registered, _tick, _beat_links):
         threading.Thread(target=target, args=(process,), daemon=True).start()
 
--- a/libs/relay/src/gypsumrelay_relay/prompts.py
+++ b/libs/relay/src/gypsumrelay_relay/prompts.py
@@ -16,10 +16,9 @@
     ending_for,
     read_facts,
 )
-from gypsumrelay_relay.dialect import Sending
+from gypsumrelay_relay.dialect import Call, Sending
 from gypsumrelay_relay.sending import (
     FAULTS,
-    Call,
     Reply,
     SendFailed,
     send,
--- a/libs/relay/src/gypsumrelay_relay/registration.py
+++ b/libs/relay/src/gypsumrelay_relay/registration.py
@@ -58,6 +58,7 @@
         Topic.members,
         own.name,
         own.host.encode(),
+        None,
     )
     if isinstance(position, Failure):
         log.warning('Not registered: {}.', position.sentence)
--- a/libs/relay/src/gypsumrelay_relay/sending.py
+++ b/libs/relay/src/gypsumrelay_relay/sending.py
@@ -17,6 +17,7 @@
     from urllib3.connection import HTTPConnection
 
     from gypsumrelay_relay.connections import Connections
+    from gypsumrelay_relay.dialect import Call
     from gypsumrelay_relay.watch import Guard
 
 # What the libraries raise where a connection fails or an answer is broken.
@@ -30,16 +31,6 @@
 MIN_SECONDS: Final = 0.01
 
 
-@attrs.frozen
-class Call:
-    """A request as an upstream gets it."""
-
-    method: str
-    target: str
-    headers: Mapping[str, str]
-    body: bytes = b''
-
-
 @attrs.frozen
 class SendFailed:
     """No answer came.
--- a/libs/relay/src/gypsumrelay_relay/topics.py
+++ b/libs/relay/src/gypsumrelay_relay/topics.py
@@ -22,6 +22,7 @@
     operator = 'operator'
     upstreams = 'upstreams'
     members = 'members'
+    orders = 'orders'
 
 
 @attrs.frozen
@@ -53,12 +54,13 @@
         snapshot: Reads the newest record of each key of a topic.
         changes: Reads the records after a position, waiting some seconds
             for the first.
-        append: Writes one record and returns its position.
+        append: Writes one record and returns its position; with an expected
+            position, only where the topic ends there.
     """
 
     snapshot: Callable[[Topic], Snapshot | Failure]
     changes: Callable[[Topic, int, float], Changes | Expired | Failure]
-    append: Callable[[Topic, str, bytes], int | Failure]
+    append: Callable[[Topic, str, bytes, int | None], int | Failure]
 
 
 @attrs.frozen
--- a/libs/settings/src/gypsumrelay_settings/models.py
+++ b/libs/settings/src/gypsumrelay_settings/models.py
@@ -142,6 +142,12 @@
             later than one that costs nothing.
         urgent_seconds: Time before a prompt's request becomes late in which
             it comes first and the next places are kept for it.
+        prefill_weight: How much the load of the prefill pool counts against
+            that of the decode pool when upstreams are divided between them;
+            a prompt that waits costs less than memory that is short.
+        usual_prompt_tokens: Prompt of a usual request, until requests show
+            it; 0 where unknown.
+        usual_output_tokens: Output of a usual request, likewise.
         queue_factor: Longest wait for a place as a multiple of the time to
             the latency objective.
         queue_share: Longest wait as a part of the time to the deadline.
@@ -165,6 +171,9 @@
     memory_share: float = bounded(0.1, 1, default=0.95)
     cost_delay_seconds: float = bounded(0, 60, default=0.6)
     urgent_seconds: float = bounded(0, 60, default=0.25)
+    prefill_weight: float = bounded(0.01, 100, default=1)
+    usual_prompt_tokens: int = bounded(0, 10_000_000, default=0)
+    usual_output_tokens: int = bounded(0, 10_000_000, default=0)
     queue_factor: float = bounded(0, 100, default=3)
     queue_share: float = bounded(0, 1, default=0.5)
     repeat_ratio: float = bounded(0, 10, default=0.15)
