Avoid an upstream whose address another one has, and read directly one prompt at a time

Each of 60 sends to the old names was answered 421, which neither suspended them nor was told apart from a KV cache that could not be fetched, so that both prefill replicas were suspended and all prompts were read by decode replicas. A change of phase now has to gain 15 per cent, because 2 and 3 upstreams were changed to 1 and 4 for 8. Tests: two scenarios in places.feature, both failed before.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 SEED ?= 1
 SECONDS ?= 60
 
-.PHONY: install test lint format types imports features setup demo up binary measure bench capacity fuzz compile reference
+.PHONY: soak install test lint format types imports features setup demo up binary measure bench capacity fuzz compile reference
 
 # Compares contents, not times: a fresh checkout has new times on old files.
 setup:
@@ -75,3 +75,8 @@
 
 effects: setup
 	$(BIN)/python -m gypsumrelay_bench.effects
+
+# For example: make soak SEED=7 RUNS=50
+RUNS ?= 1
+soak: setup
+	$(BIN)/python -m gypsumrelay_soak --seed $(SEED) --runs $(RUNS)
--- a/libs/command/src/gypsumrelay_command/reading.py
+++ b/libs/command/src/gypsumrelay_command/reading.py
@@ -24,6 +24,7 @@
     AgentSettings,
     EntrySettings,
     OperatorSettings,
+    RelaySettings,
     SettingsFaults,
     load,
     read_json,
@@ -45,6 +46,7 @@
 
 History = list[tuple[int, Record, Verdict]]
 SETTINGS_KINDS: Final = (
+    ('store', RelaySettings),
     ('caller', EntrySettings),
     ('upstream', AgentSettings),
     ('platform', OperatorSettings),
--- a/libs/dispatch/src/gypsumrelay_dispatch/coordinating.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/coordinating.py
@@ -51,6 +51,9 @@
 # Part of the overdraft that is used; the rest covers a change of the
 # coordinator, after which all buckets are full again.
 OVERDRAFT_SHARE: Final = 0.5
+# How much longer a decode upstream takes to read a prompt than a prefill
+# upstream, which reads nothing else.
+DIRECT_SLOWNESS: Final = 2.5
 # Weight of the newest request in the usual cost.
 COST_SMOOTHING: Final = 0.05
 # Multiple of the usual cost beyond which a request is not delayed further.
@@ -325,6 +328,9 @@
         place.started_at = now
     used = len(load.running)
     occupy(board, place)
+    if prefill is None and need.prompt_tokens and not need.read:
+        reading_ms = prefill_estimate_ms(board, need) * DIRECT_SLOWNESS
+        load.reads_until = now + reading_ms / MS_PER_SECOND
     return Granted(need, load.upstream, prefill, now - waiting.asked_at, used)
 
 
@@ -389,6 +395,6 @@
         blame.clear(board.blame, digest)
     if ending is Ending.lost and digest:
         blame.suspect(board.blame, digest, upstream[0], now)
-    if ending is Ending.unreached:
+    if ending in {Ending.unreached, Ending.misdirected}:
         forget_at = now + board.settings.blame_seconds
         blame.confirm(board.blame, upstream, forget_at, now)
--- a/libs/dispatch/src/gypsumrelay_dispatch/loads.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/loads.py
@@ -59,6 +59,8 @@
         upstream: The upstream as listed last.
         running: Places in use here, by attempt.
         reading_ms: Estimated prefill work by attempt.
+        reads_until: When it has probably read the prompt that it got as a
+            decode upstream without a KV cache.
         sent: Instants of the newest sends, for the cold limit.
         latency: Moving average of the seconds of a request.
         success: Moving average of the share of requests that succeed.
@@ -76,6 +78,7 @@
     upstream: Upstream
     running: dict[tuple[str, int], Place] = attrs.field(factory=dict)
     reading_ms: dict[tuple[str, int], float] = attrs.field(factory=dict)
+    reads_until: float = 0
     sent: deque[float] = attrs.field(factory=deque)
     latency: float = FIRST_LATENCY_SECONDS
     success: float = 1
@@ -124,7 +127,7 @@
         load.suspended_until = 0
         load.latency += SMOOTHING * (seconds - load.latency)
     load.success += SMOOTHING * ((ending is Ending.answered) - load.success)
-    if ending in {Ending.lost, Ending.unreached}:
+    if ending in {Ending.lost, Ending.unreached, Ending.misdirected}:
         load.losses += 1
         _suspend(load, ending, settings, now)
 
@@ -185,6 +188,10 @@
     settings: DispatchSettings,
     now: float,
 ) -> None:
+    if ending is Ending.misdirected:
+        # The upstream is gone; its entry lapses soon.
+        load.suspended_until = now + settings.max_suspend_seconds
+        return
     needed = 1 if ending is Ending.unreached else LOSSES_TO_SUSPEND
     if load.losses < needed:
         return
--- a/libs/dispatch/src/gypsumrelay_dispatch/models.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/models.py
@@ -25,14 +25,16 @@
     `answered`: a whole answer came. `failed`: the upstream answered with a
     failure of its own. `rejected`: it stated that it did not run the
     request. `unfetched`: it did so because the prompt's KV cache could not
-    be fetched. `lost`: it broke off or fell silent. `unreached`: no connection.
-    `cancelled`: the caller left or the deadline passed.
+    be fetched. `misdirected`: another upstream has the address, or it works
+    in the other phase. `lost`: it broke off or fell silent. `unreached`: no
+    connection. `cancelled`: the caller left or the deadline passed.
     """
 
     answered = 'answered'
     failed = 'failed'
     rejected = 'rejected'
     unfetched = 'unfetched'
+    misdirected = 'misdirected'
     lost = 'lost'
     unreached = 'unreached'
     cancelled = 'cancelled'
--- a/libs/dispatch/src/gypsumrelay_dispatch/placing.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/placing.py
@@ -101,13 +101,26 @@
     readers = _usable(board, need, Phase.prefill, now)
     healthy = [load for load in readers if load.suspended_until <= now]
     if not healthy:
-        # A decode upstream reads more slowly, but at once.
-        decode = _choose_decode(board, need, '', now)
-        if decode is not None or not readers:
-            return Choice(decode) if decode else None
+        direct = _choose_direct(board, need, now)
+        if direct is not None or not readers:
+            return direct
     return _choose_reader(board, need, healthy or readers, now)
 
 
+def _choose_direct(board: Board, need: Need, now: float) -> Choice | None:
+    """Return a decode upstream that reads the prompt itself.
+
+    It reads between the tokens of its other requests and delays them, so
+    that it gets one such prompt at a time.
+    """
+    busy = {
+        name for name, load in board.loads.items() if load.reads_until > now
+    }
+    free = attrs.evolve(need, excluded=need.excluded | busy)
+    decode = _choose_decode(board, free, '', now)
+    return Choice(decode) if decode else None
+
+
 def _choose_reader(
     board: Board,
     need: Need,
--- a/libs/dispatch/src/gypsumrelay_dispatch/rebalancing.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/rebalancing.py
@@ -19,7 +19,7 @@
 LEAST_POOL: Final = 3
 # Least improvement of the busier pool for which a phase is changed; a change
 # takes an upstream out for seconds.
-LEAST_GAIN: Final = 0.08
+LEAST_GAIN: Final = 0.15
 # Seconds for which the division has to be wrong; a crashed upstream is often
 # back sooner.
 PATIENCE_SECONDS: Final = 3.0
--- a/libs/dispatch/tests/places.feature
+++ b/libs/dispatch/tests/places.feature
@@ -53,6 +53,19 @@
     When the others leave
     Then a request still goes to it
 
+  Scenario: An upstream whose address another one has gets nothing more
+    Given 3 plain upstreams with 6 slots
+    When one of them answers that it is another one
+    Then the next 12 requests go to the others
+    And after 3 seconds the next 6 requests go to the others
+
+  Scenario: Without prefill upstreams a decode upstream reads one at a time
+    Given 1 prefill and 3 decode upstreams with 40000 tokens of memory
+    When the prefill upstream leaves and 9 prompts of 3000 tokens arrive
+    Then 3 of them run, one at each decode upstream
+    When the queue is served 0.3 seconds later
+    Then 6 of them run, two at each decode upstream
+
   Scenario: An evacuated zone and a leaving upstream get nothing
     Given 3 plain upstreams with 6 slots
     When zone 0 is evacuated and upstream 1 is leaving
--- a/libs/dispatch/tests/steps/places.py
+++ b/libs/dispatch/tests/steps/places.py
@@ -221,6 +221,48 @@
     played.take(end(played.board, need.key, Ending.unreached, played.now))
 
 
+@when('one of them answers that it is another one')
+def misdirected(context: Any) -> None:
+    played = context.played
+    need = played.ask()
+    context.bad = played.board.places[need.key].upstream
+    ending = Ending.misdirected
+    played.take(end(played.board, need.key, ending, played.now))
+
+
+@then('after {seconds:d} seconds the next {count:d} requests go to the others')
+def check_later(context: Any, seconds: int, count: int) -> None:
+    played = context.played
+    for key in list(played.board.places):
+        played.take(end(played.board, key, Ending.answered, played.now))
+    played.now += seconds
+    check_others(context, count)
+
+
+@when(
+    'the prefill upstream leaves and {count:d} prompts of {tokens:d} tokens '
+    'arrive',
+)
+def no_prefill(context: Any, count: int, tokens: int) -> None:
+    _change(context.played, only='prefill-0', leaving=True)
+    for _ in range(count):
+        context.played.ask(**_sizes(tokens, 500))
+
+
+@then('{count:d} of them run, {each} at each decode upstream')
+def check_direct(context: Any, count: int, each: str) -> None:
+    used = context.played.by_upstream()
+    assert used.total() == count
+    assert set(used.values()) == {('one', 'two').index(each) + 1}
+
+
+@when('the queue is served {seconds:g} seconds later')
+def pass_time(context: Any, seconds: float) -> None:
+    played = context.played
+    played.now += seconds
+    played.take(tick(played.board, played.now))
+
+
 @then('the next {count:d} requests go to the others')
 def check_others(context: Any, count: int) -> None:
     played = context.played
--- a/libs/relay/src/gypsumrelay_relay/attempts.py
+++ b/libs/relay/src/gypsumrelay_relay/attempts.py
@@ -33,6 +33,15 @@
 RETRY_SECONDS: Final = 1.0
 MISDIRECTED: Final = 421
 FIRST_ERROR: Final = 400
+# Endings after which it is certain that the upstream ran nothing.
+NOT_RUN: Final = frozenset(
+    (
+        Ending.rejected,
+        Ending.unfetched,
+        Ending.misdirected,
+        Ending.unreached,
+    ),
+)
 FIRST_SERVER_ERROR: Final = 500
 
 
@@ -106,7 +115,9 @@
     facts = read_facts(exchange, reply)
     if facts.request_id and facts.request_id != exchange.request_id:
         return Verdict(Ending.lost, 'the answer belongs to another request')
-    if facts.not_run or reply.status == MISDIRECTED:
+    if reply.status == MISDIRECTED:
+        return Verdict(Ending.misdirected, 'another upstream has the address')
+    if facts.not_run:
         return Verdict(Ending.rejected, f'not run, status {reply.status}')
     if 'Content-Encoding' in reply.headers:
         return Verdict(Ending.lost, 'the answer is encoded')
--- a/libs/relay/src/gypsumrelay_relay/model.py
+++ b/libs/relay/src/gypsumrelay_relay/model.py
@@ -13,6 +13,7 @@
 
 from gypsumrelay_relay import events
 from gypsumrelay_relay.attempts import (
+    NOT_RUN,
     Verdict,
     deliver,
     end_attempt,
@@ -44,9 +45,6 @@
 CACHE_SECONDS: Final = 0.4
 # Decode upstreams that are offered one cache; the first may lack the memory.
 MAX_UNFETCHED: Final = 2
-_NOT_RUN: Final = frozenset(
-    (Ending.rejected, Ending.unfetched, Ending.unreached),
-)
 # Asks for a place by one request; bounds the load of one that keeps failing.
 MAX_ASKS: Final = 5
 
@@ -324,13 +322,11 @@
 
 def _count_run(run: StreamRun, verdict: Verdict) -> None:
     """Count a send that may have run; a taken cache is not offered again."""
-    if verdict.ending in {Ending.unreached, Ending.rejected}:
-        return
     if verdict.ending is Ending.unfetched:
         _count_unfetched(run)
-        return
-    run.exchange.runs += 1
-    run.cache = None
+    elif verdict.ending not in NOT_RUN:
+        run.exchange.runs += 1
+        run.cache = None
 
 
 def _count_unfetched(run: StreamRun) -> None:
@@ -354,7 +350,7 @@
         return False
     if isinstance(outcome, Failure):
         return False
-    if isinstance(outcome, Verdict) and outcome.ending in _NOT_RUN:
+    if isinstance(outcome, Verdict) and outcome.ending in NOT_RUN:
         return True
     return run.may_go_on
 
--- a/libs/relay/src/gypsumrelay_relay/plain.py
+++ b/libs/relay/src/gypsumrelay_relay/plain.py
@@ -11,6 +11,7 @@
 from gypsumrelay_errors import Failure, Outcome, UpstreamFailed
 
 from gypsumrelay_relay.attempts import (
+    NOT_RUN,
     Verdict,
     deliver,
     end_attempt,
@@ -101,7 +102,7 @@
         tried = Tried(Verdict(reply.ending, reply.reason))
     else:
         tried = _read(exchange, reply)
-    if tried.verdict.ending not in {Ending.rejected, Ending.unreached}:
+    if tried.verdict.ending not in NOT_RUN:
         exchange.runs += 1
     status = reply.status if isinstance(reply, Reply) else 0
     end_attempt(exchange, given, tried.verdict, status, started_at)
@@ -114,7 +115,7 @@
         return False
     if ending is Ending.answered:
         return False
-    if ending in {Ending.rejected, Ending.unreached}:
+    if ending in NOT_RUN:
         return True
     route = exchange.admitted.route
     if route.repeatability is not Repeatability.idempotent:
@@ -133,7 +134,7 @@
         reply.close()
         return Tried(Verdict(Ending.lost, f'the answer broke off: {error}'))
     reply.keep()
-    if verdict.ending is Ending.rejected:
+    if verdict.ending in NOT_RUN:
         return Tried(verdict)
     headers = exchange.relay.dialect.caller_headers(reply.headers.items())
     return Tried(verdict, Whole(reply.status, headers, body))
--- a/libs/relay/src/gypsumrelay_relay/prompts.py
+++ b/libs/relay/src/gypsumrelay_relay/prompts.py
@@ -11,6 +11,7 @@
 
 from gypsumrelay_relay import events
 from gypsumrelay_relay.attempts import (
+    MISDIRECTED,
     Verdict,
     deliver,
     ending_for,
@@ -125,6 +126,8 @@
         reply.close()
         return Verdict(Ending.lost, f'the answer broke off: {error}')
     reply.keep()
+    if reply.status == MISDIRECTED:
+        return Verdict(Ending.misdirected, 'another upstream has the address')
     if facts.not_run:
         return Verdict(Ending.rejected, f'not run, status {reply.status}')
     if reply.status != OK:
--- a/tools/write_reference.py
+++ b/tools/write_reference.py
@@ -26,6 +26,11 @@
         settings.UpstreamSettings,
         settings.EvidenceSettings,
         settings.TelemetrySettings,
+        settings.RelaySettings,
+        settings.RelayInstance,
+        settings.StoreSettings,
+        settings.DispatchSettings,
+        settings.ShutdownSettings,
     ),
     'configuration.md': (
         configuration.Configuration,
