--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -30,6 +30,8 @@
     keep_registered,
     register_anew,
 )
+from gypsumrelay_relay.routes import CallerLimits
+from gypsumrelay_relay.slowness import SlowHeads
 
 if TYPE_CHECKING:
     from gypsumrelay_dispatch import Upstream
@@ -90,7 +92,9 @@
             lambda: _status(relay),
         ),
     ]
-    relay.knowledge.listeners.append(_on_orders(process, callers))
+    slow_heads = SlowHeads(callers, CallerLimits())
+    slow_heads.start()
+    relay.knowledge.listeners.append(_on_orders(process, slow_heads))
     process.heartbeats.on_pause = lambda: register_anew(process)
     with coordination.lock:
         hosts = [split_address(seed)[0] for seed in instance.seeds]
@@ -173,9 +177,10 @@
     )
 
 
-def _on_orders(process: Process, callers: Any) -> Any:
+def _on_orders(process: Process, slow_heads: SlowHeads) -> Any:
     def take(orders: OperatorOrders) -> None:
-        apply_limits(callers, orders.configuration.limits)
+        slow_heads.limits = orders.configuration.limits
+        apply_limits(slow_heads.server, slow_heads.limits)
         process.relay.coordination.actor.tell(events.OrdersChanged(orders))
         change_own(process, position=process.relay.knowledge.position)
 
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/slowness.py
@@ -0,0 +1,69 @@
+"""Closing of connections whose request head arrives too slowly."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+from logbook import Logger
+
+if TYPE_CHECKING:
+    from gypsumrelay_relay.routes import CallerLimits
+
+log = Logger('slowness')
+
+# Seconds between two looks at all connections.
+LOOK_SECONDS: Final = 0.5
+ANSWER: Final = (
+    b'HTTP/1.1 408 Request Timeout\r\n'
+    b'Content-Length: 0\r\nConnection: close\r\n\r\n'
+)
+
+
+@attrs.define(eq=False)
+class SlowHeads:
+    """Looks at the connections of the HTTP server for callers.
+
+    Attributes:
+        server: The server.
+        limits: How long a head may take.
+        begun: When an unfinished head was first seen, by connection.
+    """
+
+    server: Any
+    limits: CallerLimits
+    begun: dict[int, float] = attrs.field(factory=dict)
+    stopped: threading.Event = attrs.field(factory=threading.Event)
+
+    def start(self) -> None:
+        """Start the thread."""
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self) -> None:
+        """Let the server's own thread look until the process stops."""
+        while not self.stopped.wait(LOOK_SECONDS):
+            self.server.trigger.pull_trigger(self.look)
+
+    def look(self) -> None:
+        """Look at all connections once, in the server's thread."""
+        now = time.monotonic()
+        unfinished = {
+            number: channel
+            for number, channel in self.server.active_channels.items()
+            if _is_unfinished(channel)
+        }
+        for gone in self.begun.keys() - unfinished.keys():
+            self.begun.pop(gone)
+        for number, channel in unfinished.items():
+            since = self.begun.setdefault(number, now)
+            if now - since > self.limits.header_seconds:
+                log.info('Closed a connection whose head took too long.')
+                channel.send(ANSWER)
+                channel.handle_close()
+
+
+def _is_unfinished(channel: Any) -> bool:
+    request = channel.request
+    return request is not None and not request.headers_finished
