--- a/libs/relay/src/gypsumrelay_relay/events.py
+++ b/libs/relay/src/gypsumrelay_relay/events.py
@@ -54,10 +54,9 @@
 
 
 @attrs.frozen
-class PromptDone(Decision):
-    """An upstream read a prompt, or failed to."""
+class UpstreamEnded(Decision):
+    """Base of what one upstream's part in a request came to."""
 
-    event: ClassVar[str] = 'prompt'
     routine: ClassVar[bool] = True
 
     attempt: int
@@ -69,18 +68,17 @@
 
 
 @attrs.frozen
-class AttemptEnded(Decision):
-    """An upstream's part in a request ended."""
+class PromptDone(UpstreamEnded):
+    """An upstream read a prompt, or failed to."""
 
-    event: ClassVar[str] = 'attempt'
-    routine: ClassVar[bool] = True
+    event: ClassVar[str] = 'prompt'
 
-    attempt: int
-    upstream: str
-    ending: str
-    status: int
-    elapsed_ms: int
-    reason: str
+
+@attrs.frozen
+class AttemptEnded(UpstreamEnded):
+    """An upstream's part in an answer ended."""
+
+    event: ClassVar[str] = 'attempt'
 
 
 @attrs.frozen
--- a/libs/relay/src/gypsumrelay_relay/exchange.py
+++ b/libs/relay/src/gypsumrelay_relay/exchange.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
+from http.client import responses
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
@@ -192,6 +193,11 @@
         )
         raise ConnectionError('the caller closed its connection')
 
+    def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Begin the answer."""
+        phrase = responses.get(status, 'Unknown')
+        self.start_response(f'{status} {phrase}', headers)
+
     def answered(self, status: int) -> None:
         """Note that the request was answered in full."""
         elapsed = self.elapsed_ms()
@@ -229,6 +235,23 @@
         return content.digest()
 
 
+@attrs.frozen
+class Whole:
+    """A complete answer of an upstream."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+def answer_whole(exchange: Exchange, whole: Whole) -> Chunks:
+    """Answer with a complete answer of an upstream."""
+    length = ('Content-Length', str(len(whole.body)))
+    exchange.begin(whole.status, [*whole.headers, length])
+    exchange.answered(whole.status)
+    return [whole.body]
+
+
 def respond_with(
     start_response: StartResponse,
     failure: Failure,
--- a/libs/relay/src/gypsumrelay_relay/model.py
+++ b/libs/relay/src/gypsumrelay_relay/model.py
@@ -4,7 +4,6 @@
 
 import time
 from collections.abc import Generator, Iterator
-from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -25,7 +24,7 @@
 )
 from gypsumrelay_relay.dialect import Sending
 from gypsumrelay_relay.eventstream import Events, Splitter
-from gypsumrelay_relay.plain import Whole
+from gypsumrelay_relay.exchange import Whole, answer_whole
 from gypsumrelay_relay.prompts import Cache, read_prompt, release
 from gypsumrelay_relay.sending import FAULTS, Reply, SendFailed
 from gypsumrelay_relay.watch import Cause
@@ -111,11 +110,10 @@
     if isinstance(opened, Failure):
         return exchange.refuse(given_up(exchange, opened))
     if isinstance(opened, Whole):
-        return _pass_whole(exchange, opened)
-    status = HTTPStatus(opened.reply.status)
+        return answer_whole(exchange, opened)
     headers = opened.reply.headers.items()
-    exchange.start_response(
-        f'{status.value} {status.phrase}',
+    exchange.begin(
+        opened.reply.status,
         exchange.relay.dialect.caller_headers(headers),
     )
     exchange.log(
@@ -376,16 +374,6 @@
     return Whole(reply.status, headers, body)
 
 
-def _pass_whole(exchange: Exchange, whole: Whole) -> Chunks:
-    status = HTTPStatus(whole.status)
-    exchange.start_response(
-        f'{status.value} {status.phrase}',
-        [*whole.headers, ('Content-Length', str(len(whole.body)))],
-    )
-    exchange.answered(whole.status)
-    return [whole.body]
-
-
 def _end(run: StreamRun, opened: Opened, verdict: Verdict) -> None:
     status = opened.reply.status
     opened.reply.keep()
--- a/libs/relay/src/gypsumrelay_relay/plain.py
+++ b/libs/relay/src/gypsumrelay_relay/plain.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -22,6 +21,7 @@
     obtain_place,
 )
 from gypsumrelay_relay.dialect import Sending
+from gypsumrelay_relay.exchange import Whole, answer_whole
 from gypsumrelay_relay.routes import Repeatability
 from gypsumrelay_relay.sending import FAULTS, Reply, SendFailed
 
@@ -35,15 +35,6 @@
 ATTEMPT_SHARE: Final = 0.4
 
 
-@attrs.frozen
-class Whole:
-    """A complete answer of an upstream."""
-
-    status: int
-    headers: list[tuple[str, str]]
-    body: bytes
-
-
 @attrs.frozen
 class Tried:
     """How an attempt ended, with the answer where one came."""
@@ -59,13 +50,7 @@
         return exchange.refuse_gone()
     if isinstance(outcome, Failure):
         return exchange.refuse(given_up(exchange, outcome))
-    status = HTTPStatus(outcome.status)
-    exchange.start_response(
-        f'{status.value} {status.phrase}',
-        [*outcome.headers, ('Content-Length', str(len(outcome.body)))],
-    )
-    exchange.answered(outcome.status)
-    return [outcome.body]
+    return answer_whole(exchange, outcome)
 
 
 def run(exchange: Exchange) -> Whole | Failure:
