Keep the place of a stream whose prompt was read by an earlier attempt

Cause: reading the code again: a need for a prompt that is read already carried the end of its KV cache as its deadline, so that its place was taken back two seconds later while the stream still ran for seconds, and its memory was given out twice. Change: such a need keeps the request's deadline, waits until the cache lapses and is served first. Test: places.feature.

--- a/libs/dispatch/src/gypsumrelay_dispatch/coordinating.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/coordinating.py
@@ -216,6 +216,8 @@
 
 def longest_wait(board: Board, need: Need, now: float) -> float:
     """Return for how long an attempt may wait for a place."""
+    if need.read:
+        return max(0, need.aim_at - now)
     settings = board.settings
     by_aim = max(0, need.aim_at - now) * settings.queue_factor
     by_deadline = max(0, need.deadline - now) * settings.queue_share
@@ -347,6 +349,8 @@
 
 
 def _stage(settings: DispatchSettings, need: Need, now: float) -> Stage:
+    if need.read:
+        return Stage.urgent
     if not need.prompt_tokens:
         return Stage.late if need.aim_at <= now else Stage.usual
     left = need.aim_at - now - LATE_MARGIN_SECONDS
--- a/libs/dispatch/src/gypsumrelay_dispatch/models.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/models.py
@@ -111,7 +111,9 @@
         prompt_tokens: Tokens to read; 0 for plain services.
         output_tokens: Most tokens to generate.
         expected_tokens: Tokens that will probably be generated.
-        read: Whether the prompt is already read and only has to be decoded.
+        read: Whether the prompt is already read and only has to be decoded;
+            it then waits no longer than until `aim_at`, when its KV cache
+            lapses.
         excluded: Upstreams that this request must not reach again.
         digest: Names requests with the same content.
     """
--- a/libs/dispatch/tests/places.feature
+++ b/libs/dispatch/tests/places.feature
@@ -111,5 +111,15 @@
     When its instance reports nothing for 20 seconds
     Then nothing is left of it at any upstream
 
+  Scenario: A prompt that is read already goes first, but waits no longer than its cache
+    Given 1 prefill and 1 decode upstreams with 4000 tokens of memory
+    And a request that runs
+    When a request arrives, then one whose prompt is read and lapses in 0.4 seconds
+    And the running request ends
+    Then the one that is read gets the place
+    And it is still counted 5 seconds later
+    When another one whose prompt is read waits for 0.5 seconds
+    Then it is refused
+
   Scenario: Random traffic keeps every bound
     Then 150 random days keep all bounds and answer each ask once
--- a/libs/dispatch/tests/steps/places.py
+++ b/libs/dispatch/tests/steps/places.py
@@ -395,6 +395,48 @@
     assert isinstance(answers[0], Granted)
 
 
+@when(
+    'a request arrives, then one whose prompt is read and lapses in '
+    '{seconds:g} seconds',
+)
+def ask_read(context: Any, seconds: float) -> None:
+    played = context.played
+    prompt = _prompt(played)
+    context.usual = played.ask(**prompt)
+    until = played.now + seconds
+    context.read = played.ask(**prompt, read=True, aim_at=until)
+
+
+@then('the one that is read gets the place')
+def check_read(context: Any) -> None:
+    answers = context.played.answers
+    assert isinstance(answers[context.read.key][0], Granted)
+    assert context.usual.key not in answers
+
+
+@then('it is still counted {seconds:d} seconds later')
+def check_counted(context: Any, seconds: int) -> None:
+    played = context.played
+    played.now += seconds
+    played.take(tick(played.board, played.now))
+    assert context.read.key in played.board.places
+
+
+@when('another one whose prompt is read waits for {seconds:g} seconds')
+def wait_read(context: Any, seconds: float) -> None:
+    played = context.played
+    until = played.now + 0.4
+    context.last = played.ask(**_prompt(played), read=True, aim_at=until)
+    played.now += seconds
+    played.take(tick(played.board, played.now))
+
+
+@then('it is refused')
+def check_it_refused(context: Any) -> None:
+    answer = context.played.answers[context.last.key][0]
+    assert not isinstance(answer, Granted)
+
+
 @when('a request asks twice under the same name and ends once')
 def ask_twice(context: Any) -> None:
     played = context.played
--- a/libs/relay/src/gypsumrelay_relay/model.py
+++ b/libs/relay/src/gypsumrelay_relay/model.py
@@ -165,12 +165,12 @@
 
 
 def _next_need(run: StreamRun) -> Need:
-    """Return the next need; with a cache, one that does not outlive it."""
+    """Return the next need; with a cache, one that waits no longer than it."""
     need = run.exchange.next_need()
     if run.cache is None:
         return need
     until = run.cache.read_at + CACHE_SECONDS
-    return attrs.evolve(need, read=True, aim_at=until, deadline=until)
+    return attrs.evolve(need, read=True, aim_at=until)
 
 
 def _attempt(run: StreamRun, given: Placed) -> Opened | Whole | Verdict:
