Follow the coordinator in a thread of its own

Cause: reading the code again: the thread that sends heartbeats also opened the link to a new coordinator. A peer that accepts the connection and stays silent held it for two seconds, in which the others took this member for dead and it took itself for paused. Change: heartbeats only wake the thread that opens links; each step of opening one may take 0.6 s. Test: membership.feature; it cannot run on the code before, which has no such thread.

--- a/libs/relay/src/gypsumrelay_relay/building.py
+++ b/libs/relay/src/gypsumrelay_relay/building.py
@@ -90,7 +90,7 @@
     heartbeats = Heartbeats(
         coordination.members,
         instance.link_port,
-        coordination.follow_leader,
+        coordination.changed.set,
         ignore_change,
         coordination.lock,
         open_socket(instance.host, instance.link_port),
--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -50,6 +50,8 @@
 
 log = Logger('coordination')
 
+# Seconds for each step of opening a link; a living member answers at once.
+DIAL_SECONDS: Final = 0.6
 # Seconds for which a member that could not be reached is not asked again.
 AVOID_SECONDS: Final = 1.0
 
@@ -87,6 +89,8 @@
         link: Link to it; None where it is this instance.
         incoming: Links of instances that ask this one.
         on_leader: Called where this instance begins to coordinate.
+        changed: Set where another instance may have to be asked.
+        stopped: Ends the thread that follows the coordinator.
     """
 
     name: str
@@ -102,7 +106,8 @@
     link: Link | None = None
     incoming: dict[str, Link] = attrs.field(factory=dict)
     on_leader: Callable[[], None] = ignore_change
-    changing: threading.Lock = attrs.field(factory=threading.Lock)
+    changed: threading.Event = attrs.field(factory=threading.Event)
+    stopped: threading.Event = attrs.field(factory=threading.Event)
 
     def place(self, need: Need) -> Asking:
         """Ask for a place; the answer comes into the returned queue."""
@@ -153,10 +158,19 @@
         if link is not None:
             link.send(answer_message(action, time.monotonic()))
 
-    def follow_leader(self) -> None:
-        """Turn to another coordinator where the members have changed."""
-        with self.changing:
-            while self._step():
+    def start(self) -> None:
+        """Follow the coordinator in a thread of its own.
+
+        Opening a link can take long, and heartbeats must not wait for it.
+        """
+        threading.Thread(target=self.run, name='leader', daemon=True).start()
+
+    def run(self) -> None:
+        """Turn to another coordinator whenever the members change."""
+        while not self.stopped.is_set():
+            self.changed.wait()
+            self.changed.clear()
+            while self._step() and not self.stopped.is_set():
                 log.debug('The coordinator changed; checking again.')
 
     def on_message(self, link: Link, message: Message) -> None:
@@ -206,7 +220,7 @@
             self.leader = ''
             until = time.monotonic() + AVOID_SECONDS
             self.members.avoided[link.peer.name] = until
-        threading.Thread(target=self.follow_leader, daemon=True).start()
+        self.changed.set()
 
     def beat(self) -> None:
         """Keep the links from looking silent."""
@@ -248,7 +262,8 @@
         return False
 
     def _open(self, host: str, name: str) -> Link | None:
-        link = dial((host, self.link_port), self.endpoint)
+        address = (host, self.link_port)
+        link = dial(address, self.endpoint, DIAL_SECONDS)
         if isinstance(link, Failure):
             log.warning('No link to coordinator {}: {}.', name, link.sentence)
             with self.lock:
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -99,6 +99,7 @@
     with coordination.lock:
         hosts = [split_address(seed)[0] for seed in instance.seeds]
         add_hosts(coordination.members, hosts, time.monotonic())
+    coordination.start()
     process.heartbeats.start()
     relay.watch.start()
     process.following = _following(process)
--- a/libs/relay/tests/membership.feature
+++ b/libs/relay/tests/membership.feature
@@ -53,3 +53,9 @@
   Scenario: A heartbeat survives its encoding and nonsense does not
     Then a heartbeat is decoded to what was encoded
     And 2000 random datagrams are refused or decoded, never an error
+
+  Scenario: Heartbeats go on while a coordinator accepts no link
+    Given a member whose coordinator accepts connections and stays silent
+    When it follows the coordinator
+    Then it sends heartbeats all the while
+    And it asks itself within 2 seconds
--- a/libs/relay/tests/steps/membership.py
+++ b/libs/relay/tests/steps/membership.py
@@ -4,12 +4,24 @@
 
 import itertools
 import random
+import socket
+import threading
+import time
 from typing import Any
 
 import attrs
 import msgpack
 from behave import given, then, when
-from gypsumrelay_relay.heartbeats import pack, unpack
+from gypsumrelay_dispatch import Board
+from gypsumrelay_relay.coordination import Coordination
+from gypsumrelay_relay.coordinator import Coordinator
+from gypsumrelay_relay.heartbeats import (
+    Heartbeats,
+    open_socket,
+    pack,
+    unpack,
+)
+from gypsumrelay_relay.knowledge import Knowledge
 from gypsumrelay_relay.membership import (
     Member,
     Members,
@@ -18,6 +30,9 @@
     hear,
     heartbeat_targets,
 )
+from gypsumrelay_relay.topics import RecordReader
+from gypsumrelay_settings import DispatchSettings
+from gypsumrelay_wire import Endpoint, Identity
 
 NOW = 100.0
 BEAT = 0.2
@@ -181,3 +196,72 @@
         for sender, member in context.own.items():
             if sender not in context.silent:
                 hear(view, member, context.now)
+
+
+@given('a member whose coordinator accepts connections and stays silent')
+def give_silent_leader(context: Any) -> None:
+    silent = socket.create_server(('127.0.0.1', 0))
+    context.add_cleanup(silent.close)
+    port = silent.getsockname()[1]
+    listener = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    listener.bind(('127.0.0.1', port))
+    listener.settimeout(0.6)
+    context.add_cleanup(listener.close)
+    context.listener = listener
+    members = Members(Member('own', 'a', '127.0.0.2', 9))
+    reader = RecordReader(lambda records: None, lambda name, record: None)
+    coordination = Coordination('own', members, Knowledge(reader), port)
+    coordination.actor = Coordinator.start(
+        Board(DispatchSettings()),
+        coordination.deliver,
+    )
+    coordination.endpoint = Endpoint(
+        Identity('own', 'a', 'relay'),
+        b'secret',
+        coordination.on_message,
+        coordination.on_close,
+    )
+    heartbeats = Heartbeats(
+        members,
+        port,
+        coordination.changed.set,
+        lambda: None,
+        coordination.lock,
+        open_socket('127.0.0.2', port),
+    )
+    context.add_cleanup(coordination.actor.stop)
+    context.add_cleanup(heartbeats.stop)
+    context.add_cleanup(coordination.stopped.set)
+    context.coordination = coordination
+    context.heartbeats = heartbeats
+
+
+@when('it follows the coordinator')
+def follow(context: Any) -> None:
+    context.started = time.monotonic()
+    leader = Member('leader', 'a', '127.0.0.1', 1)
+    told = threading.Event()
+    context.add_cleanup(told.set)
+
+    def tell() -> None:
+        while not told.wait(0.1):
+            hear(context.coordination.members, leader, time.monotonic())
+
+    hear(context.coordination.members, leader, context.started)
+    threading.Thread(target=tell, daemon=True).start()
+    context.coordination.start()
+    context.heartbeats.start()
+
+
+@then('it sends heartbeats all the while')
+def check_heartbeats(context: Any) -> None:
+    for _ in range(5):
+        payload = context.listener.recv(8192)
+        assert unpack(payload) is not None
+
+
+@then('it asks itself within {seconds:d} seconds')
+def check_own(context: Any, seconds: int) -> None:
+    while context.coordination.leader != 'own':
+        assert time.monotonic() - context.started < seconds
+        time.sleep(0.01)
--- a/libs/wire/src/gypsumrelay_wire/link.py
+++ b/libs/wire/src/gypsumrelay_wire/link.py
@@ -138,10 +138,20 @@
         return None
 
 
-def dial(address: Address, endpoint: Endpoint) -> Link | Failure:
-    """Open a link to a listener and authenticate both sides."""
+def dial(
+    address: Address,
+    endpoint: Endpoint,
+    seconds: float = HANDSHAKE_SECONDS,
+) -> Link | Failure:
+    """Open a link to a listener and authenticate both sides.
+
+    Args:
+        address: Where the listener is.
+        endpoint: Who opens the link.
+        seconds: Longest wait for each answer of the listener.
+    """
     try:
-        connection = socket.create_connection(address, HANDSHAKE_SECONDS)
+        connection = socket.create_connection(address, seconds)
     except OSError as error:
         return LinkClosed(f'no connection to {address[0]}: {error.strerror}')
     link = _handshake(connection, endpoint, is_dialer=True)
