Tell apart a holder's two shares in the oracle of the drawers

Cause: the oracle keyed charges by draw, holder and epoch. Where one agent holds both shares of the account in the same epoch, the second share's part of a draw was taken for a repeat of the first, and its other amount for a changed grant. The holder keeps its draws by share and was right.

Ruled out: a repeat at the holder after a share moved (the example needs only one holder of both shares, no repeat); charges forgotten by the holder.

The new scenario failed with 'a repeat changed the grant' before, and passes. The check is stricter than before, since parts of two shares no longer hide behind one another.

--- a/libs/limits/tests/drawers.feature
+++ b/libs/limits/tests/drawers.feature
@@ -131,6 +131,15 @@
     Then nothing is rejected
     And a draw takes at most 3.1 messages
 
+  Scenario: Two shares of one holder are charged apart
+    Guards against an oracle that takes the second share's part for a repeat
+    of the first, where one holder has both shares in the same epoch.
+    Given a fleet whose only agent holds both shares in one epoch
+    When an agent draws 33 tokens as "a"
+    Then "a" is admitted
+    And 7 tokens are left in all shares
+    And 33 tokens are charged to "a"
+
   Scenario: Rate and burst hold under any faults
     Guards against grants beyond the contract under crashes, pauses, cut
     connections, moved shares and changed contracts.
--- a/libs/limits/tests/fleet_model.py
+++ b/libs/limits/tests/fleet_model.py
@@ -63,8 +63,8 @@
     list_lag_seconds=3,
 )
 ZONES = ('ikeja', 'lekki', 'yaba')
-# A share at one holder in one epoch.
-Place = tuple[Member, int]
+# Holder, number and epoch of a share; one holder may have both in one epoch.
+Place = tuple[Member, int, int]
 Levels = dict[int, tuple[Place, float]]
 # Tokens; above the sum of rounding errors, below any whole token.
 TOLERANCE = 0.01
@@ -303,7 +303,7 @@
             if share is None or process.holder.draining:
                 continue
             level = self.level(process, number)
-            place = (member, share.epoch)
+            place = (member, number, share.epoch)
             collecting = self.charges.get((share.collecting, place))
             # Tokens of a draw that may still be given up count as there.
             if collecting and self.now < share.collecting_until:
@@ -385,7 +385,7 @@
         share = process.holder.shares.get((ACCOUNT, message.key.share))
         if not isinstance(answer, Granted) or share is None:
             return answer
-        place = (process.member, share.epoch)
+        place = (process.member, message.key.share, share.epoch)
         known = self.charges.get((message.key.draw_id, place))
         if known is None:
             self.charges[message.key.draw_id, place] = Charge(
@@ -408,7 +408,8 @@
         refund = self.level(process, message.key.share) - before
         if share is None or refund <= 0:
             return
-        known = self.charges[message.key.draw_id, (process.member, share.epoch)]
+        place = (process.member, message.key.share, share.epoch)
+        known = self.charges[message.key.draw_id, place]
         known.refunded += refund
         assert known.refunded <= known.tokens + TOLERANCE, 'refunded twice'
         self.check_charged(known.request)
--- a/libs/limits/tests/steps/drawers.py
+++ b/libs/limits/tests/steps/drawers.py
@@ -21,6 +21,21 @@
     context.agent = agent(context.fleet)
 
 
+@given('a fleet whose only agent holds both shares in one epoch')
+def start_single_agent(context: Any) -> None:
+    context.fleet = Fleet()
+    for _ in range(20):
+        context.fleet.step(1)
+    for process in list(context.fleet.processes.values())[1:]:
+        context.fleet.crash(process)
+    for _ in range(40):
+        context.fleet.step(1)
+    [context.agent] = context.fleet.processes.values()
+    shares = context.agent.holder.shares.values()
+    assert len(shares) == 2
+    assert len({share.epoch for share in shares}) == 1, shares
+
+
 def agent(fleet: Fleet, index: int = 0) -> Process:
     """Return an agent without shares."""
     idle = [one for one in fleet.processes.values() if not one.holder.shares]
@@ -253,6 +268,16 @@
     assert round(left(context.fleet)) == tokens, left(context.fleet)
 
 
+@then('{tokens:d} tokens are charged to "{name}"')
+def check_charged(context: Any, tokens: int, name: str) -> None:
+    charged = sum(
+        charge.tokens - charge.refunded
+        for charge in context.fleet.charges.values()
+        if charge.request == context.names[name]
+    )
+    assert charged == tokens, charged
+
+
 @then('every time exactly one is admitted')
 def check_one(context: Any) -> None:
     assert set(context.admitted) == {1}, context.admitted
