Bound the wait for a place once per request; resumed streams come first

Cause: the wait was bounded by the coordinator, anew with each ask. A stream that goes on elsewhere ranked behind a burst too, since its objective is past.

Now the request carries the instant until which it may wait, and a resumed stream ranks first with a wait of its own.

Ruled out: lost answers of a coordinator (each ask is repeated on a change and is answered); refusals that fire late (the tick refuses within 50 ms).

Both scenarios failed with the old rules put back.

--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -11,6 +11,7 @@
     end_prefill,
     forget_entry,
     hold,
+    latest_place,
     tick,
 )
 from gypsumrelay_dispatch.forecast import (
@@ -57,6 +58,7 @@
     'expected_output',
     'forget_entry',
     'hold',
+    'latest_place',
     'note_change',
     'plan',
     'set_rules',
--- a/libs/dispatch/src/gypsumrelay_dispatch/board.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/board.py
@@ -41,7 +41,6 @@
     Attributes:
         need: The attempt.
         asked_at: When it was asked for.
-        give_up_at: When it is refused if it still has no place.
         overdrawn: Whether its account has used more than its limit, so
             that it comes after all others.
         delay: Seconds by which it ranks later because of its cost.
@@ -49,7 +48,6 @@
 
     need: Need
     asked_at: float
-    give_up_at: float
     overdrawn: bool = False
     delay: float = 0
 
--- a/libs/dispatch/src/gypsumrelay_dispatch/coordinating.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/coordinating.py
@@ -89,14 +89,13 @@
     if refused is not None:
         return [refused]
     wait = expected_wait(board, need)
-    limit = longest_wait(board, need, now)
     overdrawn = accounts.is_overdrawn(board.accounts, need.client_account)
     delay = _cost_delay(board, need)
     if need.prompt_tokens and need.attempt == 1:
         rebalancing.observe_need(board, need)
-    board.queue.append(Waiting(need, now, now + limit, overdrawn, delay))
+    board.queue.append(Waiting(need, now, overdrawn, delay))
     actions = serve(board, now)
-    if wait > limit and _withdraw(board, need.key):
+    if now + wait > need.wait_until and _withdraw(board, need.key):
         _give_back(board, need)
         retry_at = now + min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait))
         failure = Overloaded('no place comes free in time', retry_at=retry_at)
@@ -214,14 +213,23 @@
     return len(same) * slowest / max(1, places)
 
 
-def longest_wait(board: Board, need: Need, now: float) -> float:
-    """Return for how long an attempt may wait for a place."""
-    if need.read:
-        return max(0, need.aim_at - now)
-    settings = board.settings
-    by_aim = max(0, need.aim_at - now) * settings.queue_factor
-    by_deadline = max(0, need.deadline - now) * settings.queue_share
-    return min(by_aim, by_deadline) if by_aim else by_deadline
+def latest_place(
+    settings: DispatchSettings,
+    aim_seconds: float,
+    deadline: float,
+    now: float,
+) -> float:
+    """Return until when a request that arrives now may wait for a place.
+
+    Args:
+        settings: The policy.
+        aim_seconds: Time within which an answer is on time.
+        deadline: Instant after which an answer is of no use.
+        now: The present instant.
+    """
+    by_aim = aim_seconds * settings.queue_factor
+    by_deadline = max(0, deadline - now) * settings.queue_share
+    return now + min(by_aim, by_deadline)
 
 
 def _cost_delay(board: Board, need: Need) -> float:
@@ -291,7 +299,7 @@
     choice = None if is_kept else choose(board, need, now)
     if choice is not None:
         return _grant(board, waiting, choice, now)
-    if now < waiting.give_up_at:
+    if now < need.wait_until:
         return None
     _give_back(board, need)
     retry_at = now + UNKNOWN_RETRY_SECONDS
@@ -349,7 +357,7 @@
 
 
 def _stage(settings: DispatchSettings, need: Need, now: float) -> Stage:
-    if need.read:
+    if need.read or need.resumed:
         return Stage.urgent
     if not need.prompt_tokens:
         return Stage.late if need.aim_at <= now else Stage.usual
--- a/libs/dispatch/src/gypsumrelay_dispatch/models.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/models.py
@@ -108,12 +108,14 @@
         priority: Rank, 0 first.
         aim_at: Instant until which an answer is on time.
         deadline: Instant after which an answer is of no use.
+        wait_until: Instant until which it may wait for a place. It belongs
+            to the request, so that a new coordinator starts no new wait.
         prompt_tokens: Tokens to read; 0 for plain services.
         output_tokens: Most tokens to generate.
         expected_tokens: Tokens that will probably be generated.
         read: Whether the prompt is already read and only has to be decoded;
-            it then waits no longer than until `aim_at`, when its KV cache
-            lapses.
+            it then waits no longer than its KV cache lives.
+        resumed: Whether it goes on with a stream whose caller is reading.
         excluded: Upstreams that this request must not reach again.
         digest: Names requests with the same content.
     """
@@ -128,10 +130,12 @@
     priority: int
     aim_at: float
     deadline: float
+    wait_until: float
     prompt_tokens: int = 0
     output_tokens: int = 0
     expected_tokens: int = 0
     read: bool = False
+    resumed: bool = False
     excluded: frozenset[str] = frozenset()
     digest: bytes = b''
 
--- a/libs/dispatch/tests/places.feature
+++ b/libs/dispatch/tests/places.feature
@@ -23,6 +23,24 @@
     And the running request ends
     Then the one on time gets the place
 
+  Scenario: A change of the coordinator in a burst starts no new wait
+    Guards against callers that leave unanswered because each coordinator
+    lets them wait anew while the queue is long.
+    Given 1 prefill and 1 decode upstreams with 4000 tokens of memory
+    And a request that runs
+    When a request waits for 2 seconds
+    And a new coordinator that holds the same places is asked for it
+    Then it is refused 0.8 seconds later at the latest
+
+  Scenario: A stream that has to go on comes before new requests
+    Guards against streams of a crashed upstream that wait behind a burst
+    until their callers leave.
+    Given 1 prefill and 1 decode upstreams with 4000 tokens of memory
+    And a request that runs
+    When a request arrives, then a stream that has to go on
+    And the running request ends
+    Then the stream gets the place
+
   Scenario: A burst that cannot be served in time is refused at once
     Given 1 prefill and 1 decode upstreams with 40000 tokens of memory
     When 60 prompts of 6000 tokens with 1000 expected arrive at once
--- a/libs/dispatch/tests/steps/boards.py
+++ b/libs/dispatch/tests/steps/boards.py
@@ -78,6 +78,7 @@
         'priority': 1,
         'aim_at': now + 0.9,
         'deadline': now + 14,
+        'wait_until': now + 2.7,
     }
     return Need(request_id=request_id, **(usual | fields))
 
--- a/libs/dispatch/tests/steps/limits.py
+++ b/libs/dispatch/tests/steps/limits.py
@@ -86,6 +86,7 @@
         cost_tokens=tokens,
         aim_at=played.now,
         deadline=played.now,
+        wait_until=played.now,
     )
     assert played.refused()
 
--- a/libs/relay/src/gypsumrelay_relay/exchange.py
+++ b/libs/relay/src/gypsumrelay_relay/exchange.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
-from gypsumrelay_dispatch import Need, expected_output
+from gypsumrelay_dispatch import Need, expected_output, latest_place
 from gypsumrelay_errors import Failure
 from gypsumrelay_wire import to_remaining_ms
 
@@ -67,6 +67,7 @@
         guard: Ends the request early.
         arrived_at: When the request was read.
         deadline: When the caller stops waiting.
+        wait_until: Until when it may wait for a place.
         attempts: Asks for places so far.
         runs: Sends so far that may have run.
         excluded: Upstreams that are not tried again.
@@ -79,10 +80,15 @@
     guard: Guard
     arrived_at: float
     deadline: float
+    wait_until: float = attrs.field(init=False)
     attempts: int = 0
     runs: int = 0
     excluded: set[str] = attrs.field(factory=set)
 
+    def __attrs_post_init__(self) -> None:
+        """Begin the wait for a place."""
+        self.begin_wait(self.arrived_at)
+
     @property
     def request_id(self) -> str:
         """Return the caller's name for this request."""
@@ -104,6 +110,15 @@
         """Return path and query exactly as the caller sent them."""
         return str(self.environ['REQUEST_URI'])
 
+    def begin_wait(self, now: float) -> None:
+        """Set until when a place is waited for from now on."""
+        self.wait_until = latest_place(
+            self.relay.settings.dispatch,
+            self.admitted.route.aim_ms / MS_PER_SECOND,
+            self.deadline,
+            now,
+        )
+
     def remaining_ms(self) -> int:
         """Return the time until the caller stops waiting."""
         return to_remaining_ms(self.deadline, time.monotonic())
@@ -137,6 +152,7 @@
             priority=priority,
             aim_at=self.aim_at,
             deadline=self.deadline,
+            wait_until=self.wait_until,
             prompt_tokens=facts.prompt_tokens if self._uses_engine() else 0,
             output_tokens=facts.output_tokens,
             expected_tokens=expected_output(
--- a/libs/relay/src/gypsumrelay_relay/model.py
+++ b/libs/relay/src/gypsumrelay_relay/model.py
@@ -79,6 +79,7 @@
         cache: A read prompt that no decode upstream has taken yet.
         unfetched: Decode upstreams that did not take it.
         current: The stream that is being passed on.
+        has_begun: Whether the caller has begun to read.
     """
 
     exchange: Exchange
@@ -86,6 +87,7 @@
     cache: Cache | None = None
     unfetched: int = 0
     current: Opened | None = None
+    has_begun: bool = False
 
     @property
     def may_go_on(self) -> bool:
@@ -166,11 +168,11 @@
 
 def _next_need(run: StreamRun) -> Need:
     """Return the next need; with a cache, one that waits no longer than it."""
-    need = run.exchange.next_need()
+    need = attrs.evolve(run.exchange.next_need(), resumed=run.has_begun)
     if run.cache is None:
         return need
     until = run.cache.read_at + CACHE_SECONDS
-    return attrs.evolve(need, read=True, aim_at=until)
+    return attrs.evolve(need, read=True, aim_at=until, wait_until=until)
 
 
 def _attempt(run: StreamRun, given: Placed) -> Opened | Whole | Verdict:
@@ -265,6 +267,7 @@
 def _stream(run: StreamRun, opened: Opened) -> Iterator[bytes]:
     """Yield events; go on at another upstream where that is allowed."""
     exchange = run.exchange
+    run.has_begun = True
     current: Opened | Whole | Failure = opened
     try:
         while isinstance(current, Opened):
@@ -279,6 +282,7 @@
             exchange.excluded.add(current.given.upstream)
             if not run.may_go_on:
                 break
+            exchange.begin_wait(time.monotonic())
             current = open_stream(run)
     except GeneratorExit:
         _note_broken(exchange, Cause.gone.value, 'the caller left')
--- a/libs/wire/src/gypsumrelay_wire/messages.py
+++ b/libs/wire/src/gypsumrelay_wire/messages.py
@@ -379,7 +379,8 @@
 class PlaceRequest(Message):
     """Asks the coordinator for a place at an upstream of a service.
 
-    With `read`, the prompt's KV cache exists already.
+    With `read`, the prompt's KV cache exists already; with `resumed`, a
+    stream goes on. `wait_ms` is how long it may wait.
     """
 
     tag: ClassVar[int] = 40
@@ -392,10 +393,12 @@
     priority: int
     aim_ms: int
     remaining_ms: int
+    wait_ms: int
     prompt_tokens: int
     output_tokens: int
     expected_tokens: int
     read: bool
+    resumed: bool
     excluded: list[str]
     digest: bytes
 
