Drop an entry whose address another upstream has at once

Cause: while the store is away, entries that vanish stay usable for a while.

Ruled out: entries that really come back (they keep name and address).

The scenario failed before.

--- a/libs/dispatch/src/gypsumrelay_dispatch/board.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/board.py
@@ -142,9 +142,12 @@
             load.changing_until = 0
         load.upstream = upstream
         load.usable_until = float('inf')
+    addresses = {entry.address for entry in listed.values()}
     for name in board.loads.keys() - listed.keys():
-        grace = board.settings.lapse_seconds if lapsed else 0
         gone = board.loads[name]
+        # Another upstream at its address means that it has ended.
+        may_return = lapsed and gone.upstream.address not in addresses
+        grace = board.settings.lapse_seconds if may_return else 0
         if gone.usable_until > now:
             _confirm_down(board, gone, now)
         gone.usable_until = min(gone.usable_until, now + grace)
--- a/libs/dispatch/tests/places.feature
+++ b/libs/dispatch/tests/places.feature
@@ -94,6 +94,13 @@
     When 100 plain requests arrive over 3 seconds
     Then no second has more than 17 sends
 
+  Scenario: An entry whose address another one has is gone at once
+    Guards against sends to upstreams that restarted under new names while
+    the store was away; they look empty and attract all work.
+    Given 3 plain upstreams with 6 slots
+    When one of them comes back under another name while the store was away
+    Then the next 12 requests go to the listed ones
+
   Scenario: An entry that vanished while the store was away stays in use
     Given 3 plain upstreams with 6 slots
     When upstream 0 vanishes from the list after the store was away
--- a/libs/dispatch/tests/steps/places.py
+++ b/libs/dispatch/tests/steps/places.py
@@ -478,6 +478,25 @@
     played.take(tick(played.board, played.now))
 
 
+@when('one of them comes back under another name while the store was away')
+def come_back_renamed(context: Any) -> None:
+    played = context.played
+    pool = [load.upstream for load in played.board.loads.values()]
+    context.renamed = pool[0].name
+    pool[0] = attrs.evolve(pool[0], name='renamed', started_ms=2)
+    set_upstreams(played.board, pool, played.now, lapsed=True)
+
+
+@then('the next {count:d} requests go to the listed ones')
+def check_listed(context: Any, count: int) -> None:
+    played = context.played
+    for _ in range(count):
+        played.ask()
+    used = played.by_upstream()
+    assert used.total() == count
+    assert context.renamed not in used, used
+
+
 @then('it is refused')
 def check_it_refused(context: Any) -> None:
     answer = context.played.answers[context.last.key][0]
