Keep the coordination where it is after a coordinator was cut off

It now registers anew where another one with a younger registration leads. A store that is away for all moves nothing: the leader keeps its rank.

--- a/libs/relay/src/gypsumrelay_relay/membership.py
+++ b/libs/relay/src/gypsumrelay_relay/membership.py
@@ -132,6 +132,22 @@
     return min(choices, key=lambda member: member.rank)
 
 
+def yields(members: Members, leader: str) -> bool:
+    """Return whether this relay gives up its rank for the coordinator's.
+
+    A relay that could not read the list and can again would take over from
+    the one that coordinates since; each change of the coordinator costs
+    requests their places.
+    """
+    if leader == members.own.name:
+        return False
+    leading = members.known.get(leader)
+    if leading is None:
+        return False
+    fresh = attrs.evolve(members.own, is_stale=False)
+    return fresh.rank < leading.rank
+
+
 def is_in_line(members: Members, now: float, places: int) -> bool:
     """Return whether this relay is among the first to coordinate."""
     before = [
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -23,7 +23,12 @@
 )
 from gypsumrelay_relay.coordination import ask_for_records
 from gypsumrelay_relay.following import Following
-from gypsumrelay_relay.membership import add_hosts, is_in_line
+from gypsumrelay_relay.membership import (
+    UNRANKED,
+    add_hosts,
+    is_in_line,
+    yields,
+)
 from gypsumrelay_relay.ordering import Ordering
 from gypsumrelay_relay.registration import (
     change_own,
@@ -118,9 +123,17 @@
     if following is None:
         return
     is_stale = following.is_stale(own.is_stale, time.monotonic())
-    if is_stale != own.is_stale:
-        log.info('The list of upstreams is {}.', 'old' if is_stale else 'fresh')
+    if is_stale == own.is_stale:
+        return
+    log.info('The list of upstreams is {}.', 'old' if is_stale else 'fresh')
+    coordination = process.relay.coordination
+    with coordination.lock:
+        gives_up = yields(coordination.members, coordination.leader)
+    if is_stale or not gives_up:
         change_own(process, is_stale=is_stale)
+        return
+    change_own(process, is_stale=False, seniority=UNRANKED)
+    register_anew(process)
 
 
 def stop(process: Process) -> None:
--- a/libs/relay/tests/membership.feature
+++ b/libs/relay/tests/membership.feature
@@ -24,6 +24,15 @@
     When the lists of all are old
     Then all of them choose the one with seniority 1
 
+  Scenario: A coordinator that was cut off does not take its work back
+    Guards against a second change of the coordinator after each cut, in
+    which requests lose their places in the queue.
+    Given members with seniorities 3, 1 and 2
+    When the list of the one with seniority 1 is old
+    And the list of the one with seniority 1 is fresh again
+    Then all of them choose the one with seniority 2
+    And the one with seniority 3 would not give up its rank
+
   Scenario: A member that leaves is not chosen
     Given members with seniorities 3, 1 and 2
     When the one with seniority 1 leaves
--- a/libs/relay/tests/steps/membership.py
+++ b/libs/relay/tests/steps/membership.py
@@ -23,12 +23,14 @@
 )
 from gypsumrelay_relay.knowledge import Knowledge
 from gypsumrelay_relay.membership import (
+    UNRANKED,
     Member,
     Members,
     becomes_stale,
     coordinator,
     hear,
     heartbeat_targets,
+    yields,
 )
 from gypsumrelay_relay.topics import RecordReader
 from gypsumrelay_settings import DispatchSettings
@@ -80,6 +82,20 @@
     _evolve(context, number, is_stale=True)
 
 
+@when('the list of the one with seniority {number:d} is fresh again')
+def grow_fresh(context: Any, number: int) -> None:
+    view = context.views[number]
+    leader = coordinator(view, context.now).name
+    seniority = UNRANKED if yields(view, leader) else number
+    _evolve(context, number, is_stale=False, seniority=seniority)
+
+
+@then('the one with seniority {number:d} would not give up its rank')
+def check_keeps_rank(context: Any, number: int) -> None:
+    view = context.views[number]
+    assert not yields(view, coordinator(view, context.now).name)
+
+
 @when('the lists of all are old')
 def all_old(context: Any) -> None:
     for number in context.own:
