Let heartbeats follow the rank, so that large fleets agree on one coordinator

Cause: above 32 relays the pause between heartbeats grew with their number, while a member counted as dead after a constant 0.7 s. With 100 relays the pause was 0.6 s, with 300 it was 1.9 s, and relays asked different coordinators from moment to moment.

Each heartbeat now says after which silence its sender counts as dead. The first three in rank beat every 0.2 s, others so rarely that a relay hears as many heartbeats in a fleet of 240 as in one of 12. A member that cannot be reached counts as dead until its next heartbeat. A heartbeat tells six addresses in turn instead of 48.

Ruled out: processor time (22 % of a core for the busiest at 300).

Both scenarios failed with the old rules put back.

--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -31,7 +31,7 @@
 
 from gypsumrelay_relay import coordinator as events
 from gypsumrelay_relay.knowledge import Knowledge, learn
-from gypsumrelay_relay.membership import Members, coordinator
+from gypsumrelay_relay.membership import Members, coordinator, lose
 from gypsumrelay_relay.placement import (
     Placed,
     answer_message,
@@ -52,8 +52,6 @@
 
 # Seconds for each step of opening a link; a living member answers at once.
 DIAL_SECONDS: Final = 0.6
-# Seconds for which a member that could not be reached is not asked again.
-AVOID_SECONDS: Final = 1.0
 
 Answer = Placed | Failure
 
@@ -218,8 +216,7 @@
             if self.link is not link:
                 return
             self.leader = ''
-            until = time.monotonic() + AVOID_SECONDS
-            self.members.avoided[link.peer.name] = until
+            lose(self.members, link.peer.name, time.monotonic())
         self.changed.set()
 
     def beat(self) -> None:
@@ -267,8 +264,7 @@
         if isinstance(link, Failure):
             log.warning('No link to coordinator {}: {}.', name, link.sentence)
             with self.lock:
-                until = time.monotonic() + AVOID_SECONDS
-                self.members.avoided[name] = until
+                lose(self.members, name, time.monotonic())
             return None
         link.start()
         return link
--- a/libs/relay/src/gypsumrelay_relay/heartbeats.py
+++ b/libs/relay/src/gypsumrelay_relay/heartbeats.py
@@ -12,12 +12,15 @@
 from logbook import Logger
 
 from gypsumrelay_relay.membership import (
+    BEAT_SECONDS,
     Member,
     Members,
     add_hosts,
     alive,
+    beat_pause,
     hear,
     heartbeat_targets,
+    with_silence,
 )
 
 if TYPE_CHECKING:
@@ -25,18 +28,17 @@
 
 log = Logger('heartbeats')
 
-# Seconds; three of them fit into the time after which a member counts as dead.
-INTERVAL_SECONDS: Final = 0.2
-# Members above which heartbeats become rarer, so that their cost per
-# instance stays the same.
-FULL_RATE_MEMBERS: Final = 32
 # Seconds; a longer gap between two own heartbeats means that the process
 # stood still and others have taken over.
 PAUSE_SECONDS: Final = 1.0
 VERSION: Final = 1
 DATAGRAM_BYTES: Final = 8192
-# Addresses in one heartbeat; keeps it within one packet.
+# Addresses in the heartbeat that answers a new member; keeps it within one
+# packet.
 HOSTS_TOLD: Final = 48
+# Addresses in each other heartbeat, in turn; a member that misses one hears
+# of it from the next sender.
+HOSTS_IN_TURN: Final = 6
 
 
 _KINDS: Final = tuple(
@@ -54,6 +56,8 @@
         on_change: Called after each heartbeat round and each new member.
         on_pause: Called where this process stood still.
         lock: Guards `members`.
+        beat_at: When the next heartbeat is due.
+        told: Addresses that were told so far, which gives the next ones.
     """
 
     members: Members
@@ -62,6 +66,8 @@
     on_pause: Callable[[], None]
     lock: threading.RLock
     link: socket.socket
+    beat_at: float = 0
+    told: int = 0
     stopped: threading.Event = attrs.field(factory=threading.Event)
 
     def start(self) -> None:
@@ -72,21 +78,24 @@
     def run_sender(self) -> None:
         """Send heartbeats until the process stops."""
         last = time.monotonic()
-        while not self.stopped.wait(self._pause()):
+        while not self.stopped.wait(BEAT_SECONDS):
             now = time.monotonic()
-            if now - last > self._pause() + PAUSE_SECONDS:
+            if now - last > BEAT_SECONDS + PAUSE_SECONDS:
                 log.warning('The process stood still for {:.1f} s.', now - last)
                 self.on_pause()
             last = now
-            self.send_round(now)
+            if self._is_due(now):
+                self.send_round(now)
             self.on_change()
 
     def send_round(self, now: float) -> None:
         """Send one heartbeat to each address that is due."""
         with self.lock:
+            pause = beat_pause(self.members, now)
+            self.beat_at = now + pause
             targets = heartbeat_targets(self.members, now)
-            live = [member.host for member in alive(self.members, now)]
-            payload = pack(self.members.own, live[:HOSTS_TOLD])
+            hosts = self._hosts(now, HOSTS_IN_TURN)
+            payload = pack(with_silence(self.members.own, pause), hosts)
         for host in targets:
             self._send(payload, host)
 
@@ -98,7 +107,7 @@
             except OSError as error:
                 if not self.stopped.is_set():
                     log.warning('Receiving a heartbeat failed: {}.', error)
-                    self.stopped.wait(INTERVAL_SECONDS)
+                    self.stopped.wait(BEAT_SECONDS)
                 continue
             self._take(payload, address[0])
 
@@ -127,9 +136,27 @@
             self._send(self._own_payload(), member.host)
             self.on_change()
 
+    def _is_due(self, now: float) -> bool:
+        """Return whether to send; a member that gets in line hurries."""
+        with self.lock:
+            pause = beat_pause(self.members, now)
+        return pause <= BEAT_SECONDS or now >= self.beat_at
+
     def _own_payload(self) -> bytes:
+        now = time.monotonic()
         with self.lock:
-            return pack(self.members.own, [])
+            pause = beat_pause(self.members, now)
+            hosts = self._hosts(now, HOSTS_TOLD)
+            return pack(with_silence(self.members.own, pause), hosts)
+
+    def _hosts(self, now: float, count: int) -> list[str]:
+        """Return the next addresses of living members to tell of."""
+        live = [member.host for member in alive(self.members, now)]
+        if len(live) <= count:
+            return live
+        start = self.told % len(live)
+        self.told += count
+        return [*live, *live][start : start + count]
 
     def _send(self, payload: bytes, host: str) -> None:
         try:
@@ -137,10 +164,6 @@
         except OSError as error:
             log.debug('No heartbeat to {}: {}.', host, error)
 
-    def _pause(self) -> float:
-        crowd = len(self.members.known) / FULL_RATE_MEMBERS
-        return INTERVAL_SECONDS * max(1, crowd)
-
 
 def pack(member: Member, hosts: list[str]) -> bytes:
     """Return a heartbeat as bytes."""
--- a/libs/relay/src/gypsumrelay_relay/membership.py
+++ b/libs/relay/src/gypsumrelay_relay/membership.py
@@ -9,9 +9,18 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# Seconds without a heartbeat after which a member counts as dead: three
-# missed heartbeats, since datagrams get lost.
-ALIVE_SECONDS: Final = 0.7
+# Seconds between two heartbeats of a member that may have to coordinate
+# soon; four of them get lost before others take over, in under a second.
+BEAT_SECONDS: Final = 0.2
+# Members, the first in rank, that beat at this rate.
+CANDIDATES: Final = 3
+# Members up to which all beat at the full rate. In larger fleets those that
+# are far from coordinating beat less often, so that each member gets the
+# same number of heartbeats a second in a fleet of any size.
+FULL_RATE_MEMBERS: Final = 12
+# Heartbeats without which a member counts as dead: three get lost, and the
+# next one is half a beat late.
+SILENT_BEATS: Final = 3.5
 # Seconds for which a silent member is still sent heartbeats, so that both
 # sides find each other again after a partition.
 REMEMBER_SECONDS: Final = 120.0
@@ -28,6 +37,9 @@
 # Seconds for which the list has to be readable again before a member
 # coordinates, so that a store that answers now and then moves nothing.
 FRESH_SECONDS: Final = 3.0
+MS_PER_SECOND: Final = 1000
+# Seconds for which a member that could not be reached is not asked again.
+AVOID_SECONDS: Final = 1.0
 # Rank of a member that the store has not numbered yet.
 UNRANKED: Final = 9_007_199_254_740_992
 
@@ -46,6 +58,7 @@
         leaving: Whether it shuts down.
         is_stale: Whether it has not read the list of upstreams lately.
         position: Position of its operators' records.
+        silence_ms: Time without a heartbeat after which it counts as dead.
     """
 
     name: str
@@ -56,6 +69,7 @@
     leaving: bool = False
     is_stale: bool = False
     position: int = -1
+    silence_ms: int = int(BEAT_SECONDS * SILENT_BEATS * MS_PER_SECOND)
 
     @property
     def rank(self) -> tuple[bool, bool, int, str]:
@@ -112,10 +126,34 @@
     return [
         member
         for name, member in members.known.items()
-        if now - members.heard_at[name] < ALIVE_SECONDS
+        if now - members.heard_at[name] < member.silence_ms / MS_PER_SECOND
     ]
 
 
+def lose(members: Members, name: str, now: float) -> None:
+    """Take note that a member could not be reached.
+
+    It counts as dead until its next heartbeat, which may be far off for a
+    member that is not in line.
+    """
+    members.avoided[name] = now + AVOID_SECONDS
+    members.heard_at[name] = float('-inf')
+
+
+def beat_pause(members: Members, now: float) -> float:
+    """Return the seconds between two heartbeats of this relay."""
+    if is_in_line(members, now, CANDIDATES):
+        return BEAT_SECONDS
+    crowd = (len(alive(members, now)) + 1) / FULL_RATE_MEMBERS
+    return BEAT_SECONDS * max(1, crowd)
+
+
+def with_silence(member: Member, pause: float) -> Member:
+    """Return a member as its heartbeat says that the next one may be late."""
+    silence_ms = int(pause * SILENT_BEATS * MS_PER_SECOND)
+    return attrs.evolve(member, silence_ms=silence_ms)
+
+
 def coordinator(members: Members, now: float) -> Member:
     """Return the member that coordinates, as far as is known here.
 
--- a/libs/relay/tests/membership.feature
+++ b/libs/relay/tests/membership.feature
@@ -54,6 +54,21 @@
     Then the member is stale within 0.9 seconds of the last read
     And it is fresh again 3 seconds after the last failure
 
+  Scenario: Relays of a large fleet agree while heartbeats get lost
+    Guards against heartbeats that are rarer than the time after which a
+    member counts as dead, so that each relay asks another coordinator.
+    Given a fleet of 100 relays of which 1 in 100 heartbeats get lost
+    When 10 seconds pass
+    Then all living relays agree for 10 seconds
+    When the first 3 in rank and a third of the others die
+    Then all living relays agree within 3 seconds
+
+  Scenario: A relay of a large fleet hears no more than one of a small fleet
+    Guards against messages that grow with the fleet.
+    Given a fleet of 12 relays of which 1 in 100 heartbeats get lost
+    And a fleet of 240 relays beside it
+    Then in 10 seconds a relay of the larger one hears at most 1.4 times as many
+
   Scenario: Silent addresses are still probed, and then forgotten
     Given members with seniorities 3, 1 and 2
     When the one with seniority 1 falls silent
