Refuse what will get no place by the speed of the queue, with the time to return

The estimate at arrival knew the prefill work alone; in bursts decode memory binds.

The coordinator now measures the time between grants while requests wait. A request whose expected wait is too long is refused at arrival; one that waits, when even twice the speed would not do. The wait is the time to return.

--- a/libs/dispatch/src/gypsumrelay_dispatch/board.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/board.py
@@ -8,6 +8,7 @@
 
 from gypsumrelay_dispatch.accounts import Accounts, set_accounts
 from gypsumrelay_dispatch.blame import Blame, confirm
+from gypsumrelay_dispatch.flow import Flow
 from gypsumrelay_dispatch.loads import Load, Place
 from gypsumrelay_dispatch.models import (
     AccountRules,
@@ -68,6 +69,7 @@
         blame: Contents that take down upstreams.
         pace_ms: Moving average of the time per expected token.
         shapes: Usual work of the requests, by service.
+        flows: How fast the queues move, by service.
         usual_cost: Moving average of the memory and time of a prompt's
             request, in tokens times tokens.
     """
@@ -83,6 +85,7 @@
     blame: Blame = attrs.field(factory=Blame)
     pace_ms: float = FIRST_PACE_MS
     shapes: dict[str, Shape] = attrs.field(factory=dict)
+    flows: dict[str, Flow] = attrs.field(factory=dict)
     usual_cost: float = 0
 
     @property
@@ -99,6 +102,10 @@
         """Return a service's budget of repeats."""
         return self.repeats.setdefault(service, RepeatBudget())
 
+    def flow(self, service: str) -> Flow:
+        """Return how fast a service's queue moves."""
+        return self.flows.setdefault(service, Flow())
+
 
 def set_rules(
     board: Board,
--- a/libs/dispatch/src/gypsumrelay_dispatch/coordinating.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/coordinating.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections import Counter
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
@@ -23,6 +24,11 @@
     usable,
     vacate,
 )
+from gypsumrelay_dispatch.flow import (
+    count_grant,
+    observe_queue,
+    seconds_per_grant,
+)
 from gypsumrelay_dispatch.loads import (
     Load,
     Place,
@@ -66,6 +72,9 @@
 # Seconds; a client that returns sooner would find the same queue.
 MIN_RETRY_SECONDS: Final = 0.2
 MAX_RETRY_SECONDS: Final = 4.0
+# A queue may move up to twice as fast as it did, since the cheap requests
+# come first; what has no hope even then is refused.
+HOPE_SHARE: Final = 0.5
 # Seconds that a client waits where nothing says when room will come.
 UNKNOWN_RETRY_SECONDS: Final = 1.0
 
@@ -88,18 +97,16 @@
     refused = _check(board, need, now)
     if refused is not None:
         return [refused]
-    wait = expected_wait(board, need)
     overdrawn = accounts.is_overdrawn(board.accounts, need.client_account)
     delay = _cost_delay(board, need)
     if need.prompt_tokens and need.attempt == 1:
         rebalancing.observe_need(board, need)
-    board.queue.append(Waiting(need, now, overdrawn, delay))
+    waiting = Waiting(need, now, overdrawn, delay)
+    wait = expected_wait(board, waiting, now)
+    board.queue.append(waiting)
     actions = serve(board, now)
     if now + wait > need.wait_until and _withdraw(board, need.key):
-        _give_back(board, need)
-        retry_at = now + min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait))
-        failure = Overloaded('no place comes free in time', retry_at=retry_at)
-        actions.append(Refused(need, failure))
+        actions.append(_refuse_hopeless(board, need, wait, now))
     return actions
 
 
@@ -171,6 +178,7 @@
     actions: list[Action] = []
     remaining = []
     settings = board.settings
+    _observe_queues(board, now)
     board.queue.sort(key=partial(_rank, settings, now))
     # Services whose next places are kept for a request that would be late.
     kept: set[str] = set()
@@ -185,6 +193,7 @@
         if _stage(settings, need, now) is Stage.urgent:
             kept.add(need.service)
     board.queue = remaining
+    _observe_queues(board, now)
     return actions
 
 
@@ -192,17 +201,53 @@
     """Let time pass."""
     drop_gone(board, now)
     drop_overdue(board, now)
-    return serve(board, now)
+    return [*serve(board, now), *refuse_hopeless(board, now)]
+
+
+def refuse_hopeless(board: Board, now: float) -> list[Action]:
+    """Refuse what will not get a place in time even if the queue hurries.
+
+    Waiting until the last moment would only keep its caller from returning
+    when there is room.
+    """
+    actions: list[Action] = []
+    before: Counter[str] = Counter()
+    remaining = []
+    for waiting in board.queue:
+        need = waiting.need
+        wait = _wait_behind(board, need, before[need.service]) or 0
+        if now + wait * HOPE_SHARE > need.wait_until and not need.resumed:
+            actions.append(_refuse_hopeless(board, need, wait, now))
+        else:
+            before[need.service] += 1
+            remaining.append(waiting)
+    board.queue = remaining
+    return actions
 
 
-def expected_wait(board: Board, need: Need) -> float:
-    """Return an estimate of the seconds until a place comes free."""
+def _wait_behind(board: Board, need: Need, ahead: int) -> float | None:
+    """Return the wait behind others, or None where nothing is known."""
+    pace = seconds_per_grant(board.flow(need.service))
+    return None if pace is None else (ahead + 1) * pace
+
+
+def expected_wait(board: Board, waiting: Waiting, now: float) -> float:
+    """Return an estimate of the seconds until a place comes free.
+
+    It comes from the speed of the queue, and before there was one from the
+    work in front.
+    """
+    need = waiting.need
+    own = _rank(board.settings, now, waiting)
     same = [
-        waiting.need
-        for waiting in board.queue
-        if waiting.need.service == need.service
-        and waiting.need.priority <= need.priority
+        other.need
+        for other in board.queue
+        if other.need.service == need.service
+        and _rank(board.settings, now, other) <= own
     ]
+    wait = _wait_behind(board, need, len(same))
+    if wait is not None:
+        return wait
     if need.prompt_tokens:
         work = sum(prefill_estimate_ms(board, other) for other in same)
         pool = _pool(board, need.service, Phase.prefill)
@@ -232,6 +277,25 @@
     return now + min(by_aim, by_deadline)
 
 
+def _refuse_hopeless(
+    board: Board,
+    need: Need,
+    wait: float,
+    now: float,
+) -> Refused:
+    _give_back(board, need)
+    retry_at = now + min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait))
+    failure = Overloaded('no place comes free in time', retry_at=retry_at)
+    return Refused(need, failure)
+
+
+def _observe_queues(board: Board, now: float) -> None:
+    waiting = {waiting.need.service for waiting in board.queue}
+    for service in board.services:
+        is_waiting = service in waiting
+        observe_queue(board.flow(service), now, is_waiting=is_waiting)
+
+
 def _cost_delay(board: Board, need: Need) -> float:
     """Return the seconds by which a costly request ranks later.
 
@@ -337,6 +401,7 @@
     if prefill is None:
         place.started_at = now
     used = len(load.running)
+    count_grant(board.flow(need.service))
     occupy(board, place)
     if prefill is None and need.prompt_tokens and not need.read:
         reading_ms = prefill_estimate_ms(board, need) * DIRECT_SLOWNESS
--- a/libs/dispatch/tests/steps/places.py
+++ b/libs/dispatch/tests/steps/places.py
@@ -12,6 +12,7 @@
     Ending,
     Granted,
     Place,
+    Refused,
     ask,
     end,
     end_prefill,
@@ -22,6 +23,9 @@
 )
 from gypsumrelay_errors import NoUpstream, Outcome
 
+# Seconds between two looks at a queue that is played.
+TICK = 0.05
+
 
 @given(
     '{prefill:d} prefill and {decode:d} decode upstreams with {memory:d} '
@@ -177,6 +181,93 @@
     assert len(played.answers) == 1, played.all()
 
 
+@when(
+    '{count:d} prompts of {tokens:d} tokens arrive every {pause:g} seconds '
+    'for {seconds:d} seconds and one ends every {ends:g} seconds',
+)
+def play_queue(
+    context: Any,
+    count: int,
+    tokens: int,
+    pause: float,
+    seconds: int,
+    ends: float,
+) -> None:
+    played = context.played
+    context.arrived = {}
+    context.answered = {}
+    context.started = played.now
+    for step in range(round(seconds / TICK)):
+        played.now = context.started + step * TICK
+        for _ in range(count if _is_due(step, pause) else 0):
+            need = played.ask(**_sizes(tokens, 1000))
+            context.arrived[need.key] = played.now
+        _end_prefills(played)
+        if _is_due(step, ends):
+            _end_oldest(played)
+        played.take(tick(played.board, played.now))
+        for key in played.answers.keys() - context.answered.keys():
+            context.answered[key] = played.now
+
+
+def _is_due(step: int, pause: float) -> bool:
+    return step % round(pause / TICK) == 0
+
+
+def _end_prefills(played: Played) -> None:
+    for key, place in list(played.board.places.items()):
+        if place.prefill and played.now - place.granted_at >= 0.1:
+            ending = Ending.answered
+            played.take(end_prefill(played.board, key, ending, played.now))
+
+
+def _end_oldest(played: Played) -> None:
+    decoding = [
+        key for key, place in played.board.places.items() if not place.prefill
+    ]
+    if decoding:
+        key = decoding[0]
+        played.take(end(played.board, key, Ending.answered, played.now))
+
+
+def _waits(context: Any, kind: type, since: float = 0) -> list[float]:
+    """Return how long requests waited for one kind of answer."""
+    return [
+        context.answered[key] - arrived
+        for key, arrived in context.arrived.items()
+        if isinstance(context.played.answers.get(key, [None])[0], kind)
+        and arrived - context.started >= since
+    ]
+
+
+@then('requests that get a place do so within {seconds:g} seconds')
+def check_place_waits(context: Any, seconds: float) -> None:
+    assert max(_waits(context, Granted)) <= seconds
+
+
+@then(
+    'in the last {last:d} seconds refusals come after {seconds:g} seconds at '
+    'most in the mean',
+)
+def check_refusal_waits(context: Any, last: int, seconds: float) -> None:
+    waits = _waits(
+        context, Refused, context.played.now - context.started - last
+    )
+    assert len(waits) > 5, waits
+    assert sum(waits) / len(waits) <= seconds, waits
+
+
+@then('at least {count:d} requests were served')
+def check_served(context: Any, count: int) -> None:
+    assert len(context.played.granted()) >= count, context.played.granted()
+
+
+@then('nobody is refused')
+def check_none_refused(context: Any) -> None:
+    assert context.played.granted()
+    assert not context.played.refused(), context.played.refused()
+
+
 @then('the one on time gets the place')
 @then('the stream gets the place')
 def check_on_time(context: Any) -> None:
