Log each change of belief and each refusal as a typed line with its inputs

Cause: what a relay believed was logged as sentences that only a person could read, a refusal did not say what the coordinator decided it from, and the report of dropped lines had neither time nor instance. With standard output blocked, routine lines filled the queue, and refusals were lost with them.

Now one class for each kind (events.py, beliefs.py); the coordinator's refusals carry the queue, its speed, the account's tokens and the list's position; above three quarters of the queue only refusals, failures and changes are kept.

--- a/libs/dispatch/src/gypsumrelay_dispatch/accounts.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/accounts.py
@@ -77,6 +77,12 @@
     return bucket is not None and bucket.level < 0
 
 
+def level(accounts: Accounts, name: str) -> float:
+    """Return the tokens in an account's bucket; 0 where it has no limit."""
+    bucket = accounts.buckets.get(name)
+    return bucket.level if bucket else 0
+
+
 def charge(accounts: Accounts, name: str, tokens: int) -> None:
     """Take the cost of an admitted request."""
     bucket = accounts.buckets.get(name)
--- a/libs/dispatch/src/gypsumrelay_dispatch/board.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/board.py
@@ -70,6 +70,7 @@
         pace_ms: Moving average of the time per expected token.
         shapes: Usual work of the requests, by service.
         flows: How fast the queues move, by service.
+        list_position: Position of the list of upstreams in the store.
         usual_cost: Moving average of the memory and time of a prompt's
             request, in tokens times tokens.
     """
@@ -86,6 +87,7 @@
     pace_ms: float = FIRST_PACE_MS
     shapes: dict[str, Shape] = attrs.field(factory=dict)
     flows: dict[str, Flow] = attrs.field(factory=dict)
+    list_position: int = -1
     usual_cost: float = 0
 
     @property
--- a/libs/dispatch/src/gypsumrelay_dispatch/coordinating.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/coordinating.py
@@ -43,11 +43,13 @@
     Granted,
     Need,
     Phase,
+    RefusalFacts,
     Refused,
 )
 from gypsumrelay_dispatch.placing import Choice, choose, prefill_estimate_ms
 
 if TYPE_CHECKING:
+    from gypsumrelay_errors import Failure
     from gypsumrelay_settings import DispatchSettings
 
 MS_PER_SECOND: Final = 1000
@@ -291,7 +293,23 @@
     _give_back(board, need)
     retry_at = now + min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait))
     failure = Overloaded('no place comes free in time', retry_at=retry_at)
-    return Refused(need, failure)
+    return _refuse(board, need, failure)
+
+
+def _refuse(board: Board, need: Need, failure: Failure) -> Refused:
+    """Return a refusal with what it was decided from."""
+    waiting = [
+        other
+        for other in board.queue
+        if other.need.service == need.service and other.need.key != need.key
+    ]
+    facts = RefusalFacts(
+        len(waiting),
+        seconds_per_grant(board.flow(need.service)) or 0,
+        accounts.level(board.accounts, need.client_account),
+        board.list_position,
+    )
+    return Refused(need, failure, facts)
 
 
 def _observe_queues(board: Board, now: float) -> None:
@@ -327,21 +345,17 @@
 def _check(board: Board, need: Need, now: float) -> Refused | None:
     settings = board.settings
     if blame.losses(board.blame, need.digest, now) >= settings.blame_after:
-        return Refused(
-            need,
-            RequestQuarantined('upstreams broke off while they ran this'),
-        )
+        sentence = 'upstreams broke off while they ran this'
+        return _refuse(board, need, RequestQuarantined(sentence))
     if need.attempt > 1:
         budget = board.budget(need.service)
         if repeats.take_repeat(budget, board.repeat_limit, now):
             return None
-        return Refused(
-            need,
-            Overloaded(
-                'the retry budget is used up',
-                retry_at=now + UNKNOWN_RETRY_SECONDS,
-            ),
+        spent = Overloaded(
+            'the retry budget is used up',
+            retry_at=now + UNKNOWN_RETRY_SECONDS,
         )
+        return _refuse(board, need, spent)
     retry_at = accounts.retry_after(
         board.accounts,
         need.client_account,
@@ -349,10 +363,8 @@
         now,
     )
     if retry_at is not None:
-        return Refused(
-            need,
-            RateExceeded('the rate is used up for now', retry_at=retry_at),
-        )
+        sentence = 'the rate is used up for now'
+        return _refuse(board, need, RateExceeded(sentence, retry_at=retry_at))
     accounts.charge(board.accounts, need.client_account, need.cost_tokens)
     return None
 
@@ -385,14 +397,10 @@
     _give_back(board, need)
     retry_at = now + UNKNOWN_RETRY_SECONDS
     if _has_upstream(board, need, now):
-        return Refused(
-            need,
-            Overloaded('no place came free in time', retry_at=retry_at),
-        )
-    return Refused(
-        need,
-        NoUpstream('no upstream takes this request', retry_at=retry_at),
-    )
+        late = Overloaded('no place came free in time', retry_at=retry_at)
+        return _refuse(board, need, late)
+    sentence = 'no upstream takes this request'
+    return _refuse(board, need, NoUpstream(sentence, retry_at=retry_at))
 
 
 def _grant(
@@ -423,7 +431,14 @@
     if prefill is None and need.prompt_tokens and not need.read:
         reading_ms = prefill_estimate_ms(board, need) * DIRECT_SLOWNESS
         load.reads_until = now + reading_ms / MS_PER_SECOND
-    return Granted(need, load.upstream, prefill, now - waiting.asked_at, used)
+    return Granted(
+        need,
+        load.upstream,
+        prefill,
+        now - waiting.asked_at,
+        used,
+        board.list_position,
+    )
 
 
 def _rank(
--- a/libs/dispatch/src/gypsumrelay_dispatch/models.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/models.py
@@ -154,7 +154,8 @@
         upstream: Where it runs.
         prefill: Where its prompt is read before, if elsewhere.
         waited_seconds: Time in the queue.
-        load: Requests or memory tokens in use at the upstream before.
+        load: Requests in use at the upstream before.
+        list_position: Position of the list of upstreams.
     """
 
     need: Need
@@ -162,6 +163,25 @@
     prefill: Upstream | None
     waited_seconds: float
     load: int
+    list_position: int
+
+
+@attrs.frozen
+class RefusalFacts:
+    """What a refusal was decided from.
+
+    Attributes:
+        waiting: Requests for the service in the queue.
+        pace_seconds: Time between two grants while requests wait; 0 where
+            it is unknown.
+        tokens_left: Tokens in the account's bucket; below 0 it is overdrawn.
+        list_position: Position of the list of upstreams.
+    """
+
+    waiting: int
+    pace_seconds: float
+    tokens_left: float
+    list_position: int
 
 
 @attrs.frozen
@@ -170,6 +190,7 @@
 
     need: Need
     failure: Failure
+    facts: RefusalFacts
 
 
 Action = Granted | Refused
--- a/libs/relay/src/gypsumrelay_relay/attempts.py
+++ b/libs/relay/src/gypsumrelay_relay/attempts.py
@@ -76,6 +76,7 @@
                 answer.prefill,
                 answer.load,
                 answer.waited_ms,
+                answer.list_position,
             ),
         )
     elif isinstance(answer, DeadlinePassed):
--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -29,6 +29,7 @@
 )
 from logbook import Logger
 
+from gypsumrelay_relay import beliefs
 from gypsumrelay_relay import coordinator as events
 from gypsumrelay_relay.knowledge import Knowledge, learn
 from gypsumrelay_relay.membership import Members, coordinator, lose
@@ -208,7 +209,7 @@
 
     def on_close(self, link: Link, reason: Failure) -> None:
         """Take note that a link is closed."""
-        log.info('Link with {} closed: {}.', link.peer.name, reason.sentence)
+        beliefs.report(log, beliefs.LinkClosed(link.peer.name, reason.sentence))
         with self.lock:
             if self.incoming.get(link.peer.name) is link:
                 self.incoming.pop(link.peer.name)
@@ -244,13 +245,13 @@
                 # The own coordinator keeps nothing that another one counts.
                 self.actor.tell(events.EntryGone(self.name))
             self.leader = chosen.name
-            log.info(
-                'Coordinator is {}, seniority {}; {} places and {} requests.',
+            news = beliefs.CoordinatorChosen(
                 chosen.name,
                 chosen.seniority,
                 len(self.active),
                 len(self.asking),
             )
+            beliefs.report(log, news)
             self._introduce(now)
         if own:
             self.on_leader()
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -4,13 +4,17 @@
 
 import time
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Final
 
 import attrs
 import gypsumrelay_dispatch as dispatch
 import pykka
+from gypsumrelay_dispatch import Refused
+from gypsumrelay_wire import to_retry_ms
 from logbook import Logger
 
+from gypsumrelay_relay.beliefs import PlaceDenied, report
+
 if TYPE_CHECKING:
     from gypsumrelay_dispatch import (
         Action,
@@ -27,6 +31,8 @@
 
 log = Logger('coordinator')
 
+MS_PER_SECOND: Final = 1000
+
 Deliver = Callable[['Action'], None]
 
 
@@ -76,9 +82,16 @@
 
 @attrs.frozen
 class UpstreamsChanged:
-    """The list of upstreams changed."""
+    """The list of upstreams changed.
+
+    Attributes:
+        upstreams: All listed upstreams.
+        position: Position of the list in the store.
+        lapsed: Whether the store was away shortly before.
+    """
 
     upstreams: tuple[Upstream, ...]
+    position: int
     lapsed: bool
 
 
@@ -136,6 +149,8 @@
             log.exception('Event {} failed.', type(message).__name__)
             return None
         for action in actions:
+            if isinstance(action, Refused):
+                report(log, _denied(action, now))
             self.deliver(action)
         return None
 
@@ -165,7 +180,8 @@
             dispatch.note_change(board, change, now)
         case SettingsChanged(settings):
             board.settings = settings
-        case UpstreamsChanged(upstreams, lapsed):
+        case UpstreamsChanged(upstreams, position, lapsed):
+            board.list_position = position
             dispatch.set_upstreams(board, upstreams, now, lapsed=lapsed)
 
 
@@ -180,6 +196,24 @@
     )
 
 
+def _denied(action: Refused, now: float) -> PlaceDenied:
+    need, facts = action.need, action.facts
+    return PlaceDenied(
+        need.request_id,
+        need.attempt,
+        need.entry,
+        need.service,
+        need.client_account,
+        action.failure.code,
+        action.failure.sentence,
+        facts.waiting,
+        int(facts.pace_seconds * MS_PER_SECOND),
+        int(facts.tokens_left),
+        to_retry_ms(action.failure.retry_at, now),
+        facts.list_position,
+    )
+
+
 def _figures(board: Board) -> dict[str, Any]:
     return {
         'waiting': len(board.queue),
--- a/libs/relay/src/gypsumrelay_relay/events.py
+++ b/libs/relay/src/gypsumrelay_relay/events.py
@@ -51,6 +51,7 @@
     prefill: str
     load: int
     waited_ms: int
+    list_position: int
 
 
 @attrs.frozen
--- a/libs/relay/src/gypsumrelay_relay/following.py
+++ b/libs/relay/src/gypsumrelay_relay/following.py
@@ -11,6 +11,8 @@
 from gypsumrelay_errors import Failure
 from logbook import Logger
 
+from gypsumrelay_relay import beliefs
+from gypsumrelay_relay.coordinator import UpstreamsChanged
 from gypsumrelay_relay.knowledge import Knowledge, learn
 from gypsumrelay_relay.membership import becomes_stale
 from gypsumrelay_relay.topics import (
@@ -32,7 +34,7 @@
 # Seconds after the store's return for which a missing entry may come back.
 RETURN_SECONDS: Final = 2.5
 
-OnUpstreams = Callable[[tuple['Upstream', ...], bool], None]
+OnUpstreams = Callable[[UpstreamsChanged], None]
 
 
 @attrs.define(eq=False)
@@ -44,8 +46,7 @@
         settings: How often it is read.
         reader: Reads records.
         knowledge: Takes the operators' records.
-        on_upstreams: Takes the list of upstreams, and whether the store was
-            away shortly before.
+        on_upstreams: Takes the list of upstreams.
         is_in_line: Whether this instance has to have the newest list.
         unreadable: Records that were reported as unusable, by key.
         upstreams: The copy of the list of upstreams.
@@ -90,7 +91,9 @@
             now = time.monotonic()
             lapsed = now - copy.returned_at < RETURN_SECONDS
             if changed or (changed is not None and lapsed):
-                self.on_upstreams(self._read(copy.records), lapsed)
+                listed = self._read(copy.records)
+                news = UpstreamsChanged(listed, copy.position, lapsed)
+                self.on_upstreams(news)
             pause = self._pause(failed=changed is None)
             if changed is not None:
                 self.due_at = now + pause
@@ -102,14 +105,11 @@
         outcome = refresh(copy, self.store, wait_seconds)
         if isinstance(outcome, Failure):
             if not was_failing:
-                log.warning(
-                    'Lost the store for {}: {}.',
-                    copy.topic.value,
-                    outcome.sentence,
-                )
+                lost = beliefs.StoreLost(copy.topic.value, outcome.sentence)
+                beliefs.report(log, lost)
             return None
         if was_failing:
-            log.info('The store answers again for {}.', copy.topic.value)
+            beliefs.report(log, beliefs.StoreRegained(copy.topic.value))
         return outcome
 
     def _pause(self, *, failed: bool) -> float:
--- a/libs/relay/src/gypsumrelay_relay/heartbeats.py
+++ b/libs/relay/src/gypsumrelay_relay/heartbeats.py
@@ -11,6 +11,7 @@
 import msgpack
 from logbook import Logger
 
+from gypsumrelay_relay.beliefs import PeerHeard, report
 from gypsumrelay_relay.membership import (
     BEAT_SECONDS,
     Member,
@@ -127,12 +128,8 @@
             is_new = hear(self.members, member, now)
             add_hosts(self.members, hosts, now)
         if is_new:
-            log.info(
-                'Heard of {} at {}, seniority {}.',
-                member.name,
-                member.host,
-                member.seniority,
-            )
+            heard = PeerHeard(member.name, member.host, member.seniority)
+            report(log, heard)
             self._send(self._own_payload(), member.host)
             self.on_change()
 
--- a/libs/relay/src/gypsumrelay_relay/knowledge.py
+++ b/libs/relay/src/gypsumrelay_relay/knowledge.py
@@ -9,6 +9,7 @@
 from gypsumrelay_errors import Failure
 from logbook import Logger
 
+from gypsumrelay_relay.beliefs import ConfigurationTaken, report
 from gypsumrelay_relay.topics import OperatorOrders, RecordReader
 
 log = Logger('knowledge')
@@ -68,13 +69,13 @@
         knowledge.position = position
         knowledge.records = dict(records)
         knowledge.orders = orders
-        log.info(
-            'Configuration {} from {}, position {}, evacuated zones: {}.',
+        taken = ConfigurationTaken(
             orders.configuration.version,
             source,
             position,
             ', '.join(sorted(orders.evacuated)) or 'none',
         )
+        report(log, taken)
         for listener in knowledge.listeners:
             listener(orders)
     return True
--- a/libs/relay/src/gypsumrelay_relay/ordering.py
+++ b/libs/relay/src/gypsumrelay_relay/ordering.py
@@ -12,12 +12,14 @@
 from logbook import Logger
 
 from gypsumrelay_relay import coordinator as events
+from gypsumrelay_relay.beliefs import PhaseOrdered, report
 from gypsumrelay_relay.sending import FAULTS, Reply, SendFailed, send
 from gypsumrelay_relay.topics import Topic, TopicCopy, refresh
 from gypsumrelay_relay.watch import Guard
 
 if TYPE_CHECKING:
     from gypsumrelay_relay.context import Relay
+    from gypsumrelay_relay.dialect import Call
     from gypsumrelay_relay.topics import Store
 
 log = Logger('ordering')
@@ -90,18 +92,14 @@
         if token is None:
             return
         granted_at = time.monotonic()
-        log.info(
-            'Ordering {} to {}: {} prefill and {} decode upstreams, {} '
-            'prefill wanted, token {}.',
+        call = self.relay.dialect.phase_order(
             change.upstream,
-            change.phase.value,
-            change.prefill,
-            change.decode,
-            change.wanted,
+            change.phase,
+            self.relay.coordination.name,
             token,
         )
         if time.monotonic() - granted_at < TOKEN_SECONDS:
-            self._give(change, token)
+            self._give(change, call, token)
 
     def _token(self) -> int | None:
         """Return a fencing token, or None while another holder may act."""
@@ -127,14 +125,8 @@
         # Offsets start at 0, and a token of 0 might count as missing.
         return position + 1
 
-    def _give(self, change: PhaseChange, token: int) -> None:
+    def _give(self, change: PhaseChange, call: Call, token: int) -> None:
         relay = self.relay
-        call = relay.dialect.phase_order(
-            change.upstream,
-            change.phase,
-            relay.coordination.name,
-            token,
-        )
         deadline = time.monotonic() + ANSWER_SECONDS
         reply = send(
             relay.connections,
@@ -145,7 +137,16 @@
             deadline=deadline,
         )
         status = _finish(reply, deadline)
-        log.info('Order {} to {}: {}.', token, change.upstream, status)
+        ordered = PhaseOrdered(
+            change.upstream,
+            change.phase.value,
+            change.prefill,
+            change.decode,
+            change.wanted,
+            token,
+            str(status),
+        )
+        report(log, ordered)
         # Without an answer the order may still be carried out later.
         if isinstance(status, str) or status in ACCEPTED:
             relay.coordination.actor.tell(events.PhaseChanging(change))
--- a/libs/relay/src/gypsumrelay_relay/placement.py
+++ b/libs/relay/src/gypsumrelay_relay/placement.py
@@ -55,6 +55,7 @@
         prefill_address: Its `host:port`.
         load: Requests or tokens in use at the upstream before.
         waited_ms: Time that the attempt waited for its place.
+        list_position: Position of the list that was decided from.
     """
 
     need: Need
@@ -64,6 +65,7 @@
     prefill_address: str = ''
     load: int = 0
     waited_ms: int = 0
+    list_position: int = -1
 
 
 def placed(granted: Granted) -> Placed:
@@ -77,6 +79,7 @@
         prefill.address if prefill else '',
         granted.load,
         int(granted.waited_seconds * MS_PER_SECOND),
+        granted.list_position,
     )
 
 
@@ -152,6 +155,7 @@
         given.prefill_address,
         given.load,
         given.waited_ms,
+        given.list_position,
     )
 
 
@@ -175,6 +179,7 @@
         message.prefill_address,
         message.load,
         message.waited_ms,
+        message.list_position,
     )
 
 
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -12,6 +12,7 @@
 from gypsumrelay_wire import listen
 from logbook import Logger
 
+from gypsumrelay_relay import beliefs
 from gypsumrelay_relay import coordinator as events
 from gypsumrelay_relay.building import Process, Surroundings, build
 from gypsumrelay_relay.callers import (
@@ -39,10 +40,10 @@
 from gypsumrelay_relay.slowness import SlowHeads
 
 if TYPE_CHECKING:
-    from gypsumrelay_dispatch import Upstream
     from gypsumrelay_settings import RelaySettings
 
     from gypsumrelay_relay.context import Relay
+    from gypsumrelay_relay.coordinator import UpstreamsChanged
     from gypsumrelay_relay.topics import OperatorOrders
 
 log = Logger('relay')
@@ -68,7 +69,7 @@
     signal.signal(signal.SIGHUP, lambda *_: reloading.set())
     process = build(settings, surroundings)
     start(process)
-    log.info('Relay {} started.', settings.instance.name)
+    beliefs.report(log, beliefs.Started(settings.instance.name))
     while not stopping.wait(TICK_SECONDS):
         check_freshness(process)
         if reloading.is_set():
@@ -125,7 +126,7 @@
     is_stale = following.is_stale(own.is_stale, time.monotonic())
     if is_stale == own.is_stale:
         return
-    log.info('The list of upstreams is {}.', 'old' if is_stale else 'fresh')
+    beliefs.report(log, beliefs.ListAge('old' if is_stale else 'fresh'))
     coordination = process.relay.coordination
     with coordination.lock:
         gives_up = yields(coordination.members, coordination.leader)
@@ -143,13 +144,13 @@
     started_at = time.monotonic()
     relay.draining.set()
     change_own(process, leaving=True)
-    log.info('Draining with {} open requests.', relay.watch.count())
+    beliefs.report(log, beliefs.Draining(relay.watch.count()))
     time.sleep(shutdown.accept_seconds)
     close_to_new_requests(process.servers[0])
     deadline = started_at + shutdown.total_seconds
     while relay.watch.count() and time.monotonic() < deadline:
         time.sleep(TICK_SECONDS)
-    log.info('Stopped with {} open requests.', relay.watch.count())
+    beliefs.report(log, beliefs.Stopped(relay.watch.count()))
     process.stopped.set()
     process.heartbeats.stop()
     relay.output.flush(time.monotonic() + FLUSH_SECONDS)
@@ -159,22 +160,22 @@
     """Take over the settings that can change while the process runs."""
     settings = process.surroundings.load_settings()
     if settings is None:
-        log.warning('The settings are faulty; the old ones stay in force.')
+        beliefs.report(log, beliefs.SettingsRejected())
         return
     relay = process.relay
     actor = relay.coordination.actor
     relay.settings = settings
     actor.tell(events.SettingsChanged(settings.dispatch))
-    log.info('Settings read again.')
+    beliefs.report(log, beliefs.SettingsRead())
 
 
 def _following(process: Process) -> Following:
     relay = process.relay
     coordination = relay.coordination
 
-    def on_upstreams(upstreams: tuple[Upstream, ...], lapsed: bool) -> None:
-        coordination.actor.tell(events.UpstreamsChanged(upstreams, lapsed))
-        relay.connections.forget({one.address for one in upstreams})
+    def on_upstreams(news: UpstreamsChanged) -> None:
+        coordination.actor.tell(news)
+        relay.connections.forget({one.address for one in news.upstreams})
 
     def in_line() -> bool:
         with coordination.lock:
--- a/libs/relay/src/gypsumrelay_relay/registration.py
+++ b/libs/relay/src/gypsumrelay_relay/registration.py
@@ -10,6 +10,7 @@
 from gypsumrelay_errors import Failure
 from logbook import Logger
 
+from gypsumrelay_relay.beliefs import Registered, report
 from gypsumrelay_relay.membership import add_hosts
 from gypsumrelay_relay.topics import Snapshot, Topic
 
@@ -64,5 +65,5 @@
         log.warning('Not registered: {}.', position.sentence)
         return False
     change_own(process, seniority=position)
-    log.info('Registered with seniority {}.', position)
+    report(log, Registered(position))
     return True
--- a/libs/telemetry/src/gypsumrelay_telemetry/output.py
+++ b/libs/telemetry/src/gypsumrelay_telemetry/output.py
@@ -20,6 +20,9 @@
 QUEUE_LINES: Final = 4096
 # Share of the queue above which routine lines are sampled.
 PRESSURE: Final = 0.5
+# Share above which no routine lines are kept, so that refusals and failures
+# find room.
+HIGH_PRESSURE: Final = 0.75
 # One request in so many keeps its routine lines under pressure; the same
 # requests in all processes, so that their lines can be put together.
 SAMPLED: Final = 8
@@ -38,6 +41,7 @@
         stream: Where the lines go.
         lines: Lines that wait.
         dropped: Lines that were dropped since the last report.
+        lock: Guards `dropped`.
     """
 
     instance: str
@@ -46,6 +50,7 @@
         factory=lambda: queue.Queue(QUEUE_LINES),
     )
     dropped: int = 0
+    lock: threading.Lock = attrs.field(factory=threading.Lock)
 
     def start(self) -> None:
         """Start the writer."""
@@ -60,17 +65,23 @@
     ) -> None:
         """Log a decision that touches a request."""
         if routine and not self._keeps(str(fields.get('request_id', ''))):
-            self.dropped += 1
+            self._drop()
             return
         self.put({'event': event} | fields)
 
     def put(self, fields: dict[str, Any]) -> None:
         """Put one line in the queue, or count it as dropped."""
-        line = {'time': round(time.time(), 3), 'instance': self.instance}
         try:
-            self.lines.put_nowait(json.dumps(line | fields))
+            self.lines.put_nowait(self._line(fields))
         except queue.Full:
-            self.dropped += 1
+            self._drop()
+
+    def take_dropped(self) -> int:
+        """Return how many lines were dropped since the last call."""
+        with self.lock:
+            dropped = self.dropped
+            self.dropped = 0
+        return dropped
 
     def run(self) -> None:
         """Write lines until standard output fails."""
@@ -78,10 +89,9 @@
             batch = [self.lines.get()]
             while len(batch) < BATCH_LINES and not self.lines.empty():
                 batch.append(self.lines.get())
-            if self.dropped:
-                report = {'event': 'dropped', 'lines': self.dropped}
-                self.dropped = 0
-                batch.append(json.dumps(report))
+            dropped = self.take_dropped()
+            if dropped:
+                batch.append(self._line({'event': 'dropped', 'lines': dropped}))
             try:
                 self._write(batch)
             except (OSError, ValueError):
@@ -93,13 +103,24 @@
         while not self.lines.empty() and time.monotonic() < deadline:
             time.sleep(FLUSH_STEP_SECONDS)
 
+    def _line(self, fields: dict[str, Any]) -> str:
+        line = {'time': round(time.time(), 3), 'instance': self.instance}
+        return json.dumps(line | fields)
+
+    def _drop(self) -> None:
+        with self.lock:
+            self.dropped += 1
+
     def _write(self, batch: list[str]) -> None:
         self.stream.write('\n'.join(batch) + '\n')
         self.stream.flush()
 
     def _keeps(self, request_id: str) -> bool:
-        if self.lines.qsize() < QUEUE_LINES * PRESSURE:
+        waiting = self.lines.qsize()
+        if waiting < QUEUE_LINES * PRESSURE:
             return True
+        if waiting > QUEUE_LINES * HIGH_PRESSURE:
+            return False
         return zlib.crc32(request_id.encode()) % SAMPLED == 0
 
 
@@ -114,10 +135,11 @@
     def emit(self, record: Any) -> None:
         """Put one record in the queue."""
         fields = {
-            'event': 'log',
+            'event': record.extra['event'] or 'log',
             'level': record.level_name,
             'part': record.channel,
             'message': record.message,
+            **(record.extra['fields'] or {}),
         }
         if record.exc_info:
             fields['traceback'] = record.formatted_exception
--- /dev/null
+++ b/libs/telemetry/tests/steps/output.py
@@ -0,0 +1,144 @@
+"""Steps of output.feature."""
+
+from __future__ import annotations
+
+import io
+import json
+import threading
+import time
+from typing import Any
+
+from behave import given, then, when
+from gypsumrelay_telemetry import Output
+
+SETTLE_SECONDS = 5.0
+
+
+class Unread(io.StringIO):
+    """A stream whose reader has stopped."""
+
+    def __init__(self) -> None:
+        """Start without a reader."""
+        super().__init__()
+        self.is_read = threading.Event()
+
+    def write(self, text: str) -> int:
+        """Wait for the reader."""
+        self.is_read.wait()
+        return super().write(text)
+
+
+def start(context: Any, stream: io.StringIO) -> Output:
+    output = Output('relay-0', stream)
+    output.start()
+    context.output = output
+    context.stream = stream
+    return output
+
+
+@given('an output that is not read')
+def give_unread(context: Any) -> None:
+    stream = Unread()
+    context.add_cleanup(stream.is_read.set)
+    start(context, stream)
+
+
+@given('another output that is not read')
+def give_second(context: Any) -> None:
+    context.first = context.output
+    give_unread(context)
+
+
+@given('an output that is closed')
+def give_closed(context: Any) -> None:
+    stream = io.StringIO()
+    stream.close()
+    start(context, stream)
+
+
+@when('{count:d} routine decisions are logged')
+def log_routine(context: Any, count: int) -> None:
+    started = time.monotonic()
+    for number in range(count):
+        decide(context.output, 'placed', number, routine=True)
+    context.mean = (time.monotonic() - started) / count
+
+
+@when('{count:d} routine decisions are logged at both')
+def log_both(context: Any, count: int) -> None:
+    for output in (context.first, context.output):
+        for number in range(count):
+            decide(output, 'placed', number, routine=True)
+
+
+@when('{count:d} refusals are logged')
+def log_refusals(context: Any, count: int) -> None:
+    for number in range(count):
+        decide(context.output, 'refused', number, routine=False)
+
+
+def decide(output: Output, event: str, number: int, *, routine: bool) -> None:
+    fields = {'request_id': f'r{number}', 'number': number}
+    output.decide(event, fields, routine=routine)
+
+
+@when('the output is read again')
+def read_again(context: Any) -> None:
+    context.stream.is_read.set()
+    deadline = time.monotonic() + SETTLE_SECONDS
+    context.output.flush(deadline)
+    # One more line makes the writer report what was dropped since.
+    context.output.put({'event': 'last'})
+    while 'last' not in context.stream.getvalue():
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
+
+
+@then('each took less than a millisecond in the mean')
+def check_mean(context: Any) -> None:
+    assert context.mean < 0.001, context.mean
+
+
+@then('at most {count:d} lines wait')
+def check_waiting(context: Any, count: int) -> None:
+    assert context.output.lines.qsize() <= count
+
+
+def written(context: Any) -> list[dict[str, Any]]:
+    lines = context.stream.getvalue().splitlines()
+    return [json.loads(line) for line in lines]
+
+
+@then('written and dropped lines are {count:d} together')
+def check_sum(context: Any, count: int) -> None:
+    lines = written(context)
+    routine = sum(line['event'] == 'placed' for line in lines)
+    dropped = sum(line.get('lines', 0) for line in lines)
+    assert 0 < routine < count
+    assert routine + dropped == count, (routine, dropped)
+
+
+@then('the report of dropped lines has a time and an instance')
+def check_report(context: Any) -> None:
+    reports = [line for line in written(context) if line['event'] == 'dropped']
+    assert reports
+    for report in reports:
+        assert report['instance'] == 'relay-0'
+        assert abs(report['time'] - time.time()) < SETTLE_SECONDS * 2
+
+
+@then('all {count:d} refusals are written')
+def check_refusals(context: Any, count: int) -> None:
+    refused = [line for line in written(context) if line['event'] == 'refused']
+    assert len(refused) == count
+
+
+@then('the requests that were kept last are the same at both')
+def check_same(context: Any) -> None:
+    kept = [
+        [json.loads(line)['request_id'] for line in output.lines.queue]
+        for output in (context.first, context.output)
+    ]
+    sampled = [set(names[-50:]) for names in kept]
+    assert sampled[0] == sampled[1]
+    assert 'r2999' not in sampled[0] or 'r2998' not in sampled[0]
--- a/libs/wire/src/gypsumrelay_wire/messages.py
+++ b/libs/wire/src/gypsumrelay_wire/messages.py
@@ -416,6 +416,7 @@
     prefill_address: str
     load: int
     waited_ms: int
+    list_position: int
 
 
 @attrs.frozen
