--- a/libs/command/src/gypsumrelay_command/application.py
+++ b/libs/command/src/gypsumrelay_command/application.py
@@ -12,7 +12,7 @@
 from gypsumrelay_timeline import Query
 
 from gypsumrelay_command import changes, fleet, programs, reading
-from gypsumrelay_command.exits import INVALID, finish
+from gypsumrelay_command.exits import INVALID, failure, finish
 from gypsumrelay_command.main import VERSION
 from gypsumrelay_command.session import with_state
 
@@ -38,6 +38,31 @@
     json: bool = False
 
 
+@cyclopts.Parameter(name='*')
+@attrs.frozen
+class Selection:
+    """Which events a time line shows.
+
+    Attributes:
+        request: Only events of this request.
+        account: Only events of this client account.
+        upstream: Only events of this upstream.
+        since: Only events of the last so many seconds.
+    """
+
+    request: str = ''
+    account: str = ''
+    upstream: str = ''
+    since: float | None = None
+
+    def query(self) -> Query:
+        """Return the selection from now on."""
+        begin_ms = 0
+        if self.since is not None:
+            begin_ms = int((time.time() - self.since) * MS_PER_SECOND)
+        return Query(self.request, self.account, self.upstream, begin_ms)
+
+
 Account = Annotated[str, cyclopts.Parameter(help='The client account.')]
 JsonFile = Annotated[Path, cyclopts.Parameter(help='A JSON file.')]
 
@@ -216,33 +241,35 @@
 @app.command
 def timeline(
     *,
-    options: Options,
-    request: str = '',
-    account: str = '',
-    upstream: str = '',
-    since: float | None = None,
+    selection: Selection | None = None,
+    settings: Path | None = None,
+    logs: tuple[Path, ...] = (),
+    json: bool = False,
     format: str = 'text',
     output: Path | None = None,
 ) -> int:
-    """Show the merged events of all instances.
+    """Show the merged events of all instances, or of their log files.
 
     Example: gypsumrelay timeline --since 60 --settings operator.json
+    Example: gypsumrelay timeline --logs logs --request 3d9f1e4ffac18234
 
     Args:
-        options: Options of all operator commands.
-        request: Only events of this request.
-        account: Only events of this client account.
-        upstream: Only events of this upstream.
-        since: Only events of the last so many seconds.
+        selection: Which events are shown.
+        settings: The operator settings file, to ask all instances.
+        logs: Log files, or folders of them, to read instead.
+        json: Print JSON for machines.
         format: text, json or html.
         output: Write to this file instead.
     """
-    begin_ms = 0
-    if since is not None:
-        begin_ms = int((time.time() - since) * MS_PER_SECOND)
-    query = Query(request, account, upstream, begin_ms)
-    found = fleet.show_timeline(options.settings, query, format, output)
-    return finish(found, options.json)
+    query = (selection or Selection()).query()
+    if logs:
+        found = fleet.show_logs(logs, query, format, output)
+    elif settings is None:
+        sentence = 'either --settings or --logs is needed'
+        found = failure(INVALID, 'timeline', sentence)
+    else:
+        found = fleet.show_timeline(settings, query, format, output)
+    return finish(found, json)
 
 
 @app.command
--- a/libs/command/src/gypsumrelay_command/fleet.py
+++ b/libs/command/src/gypsumrelay_command/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any, Final
@@ -15,10 +16,12 @@
     events_from_json,
     events_to_json,
     merge,
+    read_logs,
     render_html,
     render_json,
     render_text,
     select,
+    select_with_changes,
 )
 
 from gypsumrelay_command.exits import (
@@ -72,12 +75,40 @@
     return _render(shown, style, output)
 
 
+def show_logs(
+    paths: Sequence[Path],
+    query: Query,
+    style: str,
+    output: Path | None,
+) -> Result:
+    """Return the merged events of log files, or write them to a file."""
+    if style not in RENDERERS:
+        allowed = f'a format is one of {", ".join(RENDERERS)}'
+        return failure(INVALID, 'format', allowed)
+    try:
+        logs = read_logs(paths)
+    except OSError as error:
+        return failure(INVALID, str(error.filename), str(error.strerror))
+    notes = [
+        f'{count} lines of {name} are no events'
+        for name, count in logs.unreadable.items()
+    ]
+    notes.extend(
+        f'clock of {name} corrected by {-offset} ms'
+        for name, offset in logs.offsets_ms.items()
+        if offset
+    )
+    found = select_with_changes(logs.events, query)
+    return _render(_Shown(found, notes=notes), style, output)
+
+
 @attrs.frozen
 class _Shown:
-    """Events, and the instances that returned none."""
+    """Events, the instances that returned none, and other notes."""
 
     events: list[Event]
-    silent: list[str]
+    silent: list[str] = attrs.field(factory=list)
+    notes: list[str] = attrs.field(factory=list)
 
 
 def _render(shown: _Shown, style: str, output: Path | None) -> Result:
@@ -87,6 +118,7 @@
         'silent': shown.silent,
     }
     notes = [f'no events from {name}' for name in shown.silent]
+    notes.extend(shown.notes)
     if output is None:
         return Result(DONE, document, [*text.splitlines(), *notes])
     try:
--- a/libs/command/tests/commands.feature
+++ b/libs/command/tests/commands.feature
@@ -48,6 +48,7 @@
       | drain zone lekki --undo                        | 0    | accepted, version 1        |
       | drain planet mars                              | 2    | zone, instance, upstream   |
       | timeline --format picture                      | 2    | text, json, html           |
+      | timeline --logs /nowhere --request r1          | 2    | No such file               |
 
   Scenario Outline: With <fault>, "<command>" exits with <code>
     Given <fault>
--- a/libs/relay/src/gypsumrelay_relay/events.py
+++ b/libs/relay/src/gypsumrelay_relay/events.py
@@ -23,7 +23,18 @@
 
 @attrs.frozen
 class Accepted(Decision):
-    """A request was read and matched to a route and an account."""
+    """A request was read and matched to a route and an account.
+
+    Attributes:
+        route: The route that its host and path select.
+        service: The service that runs it.
+        client_account: The account of its key; empty on public routes.
+        configuration: Version of the configuration that it was matched by.
+        position: Position of the operators' records.
+        tokens: What the account is charged.
+        expected_tokens: Output that the caller expects.
+        wait_ms: How long the caller waits.
+    """
 
     event: ClassVar[str] = 'accepted'
     routine: ClassVar[bool] = True
@@ -40,7 +51,17 @@
 
 @attrs.frozen
 class PlaceGiven(Decision):
-    """The coordinator gave an attempt its upstreams."""
+    """The coordinator gave an attempt its upstreams.
+
+    Attributes:
+        attempt: Number of the attempt.
+        coordinator: The relay that decided.
+        upstream: The upstream that runs it.
+        prefill: The upstream that reads its prompt; empty for none.
+        load: Requests that ran at the upstream before.
+        waited_ms: Time in the queue.
+        list_position: Position of the list of upstreams.
+    """
 
     event: ClassVar[str] = 'placed'
     routine: ClassVar[bool] = True
@@ -56,7 +77,16 @@
 
 @attrs.frozen
 class UpstreamEnded(Decision):
-    """Base of what one upstream's part in a request came to."""
+    """Base of what one upstream's part in a request came to.
+
+    Attributes:
+        attempt: Number of the attempt.
+        upstream: The upstream.
+        ending: How its part ended; `lost` where it may have run.
+        status: Status of its answer; 0 for none.
+        elapsed_ms: Time since the place was given.
+        reason: What failed.
+    """
 
     routine: ClassVar[bool] = True
 
@@ -84,7 +114,12 @@
 
 @attrs.frozen
 class FirstEvent(Decision):
-    """The first event of a stream goes to the caller."""
+    """The first event of a stream goes to the caller.
+
+    Attributes:
+        attempt: Number of the attempt.
+        elapsed_ms: Time since the request was read.
+    """
 
     event: ClassVar[str] = 'first_event'
     routine: ClassVar[bool] = True
@@ -95,7 +130,18 @@
 
 @attrs.frozen
 class RequestRefused(Decision):
-    """The request was refused or failed, with what decided it."""
+    """The request was refused or failed, with what decided it.
+
+    Attributes:
+        code: Code of the failure.
+        status: Status that the caller gets.
+        outcome: `not_run`, `unknown` or `failed`.
+        retry_ms: When the caller is told to return; 0 for not at all.
+        elapsed_ms: Time since the request was read.
+        attempts: Places that it asked for.
+        configuration: Version of the configuration in force.
+        reason: The failure in words.
+    """
 
     event: ClassVar[str] = 'refused'
 
@@ -111,7 +157,13 @@
 
 @attrs.frozen
 class RequestAnswered(Decision):
-    """The request was answered in full."""
+    """The request was answered in full.
+
+    Attributes:
+        status: Status of the answer.
+        elapsed_ms: Time since the request was read.
+        attempts: Places that it asked for.
+    """
 
     event: ClassVar[str] = 'answered'
     routine: ClassVar[bool] = True
@@ -123,7 +175,14 @@
 
 @attrs.frozen
 class RequestBroken(Decision):
-    """The answer broke off after its start, or the caller left."""
+    """The answer broke off after its start, or the caller left.
+
+    Attributes:
+        cause: `gone`, `deadline` or `lost`.
+        elapsed_ms: Time since the request was read.
+        attempts: Places that it asked for.
+        reason: What ended it.
+    """
 
     event: ClassVar[str] = 'broken'
 
--- a/libs/timeline/src/gypsumrelay_timeline/__init__.py
+++ b/libs/timeline/src/gypsumrelay_timeline/__init__.py
@@ -13,6 +13,11 @@
     merge,
     select,
 )
+from gypsumrelay_timeline.logfiles import (
+    Logs,
+    read_logs,
+    select_with_changes,
+)
 from gypsumrelay_timeline.rendering import (
     format_time,
     render_html,
@@ -28,6 +33,7 @@
     'MAX_DRIFT_MS',
     'Event',
     'HybridClock',
+    'Logs',
     'Query',
     'Recorder',
     'Ring',
@@ -36,8 +42,10 @@
     'events_to_json',
     'format_time',
     'merge',
+    'read_logs',
     'render_html',
     'render_json',
     'render_text',
     'select',
+    'select_with_changes',
 )
--- a/libs/timeline/tests/steps/timeline.py
+++ b/libs/timeline/tests/steps/timeline.py
@@ -4,8 +4,11 @@
 
 import json
 import random
+import shutil
+import tempfile
 import threading
 from html.parser import HTMLParser
+from pathlib import Path
 from typing import Any
 
 from behave import given, then, when
@@ -21,10 +24,12 @@
     events_from_json,
     events_to_json,
     merge,
+    read_logs,
     render_html,
     render_json,
     render_text,
     select,
+    select_with_changes,
 )
 
 WALL_MS = 1_700_000_000_000
@@ -253,3 +258,73 @@
     assert text.count('\n') == 1
     assert text.rstrip('\n').isprintable()
     assert len(events_to_json(context.events)) == 1
+
+
+def write_log(path: Path, instance: str, ahead: float, rows: list[Any]) -> None:
+    lines = [
+        json.dumps({'time': 1000 + at + ahead, 'instance': instance} | fields)
+        for at, fields in rows
+    ]
+    path.write_text('\n'.join([*lines, 'Traceback (most recent call last):']))
+
+
+@given('log files of two processes whose clocks differ by {ahead:d} ms')
+def give_logs(context: Any, ahead: int) -> None:
+    folder = Path(tempfile.mkdtemp())
+    context.add_cleanup(shutil.rmtree, folder)
+    context.folder = folder
+    version = {'event': 'configuration', 'source': 'store'}
+    asked = {'request_id': 'r1', 'event': 'accepted'}
+    entry_rows = [
+        (0, version | {'position': 4}),
+        (1, version | {'position': 5}),
+        (1.5, {'request_id': 'r2', 'event': 'accepted'}),
+        (2, asked),
+        (2.3, {'event': 'coordinator', 'coordinator': 'relay-1'}),
+        (2.6, {'request_id': 'r1', 'event': 'refused', 'code': 'overloaded'}),
+        (9, {'event': 'coordinator', 'coordinator': 'relay-0'}),
+    ]
+    denied = {'request_id': 'r1', 'event': 'denied', 'waiting': 12}
+    other_rows = [
+        (0.001, version | {'position': 4}),
+        (1.002, version | {'position': 5}),
+        (2.5, denied),
+    ]
+    write_log(folder / 'a.log', 'relay-0', 0, entry_rows)
+    write_log(folder / 'b.log', 'relay-1', ahead / 1000, other_rows)
+
+
+@when('the time line of one request is made from them')
+def make_timeline(context: Any) -> None:
+    context.logs = read_logs([context.folder])
+    query = Query(request_id='r1')
+    context.shown = select_with_changes(context.logs.events, query)
+
+
+@then("it shows the request's events of both processes in order")
+def check_way(context: Any) -> None:
+    own = [event for event in context.shown if event.request_id]
+    names = [(event.instance, event.name) for event in own]
+    assert names == [
+        ('relay-0', 'accepted'),
+        ('relay-1', 'denied'),
+        ('relay-0', 'refused'),
+    ], names
+
+
+@then('it shows the change of the coordinator between them')
+def check_change(context: Any) -> None:
+    names = [event.name for event in context.shown]
+    assert names.count('coordinator') == 1
+    where = names.index('coordinator')
+    assert names.index('accepted') < where < names.index('denied')
+
+
+@then('it shows no event of other requests')
+def check_others(context: Any) -> None:
+    assert {event.request_id for event in context.shown} == {'', 'r1'}
+
+
+@then('lines that are no events are counted')
+def check_unreadable(context: Any) -> None:
+    assert set(context.logs.unreadable.values()) == {1}
--- a/libs/timeline/tests/timeline.feature
+++ b/libs/timeline/tests/timeline.feature
@@ -53,3 +53,13 @@
   Scenario: A line of text cannot act on the terminal
     Given an event whose every text has control characters
     Then the text has one line for the event and no control character
+
+  Scenario: Log files of several processes show one request's way
+    Guards against an effect before its cause where clocks differ, and a
+    failure whose reason is a change in another process.
+    Given log files of two processes whose clocks differ by 2000 ms
+    When the time line of one request is made from them
+    Then it shows the request's events of both processes in order
+    And it shows the change of the coordinator between them
+    And it shows no event of other requests
+    And lines that are no events are counted
--- a/tools/write_reference.py
+++ b/tools/write_reference.py
@@ -11,9 +11,11 @@
 import attrs
 import gypsumrelay_configuration as configuration
 import gypsumrelay_settings as settings
+from gypsumrelay_relay import beliefs, events
 
 FOLDER = Path(__file__).resolve().parent.parent / 'docs' / 'operators'
 TYPE_NAMES = {str: 'string', int: 'integer', float: 'number', bool: 'boolean'}
+EVENTS_PAGE = 'events.md'
 PAGES = {
     'settings.md': (
         settings.EntrySettings,
@@ -44,6 +46,8 @@
 def page(name: str) -> str:
     """Return a page: its own introduction, then the tables."""
     introduction = (FOLDER / name).read_text().split('\n## ')[0]
+    if name == EVENTS_PAGE:
+        return events_page(introduction)
     sections = [section(kind) for kind in PAGES[name]]
     return '\n'.join((introduction, *sections))
 
@@ -63,6 +67,41 @@
     return f'## {kind.__name__}\n\n{title}\n\n{head}{rule}{_lines(rows)}'
 
 
+def events_page(introduction: str) -> str:
+    """Return the page of log events, one table for each class."""
+    decisions = [one for one in _leaves(events.Decision) if one.event]
+    changes = [one for one in _leaves(beliefs.Belief) if one.event]
+    kinds = sorted([*decisions, *changes], key=lambda one: one.event)
+    return '\n'.join((introduction, *map(event_section, kinds)))
+
+
+def event_section(kind: Any) -> str:
+    """Return the table of one event's fields."""
+    notes: dict[str, str] = {}
+    for base in reversed(kind.__mro__):
+        notes |= described(inspect.getdoc(base) or '')
+    title = (inspect.getdoc(kind) or '').split('\n')[0]
+    routine = getattr(kind, 'routine', False)
+    pressure = 'sampled' if routine else 'kept'
+    rows = [
+        f'| `{field.name}` | {type_name(get_type_hints(kind)[field.name])} | '
+        f'{notes.get(field.name, "")} |'
+        for field in attrs.fields(kind)
+    ]
+    head = '| field | type | meaning |\n| --- | --- | --- |\n'
+    intro = f'{title} Under pressure: {pressure}.'
+    return f'## {kind.event}\n\n{intro}\n\n{head}{_lines(rows)}'
+
+
+def _leaves(kind: Any) -> list[Any]:
+    """Return the classes that are derived from one and have no others."""
+    found = []
+    for derived in kind.__subclasses__():
+        found.extend(_leaves(derived) or [derived])
+    # attrs replaces classes with slots; the replaced ones stay listed.
+    return list({one.__name__: one for one in found}.values())
+
+
 def described(documentation: str) -> dict[str, str]:
     """Return the descriptions in the Attributes part of a docstring."""
     found: dict[str, str] = {}
@@ -106,7 +145,8 @@
 
 def main() -> int:
     """Write all pages, or with --check return 1 where one is not current."""
-    stale = [name for name in PAGES if not is_current(name)]
+    names = (*PAGES, EVENTS_PAGE)
+    stale = [name for name in names if not is_current(name)]
     if '--check' in sys.argv:
         print('stale:', *stale)
         return 1 if stale else 0
