--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -11,7 +11,6 @@
     end_prefill,
     forget_entry,
     hold,
-    latest_place,
     tick,
 )
 from gypsumrelay_dispatch.forecast import (
@@ -33,6 +32,9 @@
     ServiceRules,
     Upstream,
 )
+from gypsumrelay_dispatch.queueing import (
+    latest_place,
+)
 from gypsumrelay_dispatch.rebalancing import (
     PhaseChange,
     note_change,
--- /dev/null
+++ b/libs/dispatch/src/gypsumrelay_dispatch/queueing.py
@@ -0,0 +1,149 @@
+"""The queue: order of waiting attempts, and how long they wait."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING, Final
+
+from gypsumrelay_dispatch import forecast
+from gypsumrelay_dispatch.flow import observe_queue, seconds_per_grant
+from gypsumrelay_dispatch.loads import Load, is_phase
+from gypsumrelay_dispatch.models import Need, Phase
+from gypsumrelay_dispatch.placing import prefill_estimate_ms
+
+if TYPE_CHECKING:
+    from gypsumrelay_settings import DispatchSettings
+
+    from gypsumrelay_dispatch.board import Board, Waiting
+
+MS_PER_SECOND: Final = 1000
+# Seconds that a prompt needs until its first token; a request whose place
+# comes later than that before its objective is late.
+LATE_MARGIN_SECONDS: Final = 0.2
+# Weight of the newest request in the usual cost.
+COST_SMOOTHING: Final = 0.05
+# Multiple of the usual cost beyond which a request is not delayed further.
+MAX_COST_RATIO: Final = 3.0
+
+
+class Stage(enum.Enum):
+    """How near a waiting attempt is to its objective, in serving order."""
+
+    urgent = 0
+    usual = 1
+    late = 2
+
+
+def rank(
+    settings: DispatchSettings,
+    now: float,
+    waiting: Waiting,
+) -> tuple[bool, int, int, float]:
+    """Return the order of a waiting attempt, the least first."""
+    need = waiting.need
+    stage = stage_of(settings, need, now)
+    due = need.aim_at + waiting.delay
+    return (waiting.overdrawn, need.priority, stage.value, due)
+
+
+def stage_of(settings: DispatchSettings, need: Need, now: float) -> Stage:
+    """Return how near an attempt is to its objective."""
+    if need.read or need.resumed:
+        return Stage.urgent
+    if not need.prompt_tokens:
+        return Stage.late if need.aim_at <= now else Stage.usual
+    left = need.aim_at - now - LATE_MARGIN_SECONDS
+    if left <= 0:
+        return Stage.late
+    return Stage.urgent if left < settings.urgent_seconds else Stage.usual
+
+
+def latest_place(
+    settings: DispatchSettings,
+    aim_seconds: float,
+    deadline: float,
+    now: float,
+) -> float:
+    """Return until when a request that arrives now may wait for a place.
+
+    Args:
+        settings: The policy.
+        aim_seconds: Time within which an answer is on time.
+        deadline: Instant after which an answer is of no use.
+        now: The present instant.
+    """
+    by_aim = aim_seconds * settings.queue_factor
+    by_deadline = max(0, deadline - now) * settings.queue_share
+    return now + min(by_aim, by_deadline)
+
+
+def expected_wait(board: Board, waiting: Waiting, now: float) -> float:
+    """Return an estimate of the seconds until a place comes free.
+
+    It comes from the speed of the queue, and before there was one from the
+    work in front.
+    """
+    need = waiting.need
+    own = rank(board.settings, now, waiting)
+    same = [
+        other.need
+        for other in board.queue
+        if other.need.service == need.service
+        and rank(board.settings, now, other) <= own
+    ]
+    wait = wait_behind(board, need, len(same))
+    if wait is not None:
+        return wait
+    if need.prompt_tokens:
+        work = sum(prefill_estimate_ms(board, other) for other in same)
+        pool = _pool(board, need.service, Phase.prefill)
+        return work / max(1, len(pool)) / MS_PER_SECOND
+    pool = _pool(board, need.service, Phase.plain)
+    places = sum(load.upstream.slots for load in pool)
+    slowest = max((load.latency for load in pool), default=0)
+    return len(same) * slowest / max(1, places)
+
+
+def wait_behind(board: Board, need: Need, ahead: int) -> float | None:
+    """Return the wait behind others, or None where nothing is known."""
+    pace = seconds_per_grant(board.flow(need.service))
+    return None if pace is None else (ahead + 1) * pace
+
+
+def cost_delay(board: Board, need: Need) -> float:
+    """Return the seconds by which a costly request ranks later.
+
+    While memory is short, cheap requests first serve more callers; the
+    bound keeps costly ones from waiting for ever.
+    """
+    if not need.prompt_tokens:
+        return 0
+    own = forecast.cost(need.prompt_tokens, need.expected_tokens)
+    usual = board.usual_cost or own
+    board.usual_cost = usual + COST_SMOOTHING * (own - usual)
+    ratio = own / max(1, board.usual_cost)
+    return min(MAX_COST_RATIO, ratio) * board.settings.cost_delay_seconds
+
+
+def observe_queues(board: Board, now: float) -> None:
+    """Take note of which services have a queue now."""
+    waiting = {waiting.need.service for waiting in board.queue}
+    for service in board.services:
+        is_waiting = service in waiting
+        observe_queue(board.flow(service), now, is_waiting=is_waiting)
+
+
+def withdraw(board: Board, key: tuple[str, int]) -> bool:
+    """Take an attempt out of the queue; return whether it was there."""
+    kept = [waiting for waiting in board.queue if waiting.need.key != key]
+    found = len(kept) < len(board.queue)
+    board.queue = kept
+    return found
+
+
+def _pool(board: Board, service: str, phase: Phase) -> list[Load]:
+    return [
+        load
+        for load in board.loads.values()
+        if is_phase(load, service, phase) and not load.upstream.leaving
+    ]
