--- a/libs/relay/src/gypsumrelay_relay/registration.py
+++ b/libs/relay/src/gypsumrelay_relay/registration.py
@@ -33,16 +33,17 @@
 
 
 def register_anew(process: Process) -> None:
-    """Give up the rank after a pause; the next in line has taken over."""
-    threading.Thread(target=_register, args=(process,), daemon=True).start()
+    """Take a new rank after others have taken over."""
+    threading.Thread(
+        target=_register_in_time,
+        args=(process,),
+        daemon=True,
+    ).start()
 
 
 def keep_registered(process: Process) -> None:
     """Register in the store and learn who else has."""
-    while not process.stopped.is_set():
-        if _register(process):
-            break
-        process.stopped.wait(REGISTER_SECONDS)
+    _register_in_time(process)
     snapshot = process.surroundings.store.snapshot(Topic.members)
     if isinstance(snapshot, Snapshot):
         coordination = process.relay.coordination
@@ -53,6 +54,12 @@
             add_hosts(coordination.members, hosts, time.monotonic())
 
 
+def _register_in_time(process: Process) -> None:
+    """Register as soon as the store takes it."""
+    while not process.stopped.is_set() and not _register(process):
+        process.stopped.wait(REGISTER_SECONDS)
+
+
 def _register(process: Process) -> bool:
     own = process.relay.coordination.members.own
     position = process.surroundings.store.append(
--- a/libs/relay/tests/membership.feature
+++ b/libs/relay/tests/membership.feature
@@ -33,6 +33,12 @@
     Then all of them choose the one with seniority 2
     And the one with seniority 3 would not give up its rank
 
+  Scenario: A relay gets a new rank although the store refuses at first
+    Guards against relays that rank last for ever after one lost write.
+    Given a relay that gave up its rank
+    When the store refuses its first registration
+    Then it has a rank within 2 seconds
+
   Scenario: A member that leaves is not chosen
     Given members with seniorities 3, 1 and 2
     When the one with seniority 1 leaves
--- a/libs/relay/tests/steps/membership.py
+++ b/libs/relay/tests/steps/membership.py
@@ -7,12 +7,14 @@
 import socket
 import threading
 import time
+from types import SimpleNamespace
 from typing import Any
 
 import attrs
 import msgpack
 from behave import given, then, when
 from gypsumrelay_dispatch import Board
+from gypsumrelay_errors import Overloaded
 from gypsumrelay_relay.coordination import DIAL_SECONDS, Coordination
 from gypsumrelay_relay.coordinator import Coordinator
 from gypsumrelay_relay.heartbeats import (
@@ -35,6 +37,7 @@
     with_silence,
     yields,
 )
+from gypsumrelay_relay.registration import register_anew
 from gypsumrelay_relay.topics import RecordReader
 from gypsumrelay_settings import DispatchSettings
 from gypsumrelay_wire import Endpoint, Identity
@@ -102,6 +105,39 @@
     assert not yields(view, coordinator(view, context.now).name)
 
 
+@given('a relay that gave up its rank')
+def give_unranked(context: Any) -> None:
+    members = Members(Member('own', 'a', '10.0.0.1', UNRANKED))
+    answers = [Overloaded('busy'), 7]
+    store = SimpleNamespace(append=lambda *_: answers.pop(0))
+    context.members = members
+    context.process = SimpleNamespace(
+        stopped=threading.Event(),
+        surroundings=SimpleNamespace(store=store),
+        heartbeats=SimpleNamespace(send_round=lambda now: None),
+        relay=SimpleNamespace(
+            coordination=SimpleNamespace(
+                members=members,
+                lock=threading.RLock(),
+            ),
+        ),
+    )
+
+
+@when('the store refuses its first registration')
+def refuse_first(context: Any) -> None:
+    register_anew(context.process)
+
+
+@then('it has a rank within {seconds:d} seconds')
+def check_ranked(context: Any, seconds: int) -> None:
+    deadline = time.monotonic() + seconds
+    while context.members.own.seniority == UNRANKED:
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
+    assert context.members.own.seniority == 7
+
+
 @when('the lists of all are old')
 def all_old(context: Any) -> None:
     for number in context.own:
