--- a/libs/dispatch/src/gypsumrelay_dispatch/models.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/models.py
@@ -115,6 +115,8 @@
         expected_tokens: Tokens that will probably be generated.
         read: Whether the prompt is already read and only has to be decoded;
             it then waits no longer than its KV cache lives.
+        reread: Whether its prompt was read before and is read again, which
+            is a repeat besides that of the attempt.
         resumed: Whether it goes on with a stream whose caller is reading.
         excluded: Upstreams that this request must not reach again.
         digest: Names requests with the same content.
@@ -135,6 +137,7 @@
     output_tokens: int = 0
     expected_tokens: int = 0
     read: bool = False
+    reread: bool = False
     resumed: bool = False
     excluded: frozenset[str] = frozenset()
     digest: bytes = b''
--- a/libs/dispatch/src/gypsumrelay_dispatch/repeats.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/repeats.py
@@ -29,15 +29,16 @@
     budget.firsts.append(now)
 
 
-def take_repeat(
+def take_repeats(
     budget: RepeatBudget,
     limit: RepeatLimit,
+    count: int,
     now: float,
 ) -> bool:
-    """Take one repeat if the budget has it."""
-    if allowance(budget, limit, now) < 1:
+    """Take repeats if the budget has all of them."""
+    if allowance(budget, limit, now) < count:
         return False
-    budget.repeats.append(now)
+    budget.repeats.extend(now for _ in range(count))
     return True
 
 
--- a/libs/dispatch/tests/limits.feature
+++ b/libs/dispatch/tests/limits.feature
@@ -44,6 +44,13 @@
     When 100 requests within 5 seconds all ask again
     Then at most 25 of the repeats get a place
 
+  Scenario: Prompts that are read again take two repeats
+    Guards against a burst of failing prompts whose second reading and second
+    run are sends that the budget counts as one.
+    Given a service with a repeat ratio of 0.2 and a slack of 5
+    When 100 requests within 5 seconds ask and are read again
+    Then at most 12 of the repeats get a place
+
   Scenario: Content that takes down upstreams is not run again
     Given 4 plain upstreams that a request takes down one after the other
     When the same content arrives again
--- a/libs/dispatch/tests/steps/limits.py
+++ b/libs/dispatch/tests/steps/limits.py
@@ -159,15 +159,31 @@
 
 
 @when('{count:d} requests within {seconds:d} seconds all ask again')
-def ask_again(context: Any, count: int, seconds: int) -> None:
+def ask_again(
+    context: Any,
+    count: int,
+    seconds: int,
+    *,
+    reread: bool = False,
+) -> None:
     played = context.played
     for number in range(count):
         played.now += seconds / count
         for attempt in (1, 2):
-            need = new_need(f'r{number}', played.now, attempt=attempt)
+            need = new_need(
+                f'r{number}',
+                played.now,
+                attempt=attempt,
+                reread=reread and attempt > 1,
+            )
             played.take(ask(played.board, need, played.now))
 
 
+@when('{count:d} requests within {seconds:d} seconds ask and are read again')
+def ask_reread(context: Any, count: int, seconds: int) -> None:
+    ask_again(context, count, seconds, reread=True)
+
+
 @then('at most {most:d} of the repeats get a place')
 def check_repeats(context: Any, most: int) -> None:
     repeats = [
--- a/libs/relay/src/gypsumrelay_relay/model.py
+++ b/libs/relay/src/gypsumrelay_relay/model.py
@@ -80,6 +80,7 @@
         unfetched: Decode upstreams that did not take it.
         current: The stream that is being passed on.
         has_begun: Whether the caller has begun to read.
+        was_read: Whether a prefill upstream has read the prompt.
     """
 
     exchange: Exchange
@@ -88,6 +89,7 @@
     unfetched: int = 0
     current: Opened | None = None
     has_begun: bool = False
+    was_read: bool = False
 
     @property
     def may_go_on(self) -> bool:
@@ -170,7 +172,7 @@
     """Return the next need; with a cache, one that waits no longer than it."""
     need = attrs.evolve(run.exchange.next_need(), resumed=run.has_begun)
     if run.cache is None:
-        return need
+        return attrs.evolve(need, reread=run.was_read)
     until = run.cache.read_at + CACHE_SECONDS
     return attrs.evolve(need, read=True, aim_at=until, wait_until=until)
 
@@ -186,6 +188,7 @@
             exchange.relay.coordination.finish(given.need, Ending.cancelled)
             return Verdict(Ending.rejected, outcome.reason)
         run.cache = outcome
+        run.was_read = True
     return _decode(run, given, started_at)
 
 
--- a/libs/wire/src/gypsumrelay_wire/messages.py
+++ b/libs/wire/src/gypsumrelay_wire/messages.py
@@ -379,8 +379,9 @@
 class PlaceRequest(Message):
     """Asks the coordinator for a place at an upstream of a service.
 
-    With `read`, the prompt's KV cache exists already; with `resumed`, a
-    stream goes on. `wait_ms` is how long it may wait.
+    With `read`, the prompt's KV cache exists already; with `reread`, it was
+    read in vain; with `resumed`, a stream goes on. `wait_ms` is how long the
+    request may wait.
     """
 
     tag: ClassVar[int] = 40
@@ -398,6 +399,7 @@
     output_tokens: int
     expected_tokens: int
     read: bool
+    reread: bool
     resumed: bool
     excluded: list[str]
     digest: bytes
