Keep the wire format of relays compatible with the version before

While relays of two versions run side by side, a place message would be malformed (FrameMalformed) and a heartbeat would be refused, so that each side coordinates for itself.

New fields now come last and have defaults; in the heartbeat the silence comes after the hosts, which older relays skip.

--- a/libs/relay/src/gypsumrelay_relay/heartbeats.py
+++ b/libs/relay/src/gypsumrelay_relay/heartbeats.py
@@ -14,6 +14,7 @@
 from gypsumrelay_relay.beliefs import PeerHeard, report
 from gypsumrelay_relay.membership import (
     BEAT_SECONDS,
+    USUAL_SILENCE_MS,
     Member,
     Members,
     add_hosts,
@@ -163,24 +164,32 @@
 
 
 def pack(member: Member, hosts: list[str]) -> bytes:
-    """Return a heartbeat as bytes."""
-    packed: bytes = msgpack.packb([VERSION, *attrs.astuple(member), hosts])
+    """Return a heartbeat as bytes; what is newer comes after the hosts."""
+    *told, silence_ms = attrs.astuple(member)
+    packed: bytes = msgpack.packb([VERSION, *told, hosts, silence_ms])
     return packed
 
 
 def unpack(payload: bytes) -> tuple[Member, list[str]] | None:
-    """Return the sender and the hosts in a heartbeat."""
+    """Return the sender and the hosts in a heartbeat.
+
+    Relays of an older version don't say after which silence they are dead.
+    """
     try:
         frame: Any = msgpack.unpackb(payload)
     except (ValueError, msgpack.UnpackException):
         return None
-    fields = attrs.fields(Member)
-    if not isinstance(frame, list) or len(frame) < len(fields) + 2:
+    count = len(_KINDS)
+    if not isinstance(frame, list) or len(frame) < count + 1:
         return None
-    given = frame[1 : len(fields) + 1]
-    if not all(map(_fits, given, _KINDS)):
+    given = [
+        *frame[1:count],
+        *(frame[count + 1 : count + 2] or [USUAL_SILENCE_MS]),
+    ]
+    told = frame[count]
+    if not all(map(_fits, given, _KINDS)) or not isinstance(told, list):
         return None
-    hosts = [host for host in frame[len(fields) + 1] if isinstance(host, str)]
+    hosts = [host for host in told if isinstance(host, str)]
     return Member(*given), hosts
 
 
--- a/libs/relay/src/gypsumrelay_relay/membership.py
+++ b/libs/relay/src/gypsumrelay_relay/membership.py
@@ -38,6 +38,8 @@
 # coordinates, so that a store that answers now and then moves nothing.
 FRESH_SECONDS: Final = 3.0
 MS_PER_SECOND: Final = 1000
+# Milliseconds of silence after which a member at the full rate is dead.
+USUAL_SILENCE_MS: Final = int(BEAT_SECONDS * SILENT_BEATS * MS_PER_SECOND)
 # Seconds for which a member that could not be reached is not asked again.
 AVOID_SECONDS: Final = 1.0
 # Rank of a member that the store has not numbered yet.
@@ -69,7 +71,7 @@
     leaving: bool = False
     is_stale: bool = False
     position: int = -1
-    silence_ms: int = int(BEAT_SECONDS * SILENT_BEATS * MS_PER_SECOND)
+    silence_ms: int = USUAL_SILENCE_MS
 
     @property
     def rank(self) -> tuple[bool, bool, int, str]:
--- a/libs/wire/src/gypsumrelay_wire/__init__.py
+++ b/libs/wire/src/gypsumrelay_wire/__init__.py
@@ -58,16 +58,8 @@
     Heartbeat,
     LoadReport,
     Message,
-    PlaceEnded,
-    PlaceGranted,
-    PlaceHeld,
-    PlaceRefused,
-    PlaceRequest,
     Prefill,
     Prefilled,
-    PromptRead,
-    RecordsCopy,
-    RecordsRequest,
     ReleaseClaim,
     Reserve,
     Reserved,
@@ -75,6 +67,17 @@
     Settle,
     Tokens,
 )
+from gypsumrelay_wire.places import (
+    PlaceEnded,
+    PlaceGranted,
+    PlaceHeld,
+    PlaceRefused,
+    PlaceRequest,
+    PromptRead,
+    RecordsCopy,
+    RecordsRequest,
+    RepeatsUsed,
+)
 
 __all__ = (
     'FRAME_LIMIT_BYTES',
@@ -119,6 +122,7 @@
     'RecordsCopy',
     'RecordsRequest',
     'ReleaseClaim',
+    'RepeatsUsed',
     'Reserve',
     'Reserved',
     'Resume',
--- a/libs/wire/src/gypsumrelay_wire/codec.py
+++ b/libs/wire/src/gypsumrelay_wire/codec.py
@@ -9,14 +9,15 @@
 import msgpack
 from gypsumrelay_errors import FrameMalformed
 
-from gypsumrelay_wire import messages
+from gypsumrelay_wire import messages, places
 
 VERSION: Final = 1
 HEADER_FIELDS: Final = 2
 
 _CLASSES: Final = {
     message_class.tag: message_class
-    for _, message_class in inspect.getmembers(messages, inspect.isclass)
+    for module in (messages, places)
+    for _, message_class in inspect.getmembers(module, inspect.isclass)
     if issubclass(message_class, messages.Message) and message_class.tag
 }
 _CHECKS: Final[dict[str, type]] = {
--- a/libs/wire/tests/links.feature
+++ b/libs/wire/tests/links.feature
@@ -35,6 +35,11 @@
   Scenario: Every message survives encoding
     Then each message class decodes to what was encoded
 
+  Scenario: Place messages of the version before are read
+    Guards against requests that are misread while relays of two versions
+    run side by side.
+    Then a request and a grant of the version before have the usual rest
+
   Scenario: Fields of a newer version are ignored
     When a heartbeat comes with an extra field
     Then the heartbeat is decoded without it
--- a/libs/wire/tests/steps/links.py
+++ b/libs/wire/tests/steps/links.py
@@ -26,6 +26,7 @@
     listen,
     messages,
     new_unpacker,
+    places,
 )
 
 HEARTBEAT = Heartbeat(7, 1000, 2)
@@ -154,9 +155,30 @@
         message = kind(*fields)
         assert decode(encode(message)) == message
         checked += 1
-    assert checked == len(
-        [name for name in vars(messages) if name[0].isupper()],
-    ) - len(('ClassVar', 'Message'))
+    named = [*vars(messages).values(), *vars(places).values()]
+    listed = {
+        member
+        for member in named
+        if isinstance(member, type) and issubclass(member, Message)
+    }
+    assert checked == len(listed - {Message})
+
+
+@then('a request and a grant of the version before have the usual rest')
+def check_older(context: Any) -> None:
+    asked = ['r1', 2, 'zone', 's', 'a', 10, 1, 900, 9000, 100, 50, 40]
+    request = decode(msgpack.packb([1, 40, *asked, True, ['u'], b'd']))
+    assert request.prompt_tokens == 100
+    assert request.read
+    assert request.excluded == ['u']
+    assert request.digest == b'd'
+    assert request.wait_ms > 0
+    assert not request.reread
+    assert not request.resumed
+    given = ['r1', 2, 'u', '10.0.0.1:80', '', '', 3, 120]
+    grant = decode(msgpack.packb([1, 41, *given]))
+    assert grant.waited_ms == 120
+    assert grant.list_position == -1
 
 
 @when('a heartbeat comes with an extra field')
