Tell a new coordinator of the repeats that relays got lately

Cause: docs/platform.md said that a part of the contract's slack covers a change of the coordinator, but the settings give all of it, so that a new coordinator could give out a second full budget within the window.

Each relay remembers the repeats that it got and tells the next coordinator, which counts them as if they were given now. What it counts itself is not told again. Repeats of a relay that died with the coordinator stay unknown.

The scenario fails if nothing is handed over.

--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -11,6 +11,7 @@
     end_prefill,
     forget_entry,
     hold,
+    hold_repeats,
     tick,
 )
 from gypsumrelay_dispatch.forecast import (
@@ -40,6 +41,9 @@
     note_change,
     plan,
 )
+from gypsumrelay_dispatch.repeats import (
+    repeats_of,
+)
 
 __all__ = (
     'AccountRules',
@@ -62,9 +66,11 @@
     'expected_output',
     'forget_entry',
     'hold',
+    'hold_repeats',
     'latest_place',
     'note_change',
     'plan',
+    'repeats_of',
     'set_rules',
     'set_upstreams',
     'tick',
--- a/libs/dispatch/src/gypsumrelay_dispatch/coordinating.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/coordinating.py
@@ -87,6 +87,16 @@
     occupy(board, place)
 
 
+def hold_repeats(
+    board: Board,
+    service: str,
+    count: int,
+    now: float,
+) -> None:
+    """Count repeats that an earlier coordinator gave out, as if just now."""
+    repeats.add_repeats(board.budget(service), count, now)
+
+
 def end_prefill(
     board: Board,
     key: tuple[str, int],
--- a/libs/dispatch/src/gypsumrelay_dispatch/refusing.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/refusing.py
@@ -39,8 +39,7 @@
         return refuse(board, need, RequestQuarantined(sentence))
     if need.attempt > 1:
         budget = board.budget(need.service)
-        # A prompt that is read again arrives twice, to be read and to run.
-        count = 2 if need.reread else 1
+        count = repeats.repeats_of(need)
         if repeats.take_repeats(budget, board.repeat_limit, count, now):
             return None
         spent = Overloaded(
--- a/libs/dispatch/src/gypsumrelay_dispatch/repeats.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/repeats.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import TYPE_CHECKING
 
 import attrs
 
+if TYPE_CHECKING:
+    from gypsumrelay_dispatch.models import Need
+
 
 @attrs.frozen
 class RepeatLimit:
@@ -29,6 +33,19 @@
     budget.firsts.append(now)
 
 
+def repeats_of(need: Need) -> int:
+    """Return how many sends of an attempt count as repeats.
+
+    A prompt that is read again arrives twice, to be read and to run.
+    """
+    return 2 if need.reread else 1
+
+
+def add_repeats(budget: RepeatBudget, count: int, now: float) -> None:
+    """Count repeats that were sent."""
+    budget.repeats.extend(now for _ in range(count))
+
+
 def take_repeats(
     budget: RepeatBudget,
     limit: RepeatLimit,
@@ -38,7 +55,7 @@
     """Take repeats if the budget has all of them."""
     if allowance(budget, limit, now) < count:
         return False
-    budget.repeats.extend(now for _ in range(count))
+    add_repeats(budget, count, now)
     return True
 
 
--- a/libs/relay/src/gypsumrelay_relay/building.py
+++ b/libs/relay/src/gypsumrelay_relay/building.py
@@ -109,6 +109,7 @@
         Members(_own_member(instance, incarnation)),
         knowledge,
         instance.link_port,
+        settings=settings.dispatch,
     )
     coordination.actor = Coordinator.start(
         Board(settings.dispatch),
--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -12,6 +12,7 @@
 import msgpack
 from gypsumrelay_dispatch import Action, Ending, Need, Refused
 from gypsumrelay_errors import Failure, LinkClosed
+from gypsumrelay_settings import DispatchSettings
 from gypsumrelay_wire import (
     Endpoint,
     Heartbeat,
@@ -25,6 +26,7 @@
     PromptRead,
     RecordsCopy,
     RecordsRequest,
+    RepeatsUsed,
     dial,
 )
 from logbook import Logger
@@ -45,6 +47,7 @@
     placed,
     request_message,
 )
+from gypsumrelay_relay.repeating import Repeats, hand_over, note_repeat
 
 if TYPE_CHECKING:
     import pykka
@@ -84,6 +87,8 @@
         link_port: Port of the links, the same on all instances.
         asking: Attempts that wait, by key.
         active: Places in use, by key.
+        repeats: Repeats that this instance got lately.
+        settings: Policy of the coordinator; says how long repeats count.
         leader: Name of the instance that is asked.
         link: Link to it; None where it is this instance.
         incoming: Links of instances that ask this one.
@@ -101,6 +106,8 @@
     endpoint: Endpoint = attrs.field(init=False)
     asking: dict[tuple[str, int], Asking] = attrs.field(factory=dict)
     active: dict[tuple[str, int], Placed] = attrs.field(factory=dict)
+    repeats: Repeats = attrs.field(factory=Repeats)
+    settings: DispatchSettings = attrs.field(factory=DispatchSettings)
     leader: str = ''
     link: Link | None = None
     incoming: dict[str, Link] = attrs.field(factory=dict)
@@ -169,7 +176,7 @@
         while not self.stopped.is_set():
             self.changed.wait()
             self.changed.clear()
-            while self._step() and not self.stopped.is_set():
+            while self.turn() and not self.stopped.is_set():
                 log.debug('The coordinator changed; checking again.')
 
     def on_message(self, link: Link, message: Message) -> None:
@@ -181,16 +188,13 @@
                 self.actor.tell(events.Asked(need_of(message, sender, now)))
             case PlaceHeld():
                 self.actor.tell(events.Held(held_place(message, sender, now)))
-            case PromptRead():
-                key = (message.request_id, message.attempt)
-                ending = ending_of(message.ending)
-                self.actor.tell(events.PromptEnded(key, ending))
-            case PlaceEnded():
-                key = (message.request_id, message.attempt)
-                ending = ending_of(message.ending)
-                self.actor.tell(events.Ended(key, ending))
+            case PromptRead() | PlaceEnded():
+                self._take_ending(message)
             case PlaceGranted() | PlaceRefused():
                 self._take_answer(message, now)
+            case RepeatsUsed():
+                given = events.RepeatsGiven(message.service, message.count)
+                self.actor.tell(given)
             case RecordsRequest():
                 self._copy_records(link, message)
             case RecordsCopy():
@@ -227,7 +231,7 @@
         for link in links:
             link.send(Heartbeat(max(0, self.knowledge.position), 0, 0))
 
-    def _step(self) -> bool:
+    def turn(self) -> bool:
         """Move to the present coordinator; return whether to look again."""
         now = time.monotonic()
         with self.lock:
@@ -277,6 +281,13 @@
                 self.actor.tell(events.Held(own_place(given, now)))
             else:
                 self.link.send(held_message(given))
+        window = self.settings.repeat_window_seconds
+        others = hand_over(self.repeats, self.leader, window, now)
+        for service, count in others.items():
+            if self.link is None:
+                self.actor.tell(events.RepeatsGiven(service, count))
+            else:
+                self.link.send(RepeatsUsed(service, count))
         for asking in list(self.asking.values()):
             self._ask(asking.need)
 
@@ -286,6 +297,14 @@
         else:
             self.link.send(request_message(need, time.monotonic()))
 
+    def _take_ending(self, message: PromptRead | PlaceEnded) -> None:
+        key = (message.request_id, message.attempt)
+        ending = ending_of(message.ending)
+        if isinstance(message, PromptRead):
+            self.actor.tell(events.PromptEnded(key, ending))
+        else:
+            self.actor.tell(events.Ended(key, ending))
+
     def _take_answer(
         self,
         message: PlaceGranted | PlaceRefused,
@@ -304,6 +323,8 @@
                 return
             if isinstance(answer, Placed):
                 self.active[key] = answer
+                now = time.monotonic()
+                note_repeat(self.repeats, answer.need, self.leader, now)
         asking.answers.put(answer)
 
     def _copy_records(self, link: Link, message: RecordsRequest) -> None:
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -66,6 +66,14 @@
     place: Place
 
 
+@attrs.frozen
+class RepeatsGiven:
+    """Repeats that an earlier coordinator gave out."""
+
+    service: str
+    count: int
+
+
 @attrs.frozen
 class EntryGone:
     """An instance is out of reach; its places are free."""
@@ -174,6 +182,8 @@
 
 def _take_news(board: Board, message: Any, now: float) -> None:
     match message:
+        case RepeatsGiven(service, count):
+            dispatch.hold_repeats(board, service, count, now)
         case OrdersChanged(orders):
             _set_orders(board, orders, now)
         case PhaseChanging(change):
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -165,6 +165,7 @@
     relay = process.relay
     actor = relay.coordination.actor
     relay.settings = settings
+    relay.coordination.settings = settings.dispatch
     actor.tell(events.SettingsChanged(settings.dispatch))
     beliefs.report(log, beliefs.SettingsRead())
 
--- a/libs/relay/tests/membership.feature
+++ b/libs/relay/tests/membership.feature
@@ -75,6 +75,16 @@
     And a fleet of 240 relays beside it
     Then in 10 seconds a relay of the larger one hears at most 1.4 times as many
 
+  Scenario: A new coordinator learns of repeats that others gave out
+    Guards against a second full budget of repeats after a change of the
+    coordinator.
+    Given a relay that got 5 repeats from a coordinator that is gone
+    And it got 3 repeats more than a window before
+    When it coordinates itself and has got 2 repeats from itself
+    Then the new coordinator counts 5 repeats
+    When it turns to itself once more
+    Then the new coordinator counts 5 repeats
+
   Scenario: Silent addresses are still probed, and then forgotten
     Given members with seniorities 3, 1 and 2
     When the one with seniority 1 falls silent
@@ -82,6 +92,7 @@
 
   Scenario: A heartbeat survives its encoding and nonsense does not
     Then a heartbeat is decoded to what was encoded
+    And a heartbeat of the version before is read with the usual silence
     And 2000 random datagrams are refused or decoded, never an error
 
   Scenario: Heartbeats go on while a coordinator accepts no link
--- a/libs/relay/tests/steps/membership.py
+++ b/libs/relay/tests/steps/membership.py
@@ -13,10 +13,13 @@
 import attrs
 import msgpack
 from behave import given, then, when
-from gypsumrelay_dispatch import Board
+from gypsumrelay_dispatch import Board, hold_repeats
 from gypsumrelay_errors import Overloaded
-from gypsumrelay_relay.coordination import DIAL_SECONDS, Coordination
-from gypsumrelay_relay.coordinator import Coordinator
+from gypsumrelay_relay.coordination import (
+    DIAL_SECONDS,
+    Coordination,
+)
+from gypsumrelay_relay.coordinator import Coordinator, RepeatsGiven
 from gypsumrelay_relay.heartbeats import (
     Heartbeats,
     open_socket,
@@ -38,6 +41,7 @@
     yields,
 )
 from gypsumrelay_relay.registration import register_anew
+from gypsumrelay_relay.repeating import Repeat
 from gypsumrelay_relay.topics import RecordReader
 from gypsumrelay_settings import DispatchSettings
 from gypsumrelay_wire import Endpoint, Identity
@@ -230,6 +234,13 @@
     assert unpack(pack(member, ['10.0.0.2'])) == (member, ['10.0.0.2'])
 
 
+@then('a heartbeat of the version before is read with the usual silence')
+def check_older_heartbeat(context: Any) -> None:
+    told = ['name', 'inc', '10.0.0.1', 7, True, False, True, 12]
+    frame = msgpack.packb([1, *told, ['10.0.0.2']])
+    assert unpack(frame) == (Member(*told), ['10.0.0.2'])
+
+
 @then('{count:d} random datagrams are refused or decoded, never an error')
 def check_fuzz(context: Any, count: int) -> None:
     rng = random.Random(1)
@@ -373,6 +384,54 @@
                 hear(view, member, context.now)
 
 
+@given('a relay that got {count:d} repeats from a coordinator that is gone')
+def give_repeats(context: Any, count: int) -> None:
+    reader = RecordReader(lambda records: None, lambda name, record: None)
+    members = Members(Member('own', 'a', '10.0.0.1', 1))
+    coordination = Coordination('own', members, Knowledge(reader), 1)
+    coordination.actor = SimpleNamespace(tell=lambda told: None)
+    context.coordination = coordination
+    context.now = time.monotonic()
+    add_given(context, 'gone', count, 0)
+
+
+def add_given(context: Any, name: str, count: int, age: float) -> None:
+    context.coordination.repeats.given.extend(
+        Repeat(context.now - age, name, 'service', 1) for _ in range(count)
+    )
+
+
+@given('it got {count:d} repeats more than a window before')
+def give_old(context: Any, count: int) -> None:
+    window = context.coordination.settings.repeat_window_seconds
+    given = Repeat(context.now - window - 1, 'gone', 'service', count)
+    context.coordination.repeats.given.appendleft(given)
+
+
+@when('it coordinates itself and has got {count:d} repeats from itself')
+def coordinate_itself(context: Any, count: int) -> None:
+    add_given(context, 'own', count, 0)
+    context.told = []
+    context.coordination.actor.tell = context.told.append
+    context.coordination.turn()
+
+
+@when('it turns to itself once more')
+def coordinate_again(context: Any) -> None:
+    context.coordination.leader = ''
+    context.coordination.turn()
+
+
+@then('the new coordinator counts {count:d} repeats')
+def check_counted(context: Any, count: int) -> None:
+    board = Board(DispatchSettings())
+    now = time.monotonic()
+    for told in context.told:
+        if isinstance(told, RepeatsGiven):
+            hold_repeats(board, told.service, told.count, now)
+    assert len(board.budget('service').repeats) == count
+
+
 @given('a member whose coordinator accepts connections and stays silent')
 def give_silent_leader(context: Any) -> None:
     silent = socket.create_server(('127.0.0.1', 0))
