--- a/libs/dispatch/tests/steps/boards.py
+++ b/libs/dispatch/tests/steps/boards.py
@@ -146,3 +146,35 @@
     rules = played.board.services.values()
     account = AccountRules('account', rate, burst)
     set_rules(played.board, rules, [account], played.now)
+
+
+def prompt_fields(played: Played) -> dict[str, int]:
+    """Return the fields of a usual request to the board's service."""
+    if any(name.startswith('plain') for name in played.board.loads):
+        return {}
+    return sizes(3000, 800)
+
+
+def sizes(prompt: int, expected: int) -> dict[str, int]:
+    """Return the fields of a prompt of a size."""
+    return {
+        'prompt_tokens': prompt,
+        'output_tokens': 2700,
+        'expected_tokens': expected,
+    }
+
+
+def change_listed(
+    played: Played,
+    only: str = '',
+    keep: str = '',
+    **fields: Any,
+) -> None:
+    """Change listed upstreams."""
+    pool = [
+        attrs.evolve(load.upstream, **fields)
+        if (not only or name == only) and name != keep
+        else load.upstream
+        for name, load in played.board.loads.items()
+    ]
+    set_upstreams(played.board, pool, played.now)
--- /dev/null
+++ b/libs/dispatch/tests/steps/queues.py
@@ -0,0 +1,248 @@
+"""Steps of places.feature: order, waiting and refusals."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given, then, when
+from boards import (
+    Played,
+    model_board,
+    prompt_fields,
+    sizes,
+)
+from gypsumrelay_dispatch import (
+    Ending,
+    Granted,
+    Refused,
+    ask,
+    end,
+    end_prefill,
+    hold,
+    tick,
+)
+from gypsumrelay_errors import Outcome
+
+# Seconds between two looks at a queue that is played.
+TICK = 0.05
+
+
+@given('a request that runs')
+def give_running(context: Any) -> None:
+    played = context.played
+    context.running = played.ask(**prompt_fields(played))
+    assert played.granted(), played.all()
+
+
+@when('a request arrives whose objective has passed, then one on time')
+def late_and_on_time(context: Any) -> None:
+    played = context.played
+    prompt = prompt_fields(played)
+    context.late = played.ask(**prompt, aim_at=played.now - 0.1)
+    context.on_time = played.ask(**prompt)
+    assert len(played.answers) == 1, played.all()
+
+
+@when('the running request ends')
+def end_running(context: Any) -> None:
+    played = context.played
+    key = context.running.key
+    played.now += 0.1
+    played.take(end(played.board, key, Ending.answered, played.now))
+
+
+@when('a request waits for {seconds:g} seconds')
+def wait_for_place(context: Any, seconds: float) -> None:
+    played = context.played
+    context.late = played.ask(
+        **prompt_fields(played), wait_until=played.now + 2.7
+    )
+    played.now += seconds
+    played.take(tick(played.board, played.now))
+    assert context.late.key not in played.answers
+
+
+@when('a new coordinator that holds the same places is asked for it')
+def change_coordinator(context: Any) -> None:
+    old = context.played
+    new = model_board(1, 1, 4000)
+    new.now = old.now
+    for place in old.board.places.values():
+        hold(new.board, place)
+    new.take(ask(new.board, context.late, new.now))
+    context.played = new
+
+
+@then('it is refused {seconds:g} seconds later at the latest')
+def check_refused_by(context: Any, seconds: float) -> None:
+    played = context.played
+    played.now += seconds
+    played.take(tick(played.board, played.now))
+    answer = played.answers[context.late.key][0]
+    assert not isinstance(answer, Granted)
+    assert answer.failure.retry_at > played.now - seconds
+
+
+@when('a request arrives, then a stream that has to go on')
+def ask_resumed(context: Any) -> None:
+    played = context.played
+    context.late = played.ask(**prompt_fields(played))
+    played.now += 0.1
+    context.on_time = played.ask(
+        **prompt_fields(played),
+        attempt=2,
+        aim_at=played.now - 5,
+        resumed=True,
+    )
+    assert len(played.answers) == 1, played.all()
+
+
+@when(
+    '{count:d} prompts of {tokens:d} tokens arrive every {pause:g} seconds '
+    'for {seconds:d} seconds and one ends every {ends:g} seconds',
+)
+def play_queue(
+    context: Any,
+    count: int,
+    tokens: int,
+    pause: float,
+    seconds: int,
+    ends: float,
+) -> None:
+    played = context.played
+    context.arrived = {}
+    context.answered = {}
+    context.started = played.now
+    for step in range(round(seconds / TICK)):
+        played.now = context.started + step * TICK
+        for _ in range(count if _is_due(step, pause) else 0):
+            need = played.ask(**sizes(tokens, 1000))
+            context.arrived[need.key] = played.now
+        _end_prefills(played)
+        if _is_due(step, ends):
+            _end_oldest(played)
+        played.take(tick(played.board, played.now))
+        for key in played.answers.keys() - context.answered.keys():
+            context.answered[key] = played.now
+
+
+def _is_due(step: int, pause: float) -> bool:
+    return step % round(pause / TICK) == 0
+
+
+def _end_prefills(played: Played) -> None:
+    for key, place in list(played.board.places.items()):
+        if place.prefill and played.now - place.granted_at >= 0.1:
+            ending = Ending.answered
+            played.take(end_prefill(played.board, key, ending, played.now))
+
+
+def _end_oldest(played: Played) -> None:
+    decoding = [
+        key for key, place in played.board.places.items() if not place.prefill
+    ]
+    if decoding:
+        key = decoding[0]
+        played.take(end(played.board, key, Ending.answered, played.now))
+
+
+def _waits(context: Any, kind: type, since: float = 0) -> list[float]:
+    """Return how long requests waited for one kind of answer."""
+    return [
+        context.answered[key] - arrived
+        for key, arrived in context.arrived.items()
+        if isinstance(context.played.answers.get(key, [None])[0], kind)
+        and arrived - context.started >= since
+    ]
+
+
+@then('requests that get a place do so within {seconds:g} seconds')
+def check_place_waits(context: Any, seconds: float) -> None:
+    assert max(_waits(context, Granted)) <= seconds
+
+
+@then(
+    'in the last {last:d} seconds refusals come after {seconds:g} seconds at '
+    'most in the mean',
+)
+def check_refusal_waits(context: Any, last: int, seconds: float) -> None:
+    waits = _waits(
+        context, Refused, context.played.now - context.started - last
+    )
+    assert len(waits) > 5, waits
+    assert sum(waits) / len(waits) <= seconds, waits
+
+
+@then('at least {count:d} requests were served')
+def check_served(context: Any, count: int) -> None:
+    assert len(context.played.granted()) >= count, context.played.granted()
+
+
+@then('nobody is refused')
+def check_none_refused(context: Any) -> None:
+    assert context.played.granted()
+    assert not context.played.refused(), context.played.refused()
+
+
+@then('the one on time gets the place')
+@then('the stream gets the place')
+def check_on_time(context: Any) -> None:
+    assert context.on_time.key in context.played.answers
+    assert context.late.key not in context.played.answers
+
+
+@then('some are refused within the same instant')
+def check_refused(context: Any) -> None:
+    assert context.played.refused()
+
+
+@then('each refusal says that nothing ran and when to come back')
+def check_refusals(context: Any) -> None:
+    played = context.played
+    for refused in played.refused():
+        assert refused.failure.outcome is Outcome.not_run
+        assert refused.failure.retry_at > played.now
+
+
+@when(
+    'a request arrives, then one whose prompt is read and lapses in '
+    '{seconds:g} seconds',
+)
+def ask_read(context: Any, seconds: float) -> None:
+    played = context.played
+    prompt = prompt_fields(played)
+    context.usual = played.ask(**prompt)
+    until = played.now + seconds
+    times = {'aim_at': until, 'wait_until': until}
+    context.read = played.ask(**prompt, **times, read=True)
+
+
+@then('the one that is read gets the place')
+def check_read(context: Any) -> None:
+    answers = context.played.answers
+    assert isinstance(answers[context.read.key][0], Granted)
+    assert context.usual.key not in answers
+
+
+@then('it is still counted {seconds:d} seconds later')
+def check_counted(context: Any, seconds: int) -> None:
+    played = context.played
+    played.now += seconds
+    played.take(tick(played.board, played.now))
+    assert context.read.key in played.board.places
+
+
+@when('another one whose prompt is read waits for {seconds:g} seconds')
+def wait_read(context: Any, seconds: float) -> None:
+    played = context.played
+    until = played.now + 0.4
+    times = {'aim_at': until, 'wait_until': until}
+    context.last = played.ask(**prompt_fields(played), **times, read=True)
+    played.now += seconds
+    played.take(tick(played.board, played.now))
+
+
+@then('it is refused')
+def check_it_refused(context: Any) -> None:
+    answer = context.played.answers[context.last.key][0]
+    assert not isinstance(answer, Granted)
--- /dev/null
+++ b/libs/relay/tests/steps/changes.py
@@ -0,0 +1,184 @@
+"""Steps of membership.feature: how a relay turns to another coordinator."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from types import SimpleNamespace
+from typing import Any
+
+from behave import given, then, when
+from gypsumrelay_dispatch import Board, hold_repeats
+from gypsumrelay_errors import Overloaded
+from gypsumrelay_relay.coordination import (
+    Coordination,
+)
+from gypsumrelay_relay.coordinator import Coordinator, RepeatsGiven
+from gypsumrelay_relay.heartbeats import (
+    Heartbeats,
+    open_socket,
+    unpack,
+)
+from gypsumrelay_relay.knowledge import Knowledge
+from gypsumrelay_relay.membership import (
+    UNRANKED,
+    Member,
+    Members,
+    hear,
+)
+from gypsumrelay_relay.registration import register_anew
+from gypsumrelay_relay.repeating import Repeat
+from gypsumrelay_relay.topics import RecordReader
+from gypsumrelay_settings import DispatchSettings
+from gypsumrelay_wire import Endpoint, Identity
+
+
+@given('a relay that gave up its rank')
+def give_unranked(context: Any) -> None:
+    members = Members(Member('own', 'a', '10.0.0.1', UNRANKED))
+    answers = [Overloaded('busy'), 7]
+    store = SimpleNamespace(append=lambda *_: answers.pop(0))
+    context.members = members
+    context.process = SimpleNamespace(
+        stopped=threading.Event(),
+        surroundings=SimpleNamespace(store=store),
+        heartbeats=SimpleNamespace(send_round=lambda now: None),
+        relay=SimpleNamespace(
+            coordination=SimpleNamespace(
+                members=members,
+                lock=threading.RLock(),
+            ),
+        ),
+    )
+
+
+@when('the store refuses its first registration')
+def refuse_first(context: Any) -> None:
+    register_anew(context.process)
+
+
+@then('it has a rank within {seconds:d} seconds')
+def check_ranked(context: Any, seconds: int) -> None:
+    deadline = time.monotonic() + seconds
+    while context.members.own.seniority == UNRANKED:
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
+    assert context.members.own.seniority == 7
+
+
+@given('a relay that got {count:d} repeats from a coordinator that is gone')
+def give_repeats(context: Any, count: int) -> None:
+    reader = RecordReader(lambda records: None, lambda name, record: None)
+    members = Members(Member('own', 'a', '10.0.0.1', 1))
+    coordination = Coordination('own', members, Knowledge(reader), 1)
+    coordination.actor = SimpleNamespace(tell=lambda told: None)
+    context.coordination = coordination
+    context.now = time.monotonic()
+    add_given(context, 'gone', count, 0)
+
+
+def add_given(context: Any, name: str, count: int, age: float) -> None:
+    context.coordination.repeats.given.extend(
+        Repeat(context.now - age, name, 'service', 1) for _ in range(count)
+    )
+
+
+@given('it got {count:d} repeats more than a window before')
+def give_old(context: Any, count: int) -> None:
+    window = context.coordination.settings.repeat_window_seconds
+    given = Repeat(context.now - window - 1, 'gone', 'service', count)
+    context.coordination.repeats.given.appendleft(given)
+
+
+@when('it coordinates itself and has got {count:d} repeats from itself')
+def coordinate_itself(context: Any, count: int) -> None:
+    add_given(context, 'own', count, 0)
+    context.told = []
+    context.coordination.actor.tell = context.told.append
+    context.coordination.turn()
+
+
+@when('it turns to itself once more')
+def coordinate_again(context: Any) -> None:
+    context.coordination.leader = ''
+    context.coordination.turn()
+
+
+@then('the new coordinator counts {count:d} repeats')
+def check_counted(context: Any, count: int) -> None:
+    board = Board(DispatchSettings())
+    now = time.monotonic()
+    for told in context.told:
+        if isinstance(told, RepeatsGiven):
+            hold_repeats(board, told.service, told.count, now)
+    assert len(board.budget('service').repeats) == count
+
+
+@given('a member whose coordinator accepts connections and stays silent')
+def give_silent_leader(context: Any) -> None:
+    silent = socket.create_server(('127.0.0.1', 0))
+    context.add_cleanup(silent.close)
+    port = silent.getsockname()[1]
+    listener = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    listener.bind(('127.0.0.1', port))
+    listener.settimeout(0.6)
+    context.add_cleanup(listener.close)
+    context.listener = listener
+    members = Members(Member('own', 'a', '127.0.0.2', 9))
+    reader = RecordReader(lambda records: None, lambda name, record: None)
+    coordination = Coordination('own', members, Knowledge(reader), port)
+    coordination.actor = Coordinator.start(
+        Board(DispatchSettings()),
+        coordination.deliver,
+    )
+    coordination.endpoint = Endpoint(
+        Identity('own', 'a', 'relay'),
+        b'secret',
+        coordination.on_message,
+        coordination.on_close,
+    )
+    heartbeats = Heartbeats(
+        members,
+        port,
+        coordination.changed.set,
+        lambda: None,
+        coordination.lock,
+        open_socket('127.0.0.2', port),
+    )
+    context.add_cleanup(coordination.actor.stop)
+    context.add_cleanup(heartbeats.stop)
+    context.add_cleanup(coordination.stopped.set)
+    context.coordination = coordination
+    context.heartbeats = heartbeats
+
+
+@when('it follows the coordinator')
+def follow(context: Any) -> None:
+    context.started = time.monotonic()
+    leader = Member('leader', 'a', '127.0.0.1', 1)
+    told = threading.Event()
+    context.add_cleanup(told.set)
+
+    def tell() -> None:
+        while not told.wait(0.1):
+            hear(context.coordination.members, leader, time.monotonic())
+
+    hear(context.coordination.members, leader, context.started)
+    threading.Thread(target=tell, daemon=True).start()
+    context.coordination.start()
+    context.heartbeats.start()
+
+
+@then('it sends heartbeats all the while')
+def check_heartbeats(context: Any) -> None:
+    for _ in range(5):
+        payload = context.listener.recv(8192)
+        assert unpack(payload) is not None
+
+
+@then('it asks itself within {seconds:d} seconds')
+def check_own(context: Any, seconds: int) -> None:
+    while context.coordination.leader != 'own':
+        assert time.monotonic() - context.started < seconds
+        time.sleep(0.01)
