--- a/libs/command/src/gypsumrelay_command/fleet.py
+++ b/libs/command/src/gypsumrelay_command/fleet.py
@@ -62,9 +62,9 @@
     output: Path | None,
 ) -> Result:
     """Return the merged events of all instances, or write them to a file."""
-    if style not in RENDERERS:
-        allowed = f'a format is one of {", ".join(RENDERERS)}'
-        return failure(INVALID, 'format', allowed)
+    fault = _check_style(style)
+    if fault is not None:
+        return fault
     answers = ask_all(settings, '/events')
     if isinstance(answers, Result):
         return answers
@@ -82,9 +82,9 @@
     output: Path | None,
 ) -> Result:
     """Return the merged events of log files, or write them to a file."""
-    if style not in RENDERERS:
-        allowed = f'a format is one of {", ".join(RENDERERS)}'
-        return failure(INVALID, 'format', allowed)
+    fault = _check_style(style)
+    if fault is not None:
+        return fault
     try:
         logs = read_logs(paths)
     except OSError as error:
@@ -102,6 +102,13 @@
     return _render(_Shown(found, notes=notes), style, output)
 
 
+def _check_style(style: str) -> Result | None:
+    if style in RENDERERS:
+        return None
+    allowed = f'a format is one of {", ".join(RENDERERS)}'
+    return failure(INVALID, 'format', allowed)
+
+
 @attrs.frozen
 class _Shown:
     """Events, the instances that returned none, and other notes."""
