--- a/libs/relay/src/gypsumrelay_relay/attempts.py
+++ b/libs/relay/src/gypsumrelay_relay/attempts.py
@@ -21,6 +21,7 @@
 from gypsumrelay_relay.placement import Placement
 from gypsumrelay_relay.protocol import UpstreamRequest
 from gypsumrelay_relay.sending import Reply, SendFailed, send
+from gypsumrelay_relay.stated_limits import record_statement
 
 if TYPE_CHECKING:
     from gypsumrelay_dispatch import PlacementRequest
@@ -119,7 +120,7 @@
         headers,
         exchange.admitted.body,
     )
-    return send(
+    reply = send(
         exchange.relay.connections,
         address,
         request,
@@ -127,6 +128,25 @@
         fresh=fresh,
         deadline=deadline,
     )
+    if isinstance(reply, Reply):
+        record_rate_limit(exchange, added.upstream, reply)
+    return reply
+
+
+def record_rate_limit(exchange: Exchange, upstream: str, reply: Reply) -> None:
+    """Record whether an answer states a rate limit of its upstream.
+
+    An answer to another request, or of another upstream at the same address,
+    states nothing about this one.
+    """
+    headers = read_reply_headers(exchange, reply)
+    if reply.status == MISDIRECTED or belongs_to_another(
+        exchange, reply, headers
+    ):
+        return
+    limit = headers.rate_limit
+    if not isinstance(limit, Failure):
+        record_statement(exchange.relay.stated_limits, upstream, limit)
 
 
 def classify_reply(exchange: Exchange, reply: Reply) -> AttemptResult:
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -256,6 +256,7 @@
         'coordinator': coordination.leader,
         'position': relay.operator_records.position,
         'open_requests': relay.watcher.count(),
+        'stated_limits': dict(relay.stated_limits.limits),
     }
     return json.dumps(figures).encode()
 
@@ -273,3 +274,6 @@
         request_records(coordination, monotonic())
         gauges = process.relay.metrics.gauges
         gauges.labels('open_requests').set(process.relay.watcher.count())
+        gauges.labels('limited_upstreams').set(
+            len(process.relay.stated_limits.limits)
+        )
--- a/libs/relay/src/gypsumrelay_relay/protocol.py
+++ b/libs/relay/src/gypsumrelay_relay/protocol.py
@@ -80,11 +80,15 @@
         request_id: Id of the answered request; empty if not stated.
         signed: Whether the answer has the upstream's signature.
         not_run: Whether the upstream states that it ran nothing.
+        rate_limit: Requests per second that the upstream accepts from all
+            instances together, as it states now; None if it states no limit,
+            a failure if its statement is unreadable.
     """
 
     request_id: str
     signed: bool
     not_run: bool
+    rate_limit: float | Failure | None = None
 
 
 Headers = Iterable[tuple[str, str]]
--- a/libs/relay/src/gypsumrelay_relay/state_events.py
+++ b/libs/relay/src/gypsumrelay_relay/state_events.py
@@ -296,6 +296,46 @@
     answer: str
 
 
+@attrs.frozen
+class RateLimitStated(StateChange):
+    """An upstream's answer to this relay states a new or changed rate limit.
+
+    Attributes:
+        upstream: Name of the upstream.
+        limit: Requests per second that it accepts from all relays together.
+        previous: The limit that it stated before; 0 if it stated none.
+    """
+
+    event: ClassVar[str] = 'limit_stated'
+    template: ClassVar[str] = (
+        'Upstream {upstream} states a limit of {limit} requests per second; '
+        'before: {previous}.'
+    )
+
+    upstream: str
+    limit: float
+    previous: float
+
+
+@attrs.frozen
+class RateLimitEnded(StateChange):
+    """An upstream's answer to this relay states its rate limit no longer.
+
+    Attributes:
+        upstream: Name of the upstream.
+        previous: The limit that it stated before, in requests per second.
+    """
+
+    event: ClassVar[str] = 'limit_ended'
+    template: ClassVar[str] = (
+        'Upstream {upstream} no longer states its limit of {previous} '
+        'requests per second.'
+    )
+
+    upstream: str
+    previous: float
+
+
 def report(log: Logger, change: StateChange) -> None:
     """Log a state change as a sentence, with its fields."""
     fields = attrs.asdict(change)
