Keep the rate limits that upstreams state, over all relays

Cause: an answer reached one relay, which knew what it stated; the coordinator, which grants all placements, was never told, and no decision had such a limit. The same held for each later coordinator.

Change: each relay tells the coordinator of every answer that states a limit, and the coordinator grants placements from a token bucket per upstream, for prefill and for the attempt. A limit ends with an answer whose request was placed after the last statement. Requests over the limits go to another upstream, wait, or are rejected at once with the time at which the limits admit them. A relay states what it knows to a new coordinator first.

Why it works: all sends need a placement, so one bucket counts them all; a new coordinator learns each limit before the first request of any relay that knows it, and its buckets start empty.

--- a/libs/dispatch/src/gypsumrelay_dispatch/admission.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/admission.py
@@ -100,12 +100,25 @@
     scheduler: SchedulerState,
     request: PlacementRequest,
     wait: float,
+    limited_until: float,
     now: float,
 ) -> Rejection:
-    """Reject a request that would wait too long, with a retry time."""
+    """Reject a request that would wait too long, with a retry time.
+
+    Args:
+        scheduler: The coordinator's state.
+        request: The placement request.
+        wait: Estimated wait in seconds.
+        limited_until: Instant before which the rate limits of the upstreams
+            do not admit the request.
+        now: The present instant.
+    """
     refund_charge(scheduler, request)
     retry_at = now + min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait))
-    failure = Overloaded('no place comes free in time', retry_at=retry_at)
+    sentence = 'no place comes free in time'
+    if limited_until > retry_at:
+        sentence = 'the upstreams are at their rate limits'
+    failure = Overloaded(sentence, retry_at=max(retry_at, limited_until))
     return build_rejection(scheduler, request, failure)
 
 
--- a/libs/dispatch/src/gypsumrelay_dispatch/loads.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/loads.py
@@ -47,6 +47,8 @@
         prefill_ms: Estimated prefill time in milliseconds.
         granted_at: Instant of the grant.
         started_at: Estimated start of decode; infinite during prefill.
+        is_restored: Whether an earlier coordinator granted it, so that the
+            instant of the grant is unknown.
     """
 
     request: PlacementRequest
@@ -56,6 +58,7 @@
     granted_at: float
     started_at: float = float('inf')
     prefilled_by: str = ''
+    is_restored: bool = False
 
 
 @attrs.define
--- a/libs/dispatch/src/gypsumrelay_dispatch/models.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/models.py
@@ -8,6 +8,8 @@
 import attrs
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from gypsumrelay_errors import Failure
 
 
@@ -166,6 +168,8 @@
         waited_seconds: Time in the queue.
         load: Requests that the upstream was running before this one.
         list_position: Position of the list of upstreams.
+        rate_limits: Rate limits in force at these upstreams in requests per
+            second, by upstream.
     """
 
     request: PlacementRequest
@@ -174,6 +178,7 @@
     waited_seconds: float
     load: int
     list_position: int
+    rate_limits: Mapping[str, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/libs/dispatch/src/gypsumrelay_dispatch/queueing.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/queueing.py
@@ -86,22 +86,34 @@
     return now + min(by_objective, by_deadline)
 
 
-def expected_wait(
+def earlier_requests(
     scheduler: SchedulerState, waiting: QueuedRequest, now: float
+) -> list[PlacementRequest]:
+    """Return the queued requests that are served before another one."""
+    own = rank(scheduler.settings, now, waiting)
+    return [
+        other.request
+        for other in scheduler.queue
+        if other.request.service == waiting.request.service
+        and rank(scheduler.settings, now, other) <= own
+    ]
+
+
+def expected_wait(
+    scheduler: SchedulerState,
+    request: PlacementRequest,
+    earlier: list[PlacementRequest],
 ) -> float:
     """Return the estimated seconds until a queued request is placed.
 
     The estimate uses the grant rate of the service, or the work ahead in the
     queue if the grant rate is unknown.
+
+    Args:
+        scheduler: The coordinator's state.
+        request: The placement request.
+        earlier: Queued requests that are served before it.
     """
-    request = waiting.request
-    own = rank(scheduler.settings, now, waiting)
-    earlier = [
-        other.request
-        for other in scheduler.queue
-        if other.request.service == request.service
-        and rank(scheduler.settings, now, other) <= own
-    ]
     wait = wait_at_grant_rate(scheduler, request, len(earlier))
     if wait is not None:
         return wait
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
@@ -17,6 +17,11 @@
     Upstream,
 )
 from gypsumrelay_dispatch.placement_reports import PlacementReports
+from gypsumrelay_dispatch.rate_limits import (
+    RateLimits,
+    admit_restarted,
+    note_listed,
+)
 from gypsumrelay_dispatch.retry_budget import RetryBudget, RetryLimit
 
 if TYPE_CHECKING:
@@ -77,6 +82,7 @@
         list_position: Position of the list of upstreams in the store.
         list_expires_at: Instant at which the list of upstreams becomes too old
             for new grants.
+        rate_limits: Rate limits that upstreams state, by upstream.
         placement_reports: Reports of active placements after a change of the
             coordinator.
         mean_cost: Moving average of the cost of a model request, in tokens
@@ -99,6 +105,7 @@
     grant_rates: dict[str, GrantRate] = attrs.field(factory=dict)
     list_position: int = -1
     list_expires_at: float = float('inf')
+    rate_limits: RateLimits = attrs.field(factory=dict)
     placement_reports: PlacementReports = attrs.field(factory=PlacementReports)
     mean_cost: float = 0
 
@@ -161,12 +168,14 @@
         if load.upstream.started_ms != upstream.started_ms:
             _confirm_crashes(scheduler, load, now)
             scheduler.loads[name] = Load(upstream)
+            admit_restarted(scheduler.rate_limits, name, now)
             continue
         if upstream.phase is load.changing_to:
             load.changing_to = None
             load.changing_until = 0
         load.upstream = upstream
         load.usable_until = float('inf')
+    note_listed(scheduler.rate_limits, listed, now)
     addresses = {entry.address for entry in listed.values()}
     for name in scheduler.loads.keys() - listed.keys():
         gone = scheduler.loads[name]
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
@@ -12,6 +12,7 @@
     accounts,
     crashes,
     placement_reports,
+    rate_limits,
     rebalancing,
     retry_budget,
 )
@@ -40,6 +41,7 @@
     MS_PER_SECOND,
     Urgency,
     cost_delay,
+    earlier_requests,
     expected_wait,
     observe_queues,
     rank,
@@ -56,7 +58,12 @@
     remove_departed,
     remove_placement,
 )
-from gypsumrelay_dispatch.selection import Choice, choose, prefill_estimate_ms
+from gypsumrelay_dispatch.selection import (
+    Choice,
+    choose,
+    prefill_estimate_ms,
+    rate_limited_until,
+)
 
 # Prefill time at a decode upstream relative to a prefill upstream, which does
 # not decode at the same time.
@@ -94,11 +101,16 @@
     if request.prompt_tokens and request.attempt == 1:
         rebalancing.observe_request(scheduler, request)
     waiting = QueuedRequest(request, now, overdrawn, delay)
-    wait = expected_wait(scheduler, waiting, now)
+    earlier = earlier_requests(scheduler, waiting, now)
+    wait = expected_wait(scheduler, request, earlier)
+    limited_until = rate_limited_until(scheduler, request, len(earlier), now)
     scheduler.queue.append(waiting)
     decisions = serve(scheduler, now, request.service)
-    if now + wait > request.wait_until and withdraw(scheduler, request.key):
-        decisions.append(reject_overloaded(scheduler, request, wait, now))
+    placed_at = max(now + wait, limited_until)
+    if placed_at > request.wait_until and withdraw(scheduler, request.key):
+        decisions.append(
+            reject_overloaded(scheduler, request, wait, limited_until, now)
+        )
     return decisions
 
 
@@ -120,6 +132,7 @@
     scheduler: SchedulerState, placement: ActivePlacement
 ) -> None:
     """Restore a placement that a previous coordinator granted."""
+    placement.is_restored = True
     add_placement(scheduler, placement)
 
 
@@ -146,6 +159,37 @@
     retry_budget.count_retries(scheduler.retry_budget(service), count, now)
 
 
+def apply_rate_limit(
+    scheduler: SchedulerState, upstream: str, per_second: float, now: float
+) -> None:
+    """Apply the rate limit that an upstream states in an answer."""
+    rate_limits.state_limit(scheduler.rate_limits, upstream, per_second, now)
+
+
+def restore_rate_limit(
+    scheduler: SchedulerState, upstream: str, per_second: float, now: float
+) -> None:
+    """Apply a rate limit that an instance learned before."""
+    rate_limits.restore_limit(scheduler.rate_limits, upstream, per_second, now)
+
+
+def end_rate_limit(
+    scheduler: SchedulerState,
+    upstream: str,
+    key: tuple[str, int],
+    now: float,
+) -> list[Decision]:
+    """End a rate limit that the answer to an attempt no longer states."""
+    placement = scheduler.placements.get(key)
+    if placement is None or placement.is_restored:
+        return []
+    service = placement.request.service
+    limits = scheduler.rate_limits
+    if rate_limits.end_limit(limits, upstream, placement.granted_at):
+        return serve(scheduler, now, service)
+    return []
+
+
 def end_prefill(
     scheduler: SchedulerState,
     key: tuple[str, int],
@@ -271,14 +315,14 @@
     remaining = []
     for waiting in scheduler.queue:
         request = waiting.request
-        wait = (
-            wait_at_grant_rate(scheduler, request, ahead[request.service]) or 0
-        )
-        if (
-            now + wait * BEST_CASE_SHARE > request.wait_until
-            and not request.resumed
-        ):
-            decisions.append(reject_overloaded(scheduler, request, wait, now))
+        earlier = ahead[request.service]
+        wait = wait_at_grant_rate(scheduler, request, earlier) or 0
+        limited_until = rate_limited_until(scheduler, request, earlier, now)
+        placed_at = max(now + wait * BEST_CASE_SHARE, limited_until)
+        if placed_at > request.wait_until and not request.resumed:
+            decisions.append(
+                reject_overloaded(scheduler, request, wait, limited_until, now)
+            )
         else:
             ahead[request.service] += 1
             remaining.append(waiting)
@@ -333,7 +377,10 @@
     if now < request.wait_until:
         return None
     refund_charge(scheduler, request)
-    retry_at = now + DEFAULT_RETRY_SECONDS
+    retry_at = max(
+        now + DEFAULT_RETRY_SECONDS,
+        rate_limited_until(scheduler, request, 0, now),
+    )
     if _has_upstream(scheduler, request, now):
         late = Overloaded('no place came free in time', retry_at=retry_at)
         return build_rejection(scheduler, request, late)
@@ -369,6 +416,9 @@
     load = choice.upstream
     for chosen in filter(None, (load, choice.prefill)):
         chosen.send_times.append(now)
+        rate_limits.count_request(
+            scheduler.rate_limits, chosen.upstream.name, now
+        )
     if request.attempt == 1:
         retry_budget.count_first_send(
             scheduler.retry_budget(request.service), now
@@ -397,6 +447,11 @@
         now - waiting.requested_at,
         used,
         scheduler.list_position,
+        {
+            name: scheduler.rate_limits[name].per_second
+            for name in (placement.upstream, placement.prefill)
+            if name in scheduler.rate_limits
+        },
     )
 
 
--- a/libs/dispatch/src/gypsumrelay_dispatch/selection.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/selection.py
@@ -15,6 +15,7 @@
     plain_score,
 )
 from gypsumrelay_dispatch.models import Phase, PlacementRequest
+from gypsumrelay_dispatch.rate_limits import accepted_at, allows_request
 from gypsumrelay_dispatch.scheduler_state import SchedulerState, is_usable
 
 if TYPE_CHECKING:
@@ -68,7 +69,7 @@
     """
     found = _usable(scheduler, request, phase, now)
     healthy = [load for load in found if load.suspended_until <= now]
-    return _within_cold_limit(scheduler, request, healthy or found, now)
+    return _within_limits(scheduler, request, healthy or found, now)
 
 
 def _usable(
@@ -87,16 +88,53 @@
     ]
 
 
-def _within_cold_limit(
+def _within_limits(
     scheduler: SchedulerState,
     request: PlacementRequest,
     loads: list[Load],
     now: float,
 ) -> list[Load]:
-    """Return the upstreams whose cold limit allows another send now."""
+    """Return the upstreams whose limits allow another send now.
+
+    These are the cold limit of the service and the rate limit that the
+    upstream states.
+    """
     service = scheduler.services.get(request.service)
     per_second = service.cold_per_second if service else 0
-    return [load for load in loads if allows_send(load, per_second, now)]
+    return [
+        load
+        for load in loads
+        if allows_send(load, per_second, now)
+        and allows_request(scheduler.rate_limits, load.upstream.name, now)
+    ]
+
+
+def rate_limited_until(
+    scheduler: SchedulerState,
+    request: PlacementRequest,
+    ahead: int,
+    now: float,
+) -> float:
+    """Return until when the upstreams' rate limits delay a request.
+
+    Args:
+        scheduler: The coordinator's state.
+        request: The placement request.
+        ahead: Requests of the same service that are served before it.
+        now: The present instant.
+
+    Returns:
+        The instant; `now` without a delay. Prefill is not considered, since
+        decode upstreams can prefill as well.
+    """
+    if not scheduler.rate_limits:
+        return now
+    phase = Phase.decode if request.prompt_tokens else Phase.plain
+    usable = _usable(scheduler, request, phase, now)
+    names = [load.upstream.name for load in usable]
+    if not names:
+        return now
+    return accepted_at(scheduler.rate_limits, names, ahead, now)
 
 
 def prefill_estimate_ms(
@@ -160,7 +198,7 @@
     limit = scheduler.settings.prefill_backlog_ms
     free = [
         load
-        for load in _within_cold_limit(scheduler, request, prefill_loads, now)
+        for load in _within_limits(scheduler, request, prefill_loads, now)
         if not load.prefill_work_ms or load.backlog_ms + estimate <= limit
     ]
     prefill = _lowest(free, lambda load: load.backlog_ms * load.slowness)
--- a/libs/relay/src/gypsumrelay_relay/attempts.py
+++ b/libs/relay/src/gypsumrelay_relay/attempts.py
@@ -21,7 +21,6 @@
 from gypsumrelay_relay.placement import Placement
 from gypsumrelay_relay.protocol import UpstreamRequest
 from gypsumrelay_relay.sending import Reply, SendFailed, send
-from gypsumrelay_relay.stated_limits import record_statement
 
 if TYPE_CHECKING:
     from gypsumrelay_dispatch import PlacementRequest
@@ -35,6 +34,8 @@
 RETRY_SECONDS: Final = 1.0
 MISDIRECTED: Final = 421
 FIRST_ERROR: Final = 400
+# Value of a rate limit in the log where there is none.
+NO_RATE_LIMIT: Final = -1
 # Endings for which the upstream certainly ran nothing.
 NOT_RUN_ENDINGS: Final = frozenset(
     (
@@ -88,6 +89,7 @@
                 answer.load,
                 answer.waited_ms,
                 answer.list_position,
+                answer.rate_limits.get(answer.upstream, NO_RATE_LIMIT),
             ),
         )
     elif isinstance(answer, DeadlinePassed):
@@ -129,12 +131,12 @@
         deadline=deadline,
     )
     if isinstance(reply, Reply):
-        record_rate_limit(exchange, added.upstream, reply)
+        report_rate_limit(exchange, added.upstream, reply)
     return reply
 
 
-def record_rate_limit(exchange: Exchange, upstream: str, reply: Reply) -> None:
-    """Record whether an answer states a rate limit of its upstream.
+def report_rate_limit(exchange: Exchange, upstream: str, reply: Reply) -> None:
+    """Report whether an answer states a rate limit of its upstream.
 
     An answer to another request, or of another upstream at the same address,
     states nothing about this one.
@@ -146,7 +148,8 @@
         return
     limit = headers.rate_limit
     if not isinstance(limit, Failure):
-        record_statement(exchange.relay.stated_limits, upstream, limit)
+        key = (exchange.request_id, exchange.attempts)
+        exchange.relay.coordination.report_rate_limit(upstream, limit, key)
 
 
 def classify_reply(exchange: Exchange, reply: Reply) -> AttemptResult:
--- a/libs/relay/src/gypsumrelay_relay/context.py
+++ b/libs/relay/src/gypsumrelay_relay/context.py
@@ -7,8 +7,6 @@
 
 import attrs
 
-from gypsumrelay_relay.stated_limits import StatedLimits
-
 if TYPE_CHECKING:
     from random import Random
 
@@ -36,5 +34,4 @@
     output: Output
     metrics: RelayMetrics
     random: Random
-    stated_limits: StatedLimits = attrs.field(factory=StatedLimits)
     draining: threading.Event = attrs.field(factory=threading.Event)
--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -18,21 +18,17 @@
     Heartbeat,
     Link,
     Message,
-    PlaceEnded,
     PlaceGranted,
-    PlaceHeld,
     PlaceRefused,
-    PlaceRequest,
-    PromptRead,
     RecordsCopy,
     RecordsRequest,
-    RepeatsUsed,
     dial,
 )
 from logbook import Logger
 
 from gypsumrelay_relay import coordinator as messages
 from gypsumrelay_relay import state_events
+from gypsumrelay_relay.coordinator_messages import from_wire, to_wire
 from gypsumrelay_relay.membership import (
     Members,
     alive,
@@ -46,17 +42,13 @@
     answer_message,
     granted_placement,
     own_placement,
-    parse_ending,
-    report_message,
-    reported_placement,
-    request_from_message,
-    request_message,
 )
 from gypsumrelay_relay.retry_history import (
     RetryHistory,
     record_retry,
     transfer_retries,
 )
+from gypsumrelay_relay.stated_limits import StatedLimits
 
 if TYPE_CHECKING:
     import pykka
@@ -99,6 +91,7 @@
             attempt.
         active: Granted placements in use, by request id and attempt.
         retries: Retries that were granted to this relay recently.
+        stated_limits: Rate limits of upstreams that this relay knows.
         settings: Policy of the coordinator, with the window of the retry
             budget.
         leader: Name of the current coordinator; empty if there is none.
@@ -119,6 +112,7 @@
     pending: dict[tuple[str, int], PendingRequest] = attrs.field(factory=dict)
     active: dict[tuple[str, int], Placement] = attrs.field(factory=dict)
     retries: RetryHistory = attrs.field(factory=RetryHistory)
+    stated_limits: StatedLimits = attrs.field(factory=StatedLimits)
     settings: DispatchSettings = attrs.field(factory=DispatchSettings)
     leader: str = ''
     link: Link | None = None
@@ -132,33 +126,43 @@
         pending = PendingRequest(request)
         with self.lock:
             self.pending[request.key] = pending
-            self._send_request(request)
+            self._tell(messages.PlacementRequested(request))
         return pending
 
     def report_prefill(self, placement: Placement, ending: Ending) -> None:
         """Report to the coordinator that a prefill ended or failed."""
-        request = placement.request
+        key = placement.request.key
         with self.lock:
-            if self.link is None:
-                self.actor.tell(messages.PrefillEnded(request.key, ending))
-            else:
-                message = PromptRead(
-                    request.request_id, request.attempt, ending.value
-                )
-                self.link.send(message)
+            self._tell(messages.PrefillEnded(key, ending))
 
     def report_end(self, request: PlacementRequest, ending: Ending) -> None:
         """Report that a placement is free, or that its request is cancelled."""
         with self.lock:
             self.pending.pop(request.key, None)
             self.active.pop(request.key, None)
-            if self.link is None:
-                self.actor.tell(messages.PlacementEnded(request.key, ending))
+            self._tell(messages.PlacementEnded(request.key, ending))
+
+    def report_rate_limit(
+        self, upstream: str, per_second: float | None, key: tuple[str, int]
+    ) -> None:
+        """Report the rate limit that the answer to an attempt states.
+
+        Args:
+            upstream: Name of the upstream that answered.
+            per_second: The limit in requests per second; None if the answer
+                states none.
+            key: Request id and number of the attempt.
+        """
+        with self.lock:
+            limits = self.stated_limits
+            if not limits.record_answer(upstream, per_second, monotonic()):
+                return
+            if per_second is None:
+                self._tell(messages.RateLimitEnded(upstream, key))
             else:
-                message = PlaceEnded(
-                    request.request_id, request.attempt, ending.value
+                self._tell(
+                    messages.RateLimitStated(upstream, per_second, is_new=True)
                 )
-                self.link.send(message)
 
     def deliver_answer(self, decision: Decision) -> None:
         """Send an answer of the own coordinator to the requesting relay."""
@@ -198,31 +202,16 @@
         now = monotonic()
         sender = link.peer.name
         match message:
-            case PlaceRequest():
-                self.actor.tell(
-                    messages.PlacementRequested(
-                        request_from_message(message, sender, now)
-                    )
-                )
-            case PlaceHeld():
-                self.actor.tell(
-                    messages.PlacementReported(
-                        reported_placement(message, sender, now)
-                    )
-                )
-            case PromptRead() | PlaceEnded():
-                self._handle_ending(message)
             case PlaceGranted() | PlaceRefused():
                 self._handle_answer(link, message, now)
-            case RepeatsUsed():
-                retries = messages.RetriesReported(
-                    message.service, message.count
-                )
-                self.actor.tell(retries)
             case Heartbeat(places_told=1):
                 _complete_report(self, sender, now)
             case RecordsRequest() | RecordsCopy():
                 _exchange_records(self.operator_records, link, message)
+            case _:
+                local = from_wire(message, sender, now)
+                if local is not None:
+                    self.actor.tell(local)
 
     def on_link(self, link: Link) -> None:
         """Accept a link that another relay opened.
@@ -296,41 +285,36 @@
         return False
 
     def _report_state(self, now: float) -> None:
-        """Report active placements and retries, and resend pending requests."""
+        """Report what this relay knows, and resend pending requests.
+
+        The limits come first, so that the new coordinator applies them to the
+        first request of this relay.
+        """
+        for upstream, per_second in self.stated_limits.current().items():
+            self._tell(
+                messages.RateLimitStated(upstream, per_second, is_new=False)
+            )
         for placement in self.active.values():
-            if self.link is None:
-                self.actor.tell(
-                    messages.PlacementReported(own_placement(placement, now))
-                )
-            else:
-                self.link.send(report_message(placement))
+            self._tell(
+                messages.PlacementReported(own_placement(placement, now))
+            )
         window = self.settings.repeat_window_seconds
         counts = transfer_retries(self.retries, self.leader, window, now)
         for service, count in counts.items():
-            if self.link is None:
-                self.actor.tell(messages.RetriesReported(service, count))
-            else:
-                self.link.send(RepeatsUsed(service, count))
+            self._tell(messages.RetriesReported(service, count))
         if self.link is None:
             _complete_report(self, self.name, now)
         else:
             self.link.send(_heartbeat(self, places_told=1))
         for pending in list(self.pending.values()):
-            self._send_request(pending.request)
+            self._tell(messages.PlacementRequested(pending.request))
 
-    def _send_request(self, request: PlacementRequest) -> None:
+    def _tell(self, message: Any) -> None:
+        """Tell the coordinator, here or on another relay; needs `lock`."""
         if self.link is None:
-            self.actor.tell(messages.PlacementRequested(request))
-        else:
-            self.link.send(request_message(request, monotonic()))
-
-    def _handle_ending(self, message: PromptRead | PlaceEnded) -> None:
-        key = (message.request_id, message.attempt)
-        ending = parse_ending(message.ending)
-        if isinstance(message, PromptRead):
-            self.actor.tell(messages.PrefillEnded(key, ending))
+            self.actor.tell(message)
         else:
-            self.actor.tell(messages.PlacementEnded(key, ending))
+            self.link.send(to_wire(message, monotonic()))
 
     def _handle_answer(
         self,
@@ -356,6 +340,8 @@
             if isinstance(answer, Placement):
                 self.active[key] = answer
                 now = monotonic()
+                for upstream, per_second in answer.rate_limits.items():
+                    self.stated_limits.learn(upstream, per_second, now)
                 record_retry(self.retries, answer.request, self.leader, now)
         pending.answers.put(answer)
 
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -74,6 +74,30 @@
     count: int
 
 
+@attrs.frozen
+class RateLimitStated:
+    """An upstream states a rate limit.
+
+    Attributes:
+        upstream: Name of the upstream.
+        per_second: Requests per second that it accepts from all relays.
+        is_new: Whether an answer stated it just now; else a relay learned it
+            under an earlier coordinator.
+    """
+
+    upstream: str
+    per_second: float
+    is_new: bool
+
+
+@attrs.frozen
+class RateLimitEnded:
+    """The answer to an attempt states no rate limit of its upstream."""
+
+    upstream: str
+    key: tuple[str, int]
+
+
 @attrs.frozen
 class ReportCompleted:
     """A relay has reported all of its active placements.
@@ -199,25 +223,51 @@
         match message:
             case PlacementRequested(request):
                 return dispatch.request_placement(scheduler, request, now)
-            case PrefillEnded(key, ending):
-                return dispatch.end_prefill(scheduler, key, ending, now)
-            case PlacementEnded(key, ending):
-                return dispatch.end_attempt(scheduler, key, ending, now)
+            case PrefillEnded() | PlacementEnded() | RateLimitEnded():
+                return _apply_result(scheduler, message, now)
             case ReportCompleted(entry, live):
                 return dispatch.complete_report(scheduler, entry, live, now)
             case RelayUnreachable(entry):
                 return dispatch.remove_instance(scheduler, entry, now)
-            case PlacementReported(placement):
-                dispatch.restore_placement(scheduler, placement)
+            case PlacementReported() | RetriesReported() | RateLimitStated():
+                _apply_report(scheduler, message, now)
             case _:
                 _apply_update(scheduler, message, now)
         return dispatch.tick(scheduler, now)
 
 
-def _apply_update(scheduler: SchedulerState, message: Any, now: float) -> None:
+def _apply_result(
+    scheduler: SchedulerState,
+    message: PrefillEnded | PlacementEnded | RateLimitEnded,
+    now: float,
+) -> list[Decision]:
+    match message:
+        case PrefillEnded(key, ending):
+            return dispatch.end_prefill(scheduler, key, ending, now)
+        case PlacementEnded(key, ending):
+            return dispatch.end_attempt(scheduler, key, ending, now)
+        case RateLimitEnded(upstream, key):
+            return dispatch.end_rate_limit(scheduler, upstream, key, now)
+
+
+def _apply_report(
+    scheduler: SchedulerState,
+    message: PlacementReported | RetriesReported | RateLimitStated,
+    now: float,
+) -> None:
     match message:
+        case PlacementReported(placement):
+            dispatch.restore_placement(scheduler, placement)
         case RetriesReported(service, count):
             dispatch.restore_retries(scheduler, service, count, now)
+        case RateLimitStated(upstream, per_second, is_new=True):
+            dispatch.apply_rate_limit(scheduler, upstream, per_second, now)
+        case RateLimitStated(upstream, per_second):
+            dispatch.restore_rate_limit(scheduler, upstream, per_second, now)
+
+
+def _apply_update(scheduler: SchedulerState, message: Any, now: float) -> None:
+    match message:
         case ConfigurationChanged(state):
             _apply_operator_state(scheduler, state, now)
         case PhaseChangeSent(change):
@@ -266,6 +316,10 @@
 
 def _figures(scheduler: SchedulerState) -> dict[str, Any]:
     return {
+        'rate_limits': {
+            name: limit.per_second
+            for name, limit in scheduler.rate_limits.items()
+        },
         'waiting': len(scheduler.queue),
         'places': len(scheduler.placements),
         'upstreams': {
--- a/libs/relay/src/gypsumrelay_relay/placement.py
+++ b/libs/relay/src/gypsumrelay_relay/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Final
 
 import attrs
@@ -31,6 +32,8 @@
 )
 
 MS_PER_SECOND: Final = 1000
+# Seconds for which a rate limit in a message states the number of requests.
+RATE_SECONDS: Final = 1000
 # Longest time in seconds for which a placement that another coordinator granted
 # is counted; no request runs longer.
 REPORTED_SECONDS: Final = 20.0
@@ -56,6 +59,8 @@
         load: Requests or tokens in use at the upstream before the grant.
         waited_ms: Time in milliseconds that the request was queued.
         list_position: Position of the list of upstreams that was used.
+        rate_limits: Rate limits in force at these upstreams in requests per
+            second, by upstream.
     """
 
     request: PlacementRequest
@@ -66,6 +71,7 @@
     load: int = 0
     waited_ms: int = 0
     list_position: int = -1
+    rate_limits: Mapping[str, float] = attrs.field(factory=dict)
 
 
 def granted_placement(grant: Grant) -> Placement:
@@ -80,6 +86,7 @@
         grant.load,
         int(grant.waited_seconds * MS_PER_SECOND),
         grant.list_position,
+        grant.rate_limits,
     )
 
 
@@ -160,6 +167,8 @@
         placement.load,
         placement.waited_ms,
         placement.list_position,
+        rate_to_wire(placement.rate_limits.get(placement.upstream)),
+        rate_to_wire(placement.rate_limits.get(placement.prefill)),
     )
 
 
@@ -175,6 +184,10 @@
             message.sentence,
             retry_at=to_retry_at(message.retry_ms, now),
         )
+    rates = {
+        message.upstream: message.rate_limit,
+        message.prefill: message.prefill_rate_limit,
+    }
     return Placement(
         request,
         message.upstream,
@@ -184,10 +197,25 @@
         message.load,
         message.waited_ms,
         message.list_position,
+        {
+            name: rate_from_wire(rate)
+            for name, rate in rates.items()
+            if name and rate >= 0
+        },
     )
 
 
-def report_message(placement: Placement) -> PlaceHeld:
+def rate_to_wire(per_second: float | None) -> int:
+    """Return a rate limit in requests per 1,000 seconds; -1 for none."""
+    return -1 if per_second is None else round(per_second * RATE_SECONDS)
+
+
+def rate_from_wire(rate: int) -> float:
+    """Return a rate limit in requests per second."""
+    return rate / RATE_SECONDS
+
+
+def report_message(placement: ActivePlacement) -> PlaceHeld:
     """Return the message that reports a placement to a new coordinator."""
     request = placement.request
     return PlaceHeld(
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -206,6 +206,8 @@
         if isinstance(update, messages.UpstreamsChanged):
             addresses = {one.address for one in update.upstreams}
             relay.connections.close_unlisted(addresses)
+            names = {one.name for one in update.upstreams}
+            coordination.stated_limits.forget_unlisted(names, monotonic())
 
     def intervals() -> ReadIntervals:
         with coordination.lock:
@@ -256,7 +258,7 @@
         'coordinator': coordination.leader,
         'position': relay.operator_records.position,
         'open_requests': relay.watcher.count(),
-        'stated_limits': dict(relay.stated_limits.limits),
+        'stated_limits': coordination.stated_limits.current(),
     }
     return json.dumps(figures).encode()
 
@@ -275,5 +277,5 @@
         gauges = process.relay.metrics.gauges
         gauges.labels('open_requests').set(process.relay.watcher.count())
         gauges.labels('limited_upstreams').set(
-            len(process.relay.stated_limits.limits)
+            len(coordination.stated_limits.limits)
         )
--- a/libs/relay/src/gypsumrelay_relay/request_events.py
+++ b/libs/relay/src/gypsumrelay_relay/request_events.py
@@ -64,6 +64,8 @@
         load: Requests or tokens in use at the upstream before the grant.
         waited_ms: Time in the queue in milliseconds.
         list_position: Position of the list of upstreams that was used.
+        rate_limit: Rate limit that the coordinator applies to the upstream,
+            in requests per second; -1 for none.
     """
 
     event: ClassVar[str] = 'placed'
@@ -76,6 +78,7 @@
     load: int
     waited_ms: int
     list_position: int
+    rate_limit: float
 
 
 @attrs.frozen
--- a/libs/relay/src/gypsumrelay_relay/stated_limits.py
+++ b/libs/relay/src/gypsumrelay_relay/stated_limits.py
@@ -1,53 +1,104 @@
-"""Rate limits that upstreams state in their answers to this relay."""
+"""Rate limits that upstreams state, as far as this relay knows them."""
 
 from __future__ import annotations
 
 import threading
+from typing import TYPE_CHECKING, Final
 
 import attrs
 from logbook import Logger
 
 from gypsumrelay_relay import state_events
 
+if TYPE_CHECKING:
+    from collections.abc import Set as AbstractSet
+
 log = Logger('limits')
 
+# Seconds for which the limit of an upstream is kept that is no longer listed:
+# its entry may only have expired during an outage of the store.
+UNLISTED_SECONDS: Final = 60.0
+
+
+@attrs.frozen
+class StatedLimit:
+    """Rate limit of one upstream.
+
+    Attributes:
+        per_second: Requests per second that it accepts from all relays.
+        learned_at: Instant at which this relay last learned it.
+    """
+
+    per_second: float
+    learned_at: float
+
 
 @attrs.define(eq=False)
 class StatedLimits:
-    """The rate limits that upstreams state at present.
+    """The rate limits that a new coordinator is told.
 
     Attributes:
-        limits: Requests per second, by upstream.
+        limits: The limits, by upstream.
         lock: Guards `limits`.
     """
 
-    limits: dict[str, float] = attrs.field(factory=dict)
+    limits: dict[str, StatedLimit] = attrs.field(factory=dict)
     lock: threading.Lock = attrs.field(factory=threading.Lock)
 
+    def current(self) -> dict[str, float]:
+        """Return the limits in requests per second, by upstream."""
+        with self.lock:
+            return {
+                name: limit.per_second for name, limit in self.limits.items()
+            }
 
-def record_statement(
-    stated: StatedLimits, upstream: str, limit: float | None
-) -> None:
-    """Record what an answer states, and log a change.
+    def record_answer(
+        self, upstream: str, per_second: float | None, now: float
+    ) -> bool:
+        """Record what an answer states, and log a change.
 
-    Args:
-        stated: The recorded limits.
-        upstream: Name of the upstream that answered.
-        limit: The stated limit in requests per second; None without one.
-    """
-    with stated.lock:
-        previous = stated.limits.get(upstream)
-        if previous == limit:
-            return
-        if limit is None:
-            stated.limits.pop(upstream)
-        else:
-            stated.limits[upstream] = limit
-    if limit is None:
-        state_events.report(
-            log, state_events.RateLimitEnded(upstream, previous or 0)
+        Args:
+            upstream: Name of the upstream that answered.
+            per_second: The stated limit; None without one.
+            now: The present instant.
+
+        Returns:
+            Whether the coordinator has to be told: the answer states a limit,
+            or no longer the one that was known.
+        """
+        with self.lock:
+            known = self.limits.pop(upstream, None)
+            if per_second is not None:
+                self.limits[upstream] = StatedLimit(per_second, now)
+        previous = known.per_second if known else None
+        if previous != per_second:
+            _log_change(upstream, previous, per_second)
+        return per_second is not None or known is not None
+
+    def learn(self, upstream: str, per_second: float, now: float) -> None:
+        """Record a limit that the coordinator applies, unless one is known."""
+        with self.lock:
+            self.limits.setdefault(upstream, StatedLimit(per_second, now))
+
+    def forget_unlisted(self, listed: AbstractSet[str], now: float) -> None:
+        """Forget the limits of upstreams that have been unlisted for long."""
+        with self.lock:
+            self.limits = {
+                name: limit
+                for name, limit in self.limits.items()
+                if name in listed or now < limit.learned_at + UNLISTED_SECONDS
+            }
+
+
+def _log_change(
+    upstream: str, previous: float | None, per_second: float | None
+) -> None:
+    if per_second is None:
+        change: state_events.StateChange = state_events.RateLimitEnded(
+            upstream, previous or 0
         )
     else:
-        state_events.report(
-            log, state_events.RateLimitStated(upstream, limit, previous or 0)
+        change = state_events.RateLimitStated(
+            upstream, per_second, previous or 0
         )
+    state_events.report(log, change)
--- a/libs/relay/tests/membership.feature
+++ b/libs/relay/tests/membership.feature
@@ -127,6 +127,14 @@
     When it switches to a coordinator on another relay
     Then it reports its placement, then the end of its report, and then requests
 
+  Scenario: A new coordinator learns the rate limits before any request
+    Guards against a full load on an upstream that stated a limit, because the
+    coordinator that knew it is gone.
+    Given a relay that has a placement and waits for another
+    And it got a grant that names a limit of 2.5 for its upstream
+    When it switches to a coordinator on another relay
+    Then it states this limit first
+
   Scenario: A coordinator that missed new records requests them from a relay
     Guards against an old configuration after the answer to the coordinator's
     read of the store was lost.
--- a/libs/relay/tests/steps/changes.py
+++ b/libs/relay/tests/steps/changes.py
@@ -41,6 +41,7 @@
     Endpoint,
     Heartbeat,
     Identity,
+    LimitStated,
     PlaceGranted,
     PlaceHeld,
     PlaceRequest,
@@ -226,6 +227,35 @@
     assert context.sent[1].places_told == 1
 
 
+@given('it got a grant that names a limit of {limit:g} for its upstream')
+def give_limit(context: Any, limit: float) -> None:
+    coordination = context.coordination
+    coordination.link = silent_link('earlier')
+    pending = coordination.request_placement(new_request('limited'))
+    granted = PlaceGranted(
+        request_id='limited',
+        attempt=1,
+        upstream='up',
+        address='10.0.0.9:80',
+        prefill='',
+        prefill_address='',
+        load=0,
+        waited_ms=0,
+        rate_limit=round(limit * 1000),
+    )
+    coordination.on_message(coordination.link, granted)
+    assert pending.answers.get(timeout=1).rate_limits == {'up': limit}
+    coordination.link.close = lambda reason: None
+    coordination.link.closed = threading.Event()
+
+
+@then('it states this limit first')
+def check_limit_first(context: Any) -> None:
+    assert context.sent[0] == LimitStated('up', 2500, is_new=False)
+    kinds = [type(message) for message in context.sent]
+    assert PlaceRequest in kinds[1:], kinds
+
+
 def silent_link(name: str) -> Any:
     """Return a link that accepts messages and sends none."""
     peer = Identity(name, 'a', 'relay')
--- a/libs/wire/src/gypsumrelay_wire/__init__.py
+++ b/libs/wire/src/gypsumrelay_wire/__init__.py
@@ -68,6 +68,8 @@
     Tokens,
 )
 from gypsumrelay_wire.placements import (
+    LimitEnded,
+    LimitStated,
     PlaceEnded,
     PlaceGranted,
     PlaceHeld,
@@ -102,6 +104,8 @@
     'Heartbeat',
     'Hello',
     'Identity',
+    'LimitEnded',
+    'LimitStated',
     'Link',
     'Listener',
     'LoadReport',
--- a/libs/wire/src/gypsumrelay_wire/placements.py
+++ b/libs/wire/src/gypsumrelay_wire/placements.py
@@ -79,6 +79,9 @@
         load: Requests that the upstream was running before this one.
         waited_ms: Time in the queue.
         list_position: Position of the list of upstreams; -1 if unknown.
+        rate_limit: Rate limit of the upstream in requests per 1,000 seconds;
+            -1 without one.
+        prefill_rate_limit: Rate limit of the prefill upstream, likewise.
     """
 
     tag: ClassVar[int] = 41
@@ -91,6 +94,8 @@
     load: int
     waited_ms: int
     list_position: int = -1
+    rate_limit: int = -1
+    prefill_rate_limit: int = -1
 
 
 @attrs.frozen
@@ -168,3 +173,30 @@
     tag: ClassVar[int] = 48
     service: str
     count: int
+
+
+@attrs.frozen
+class LimitStated(Message):
+    """Reports the rate limit that an upstream states.
+
+    Attributes:
+        upstream: Name of the upstream.
+        rate_limit: Requests per 1,000 seconds that it accepts.
+        is_new: Whether an answer stated it just now; else the sender learned
+            it under an earlier coordinator.
+    """
+
+    tag: ClassVar[int] = 49
+    upstream: str
+    rate_limit: int
+    is_new: bool
+
+
+@attrs.frozen
+class LimitEnded(Message):
+    """Reports that the answer to an attempt states no rate limit any more."""
+
+    tag: ClassVar[int] = 50
+    upstream: str
+    request_id: str
+    attempt: int
--- a/libs/wire/tests/steps/links.py
+++ b/libs/wire/tests/steps/links.py
@@ -182,6 +182,8 @@
     grant = decode(msgpack.packb([1, 41, *grant_fields]))
     assert grant.waited_ms == 120
     assert grant.list_position == -1
+    assert grant.rate_limit == -1
+    assert grant.prefill_rate_limit == -1
 
 
 @when('a heartbeat with an additional field is decoded')
