Hand the use of limits over to a new coordinator

What was wrong: each new coordinator gave every account its burst and its overdraft anew, and every cold upstream a full second's worth of requests.

The figure holds for all instances together, and the only process that counts it loses the count when another one coordinates. Found by going through the state of the coordinator.

Change: each relay keeps what it was granted in the last 10 s and reports it to a coordinator that does not count it yet: the sends of the last second by upstream, and the charged tokens by account in intervals of 0.1 s. The coordinator debits a bucket by what the reported history lacks in refill, so that use is charged once and an account within its rate is not limited (scenario of its own). Plain services with a cold limit wait for the reports.

What remains: the use of a relay that is gone is not reported; half of the contract's slack covers it.

--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -44,9 +44,11 @@
     reject_failed,
     remove_instance,
     request_placement,
+    restore_charges,
     restore_placement,
     restore_rate_limit,
     restore_retries,
+    restore_sends,
     tick,
 )
 
@@ -79,9 +81,11 @@
     'reject_failed',
     'remove_instance',
     'request_placement',
+    'restore_charges',
     'restore_placement',
     'restore_rate_limit',
     'restore_retries',
+    'restore_sends',
     'retry_count',
     'tick',
 )
--- a/libs/dispatch/src/gypsumrelay_dispatch/accounts.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/accounts.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections import Counter, defaultdict
+from typing import TYPE_CHECKING, Final
 
 import attrs
 from gypsumrelay_buckets import Bucket, BucketSize, refill, resize
@@ -10,14 +11,26 @@
 from gypsumrelay_dispatch.models import AccountLimits
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
+
+# Seconds for which charges of earlier coordinators are kept, so that later
+# reports of other instances are added to them.
+RESTORED_SECONDS: Final = 10.0
 
 
 @attrs.define
 class Accounts:
-    """Token buckets of the client accounts that have a limit, by name."""
+    """Token buckets of the client accounts that have a limit, by name.
+
+    Attributes:
+        buckets: The buckets.
+        restored: Charges of earlier coordinators, as tokens by instant.
+    """
 
     buckets: dict[str, Bucket] = attrs.field(factory=dict)
+    restored: dict[str, Counter[float]] = attrs.field(
+        factory=lambda: defaultdict(Counter)
+    )
 
 
 def set_accounts(
@@ -37,6 +50,7 @@
     }
     for gone in accounts.buckets.keys() - sizes.keys():
         accounts.buckets.pop(gone)
+        accounts.restored.pop(gone, None)
     for name, size in sizes.items():
         bucket = accounts.buckets.get(name)
         if bucket is None:
@@ -90,6 +104,46 @@
         bucket.level -= tokens
 
 
+def restore_charges(
+    accounts: Accounts,
+    name: str,
+    charges: Mapping[float, int],
+    now: float,
+) -> None:
+    """Charge an account for what earlier coordinators admitted.
+
+    The reports of several instances add up to one history; the bucket is
+    debited by what that history lacks in refill.
+
+    Args:
+        accounts: The buckets.
+        name: The account.
+        charges: Charged tokens, by instant.
+        now: The present instant.
+    """
+    bucket = accounts.buckets.get(name)
+    if bucket is None:
+        return
+    refill(bucket, now)
+    restored = accounts.restored[name]
+    for at in tuple(restored):
+        if at < now - RESTORED_SECONDS:
+            restored.pop(at)
+    bucket.level += _deficit(restored, bucket.size.rate, now)
+    restored.update(charges)
+    bucket.level -= _deficit(restored, bucket.size.rate, now)
+
+
+def _deficit(charges: Mapping[float, int], rate: float, now: float) -> float:
+    """Return the tokens by which a full bucket falls below its burst."""
+    total = 0
+    deficit: float = 0
+    for at in sorted(charges, reverse=True):
+        total += charges[at]
+        deficit = max(deficit, total - rate * max(0, now - at))
+    return deficit
+
+
 def refund(accounts: Accounts, name: str, tokens: int) -> None:
     """Refund a request that no upstream ran, up to the burst."""
     bucket = accounts.buckets.get(name)
--- a/libs/dispatch/src/gypsumrelay_dispatch/loads.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/loads.py
@@ -119,9 +119,14 @@
     """
     if per_second <= 0:
         return True
+    drop_old_sends(load, now)
+    return len(load.send_times) < int(per_second)
+
+
+def drop_old_sends(load: Load, now: float) -> None:
+    """Drop the sends from before the window of the cold limit."""
     while load.send_times and load.send_times[0] <= now - COLD_WINDOW_SECONDS:
         load.send_times.popleft()
-    return len(load.send_times) < int(per_second)
 
 
 def observe_ending(
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
 from functools import partial
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from gypsumrelay_errors import NoUpstream, Overloaded
 
@@ -26,6 +26,7 @@
 from gypsumrelay_dispatch.grant_rate import count_grant
 from gypsumrelay_dispatch.loads import (
     ActivePlacement,
+    drop_old_sends,
     observe_ending,
     observe_kv_fetch,
     observe_prefill,
@@ -65,6 +66,9 @@
     rate_limited_until,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
 # Prefill time at a decode upstream relative to a prefill upstream, which does
 # not decode at the same time.
 DIRECT_PREFILL_SLOWDOWN: Final = 2.5
@@ -159,6 +163,36 @@
     retry_budget.count_retries(scheduler.retry_budget(service), count, now)
 
 
+def restore_sends(
+    scheduler: SchedulerState,
+    upstream: str,
+    sent_at: Iterable[float],
+    now: float,
+) -> None:
+    """Count sends to an upstream that a previous coordinator granted."""
+    load = scheduler.loads.get(upstream)
+    if load is not None:
+        load.send_times = deque(sorted((*load.send_times, *sent_at)))
+        drop_old_sends(load, now)
+
+
+def restore_charges(
+    scheduler: SchedulerState,
+    client_account: str,
+    charges: Mapping[float, int],
+    now: float,
+) -> None:
+    """Charge an account for what a previous coordinator admitted.
+
+    Args:
+        scheduler: The coordinator's state.
+        client_account: The account.
+        charges: Charged tokens, by instant.
+        now: The present instant.
+    """
+    accounts.restore_charges(scheduler.accounts, client_account, charges, now)
+
+
 def apply_rate_limit(
     scheduler: SchedulerState, upstream: str, per_second: float, now: float
 ) -> None:
@@ -397,11 +431,15 @@
 
     While placements may be unreported, plain requests are placed, since
     overloaded plain services reject at no cost; so are requests after
-    prefill, since their KV cache would expire.
+    prefill, since their KV cache would expire. Upstreams with a cold limit
+    can crash instead.
     """
     if now >= scheduler.list_expires_at:
         return False
-    is_safe = request.read or not request.prompt_tokens
+    service = scheduler.services.get(request.service)
+    may_crash = bool(service and service.cold_per_second)
+    is_plain = not request.prompt_tokens and not may_crash
+    is_safe = request.read or is_plain
     return is_safe or not scheduler.placement_reports.is_incomplete(now)
 
 
--- a/libs/dispatch/tests/limits.feature
+++ b/libs/dispatch/tests/limits.feature
@@ -65,3 +65,23 @@
     Given 4 plain upstreams that a request crashes one after the other
     When the same content only had its answers lost
     Then it is not rejected
+
+  Scenario: The contract holds while the coordinator changes
+    Guards against an account that gets its burst and overdraft anew from each
+    coordinator.
+    Given an account with 10000 tokens per second and a burst of 20000
+    And an overdraft of 140000 tokens for it
+    When it sends 100 requests of 2000 tokens each second while the coordinator changes 3 times in 8 seconds
+    Then its tokens in each 8 seconds stay within 1.1 times its contract plus 140000
+
+  Scenario: An account within its rate is not limited after a change
+    Guards against use that is charged twice when the coordinator changes.
+    Given an account with 10000 tokens per second and a burst of 20000
+    When it sends 5 requests of 1900 tokens each second while the coordinator changes 3 times in 8 seconds
+    Then none of them is rejected by the limit
+
+  Scenario: A cold upstream gets no burst while the coordinator changes
+    Guards against a full load on a cold upstream from each coordinator.
+    Given a cold upstream that tolerates 17 requests per second
+    When 80 prompts arrive each second while the coordinator changes 4 times in 7 seconds
+    Then no second has more than 30 sends to it
--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -49,6 +49,13 @@
     transfer_retries,
 )
 from gypsumrelay_relay.stated_limits import StatedLimits
+from gypsumrelay_relay.usage_history import (
+    UsageHistory,
+    record_use,
+    sends_by_upstream,
+    tokens_by_account,
+    transfer_uses,
+)
 
 if TYPE_CHECKING:
     import pykka
@@ -91,10 +98,12 @@
             attempt.
         active: Granted placements in use, by request id and attempt.
         retries: Retries that were granted to this relay recently.
+        uses: Use of limits that was granted to this relay recently.
         stated_limits: Rate limits of upstreams that this relay knows.
         settings: Policy of the coordinator, with the window of the retry
             budget.
         leader: Name of the current coordinator; empty if there is none.
+        leader_start: Name and incarnation of the last coordinator.
         link: Link to the coordinator; None if this relay coordinates.
         incoming: Links that other relays opened to this one, by relay.
         on_elected: Called when this relay becomes the coordinator.
@@ -112,9 +121,11 @@
     pending: dict[tuple[str, int], PendingRequest] = attrs.field(factory=dict)
     active: dict[tuple[str, int], Placement] = attrs.field(factory=dict)
     retries: RetryHistory = attrs.field(factory=RetryHistory)
+    uses: UsageHistory = attrs.field(factory=UsageHistory)
     stated_limits: StatedLimits = attrs.field(factory=StatedLimits)
     settings: DispatchSettings = attrs.field(factory=DispatchSettings)
     leader: str = ''
+    leader_start: str = ''
     link: Link | None = None
     incoming: dict[str, Link] = attrs.field(factory=dict)
     on_elected: Callable[[], None] = do_nothing
@@ -270,6 +281,7 @@
                 # relay's own coordinator must not count them, too.
                 self.actor.tell(messages.RelayUnreachable(self.name))
             self.leader = chosen.name
+            self.leader_start = f'{chosen.name}/{chosen.incarnation}'
             change = state_events.CoordinatorChanged(
                 chosen.name,
                 chosen.seniority,
@@ -302,6 +314,7 @@
         counts = transfer_retries(self.retries, self.leader, window, now)
         for service, count in counts.items():
             self._tell(messages.RetriesReported(service, count))
+        self._report_uses(now)
         if self.link is None:
             _complete_report(self, self.name, now)
         else:
@@ -309,6 +322,13 @@
         for pending in list(self.pending.values()):
             self._tell(messages.PlacementRequested(pending.request))
 
+    def _report_uses(self, now: float) -> None:
+        uses = transfer_uses(self.uses, self.leader_start, now)
+        for upstream, sent_at in sends_by_upstream(uses, now).items():
+            self._tell(messages.SendsReported(upstream, sent_at))
+        for account, charges in tokens_by_account(uses).items():
+            self._tell(messages.ChargesReported(account, charges))
+
     def _tell(self, message: Any) -> None:
         """Tell the coordinator, here or on another relay; needs `lock`."""
         if self.link is None:
@@ -342,6 +362,7 @@
                 now = monotonic()
                 for upstream, per_second in answer.rate_limits.items():
                     self.stated_limits.learn(upstream, per_second, now)
+                record_use(self.uses, answer, self.leader_start, now)
                 record_retry(self.retries, answer.request, self.leader, now)
         pending.answers.put(answer)
 
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
@@ -74,6 +74,22 @@
     count: int
 
 
+@attrs.frozen
+class SendsReported:
+    """Sends to an upstream that an earlier coordinator granted."""
+
+    upstream: str
+    sent_at: tuple[float, ...]
+
+
+@attrs.frozen
+class ChargesReported:
+    """Tokens that an earlier coordinator charged, by instant."""
+
+    client_account: str
+    charges: Mapping[float, int]
+
+
 @attrs.frozen
 class RateLimitStated:
     """An upstream states a rate limit.
@@ -180,6 +196,16 @@
     """Requests the figures of the state for the status page and metrics."""
 
 
+# What relays report of earlier coordinators and of upstreams' answers.
+REPORTS: Final = (
+    PlacementReported,
+    RetriesReported,
+    SendsReported,
+    ChargesReported,
+    RateLimitStated,
+)
+
+
 class Coordinator(pykka.ThreadingActor):
     """Applies messages to the coordinator's state and delivers the answers."""
 
@@ -229,7 +255,7 @@
                 return dispatch.complete_report(scheduler, entry, live, now)
             case RelayUnreachable(entry):
                 return dispatch.remove_instance(scheduler, entry, now)
-            case PlacementReported() | RetriesReported() | RateLimitStated():
+            case _ if isinstance(message, REPORTS):
                 _apply_report(scheduler, message, now)
             case _:
                 _apply_update(scheduler, message, now)
@@ -252,7 +278,7 @@
 
 def _apply_report(
     scheduler: SchedulerState,
-    message: PlacementReported | RetriesReported | RateLimitStated,
+    message: Any,
     now: float,
 ) -> None:
     match message:
@@ -260,6 +286,10 @@
             dispatch.restore_placement(scheduler, placement)
         case RetriesReported(service, count):
             dispatch.restore_retries(scheduler, service, count, now)
+        case SendsReported(upstream, sent_at):
+            dispatch.restore_sends(scheduler, upstream, sent_at, now)
+        case ChargesReported(client_account, charges):
+            dispatch.restore_charges(scheduler, client_account, charges, now)
         case RateLimitStated(upstream, per_second, is_new=True):
             dispatch.apply_rate_limit(scheduler, upstream, per_second, now)
         case RateLimitStated(upstream, per_second):
--- a/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections import Counter
+from typing import Any, Final
 
 from gypsumrelay_wire import (
     LimitEnded,
@@ -13,6 +14,8 @@
     PlaceRequest,
     PromptRead,
     RepeatsUsed,
+    SendsUsed,
+    TokensUsed,
 )
 
 from gypsumrelay_relay import coordinator as messages
@@ -26,6 +29,8 @@
     request_message,
 )
 
+MS_PER_SECOND: Final = 1000
+
 
 def to_wire(message: Any, now: float) -> Message:
     """Return the message that tells the coordinator on another relay.
@@ -44,15 +49,9 @@
             return PromptRead(*key, ending.value)
         case messages.PlacementEnded(key, ending):
             return PlaceEnded(*key, ending.value)
-        case messages.PlacementReported(placement):
-            return report_message(placement)
-        case messages.RetriesReported(service, count):
-            return RepeatsUsed(service, count)
-        case messages.RateLimitStated(upstream, per_second, is_new):
-            return LimitStated(upstream, rate_to_wire(per_second), is_new)
         case messages.RateLimitEnded(upstream, key):
             return LimitEnded(upstream, *key)
-    raise TypeError(type(message).__name__)
+    return _report_to_wire(message, now)
 
 
 def from_wire(message: Message, sender: str, now: float) -> Any:
@@ -75,14 +74,51 @@
         case PlaceHeld():
             placement = reported_placement(message, sender, now)
             return messages.PlacementReported(placement)
+    return _report_from_wire(message, now)
+
+
+def _report_to_wire(message: Any, now: float) -> Message:
+    match message:
+        case messages.PlacementReported(placement):
+            return report_message(placement)
+        case messages.RetriesReported(service, count):
+            return RepeatsUsed(service, count)
+        case messages.RateLimitStated(upstream, per_second, is_new):
+            return LimitStated(upstream, rate_to_wire(per_second), is_new)
+        case messages.SendsReported(upstream, sent_at):
+            return SendsUsed(upstream, [_age_ms(at, now) for at in sent_at])
+        case messages.ChargesReported(client_account, charges):
+            ages = [_age_ms(at, now) for at in charges]
+            return TokensUsed(client_account, ages, list(charges.values()))
+    raise TypeError(type(message).__name__)
+
+
+def _report_from_wire(message: Message, now: float) -> Any:
+    match message:
         case RepeatsUsed(service, count):
             return messages.RetriesReported(service, count)
         case LimitStated(upstream, rate, is_new):
             per_second = rate_from_wire(max(0, rate))
             return messages.RateLimitStated(upstream, per_second, is_new)
+        case SendsUsed(upstream, ages):
+            sent_at = tuple(_instant(age, now) for age in ages)
+            return messages.SendsReported(upstream, sent_at)
+        case TokensUsed(client_account, ages, tokens):
+            charges: Counter[float] = Counter()
+            for age, charged in zip(ages, tokens, strict=False):
+                charges[_instant(age, now)] += max(0, charged)
+            return messages.ChargesReported(client_account, charges)
     return None
 
 
+def _age_ms(at: float, now: float) -> int:
+    return max(0, int((now - at) * MS_PER_SECOND))
+
+
+def _instant(age_ms: int, now: float) -> float:
+    return now - max(0, age_ms) / MS_PER_SECOND
+
+
 def _result_from_wire(message: PromptRead | PlaceEnded | LimitEnded) -> Any:
     key = (message.request_id, message.attempt)
     match message:
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/usage_history.py
@@ -0,0 +1,111 @@
+"""Recent use of limits by this relay, reported to a new coordinator."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict, deque
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+if TYPE_CHECKING:
+    from gypsumrelay_relay.placement import Placement
+
+# Seconds for which use is kept; longer than the windows of all limits.
+WINDOW_SECONDS: Final = 10.0
+# Seconds for which sends are reported: the window of the cold limit.
+SENDS_SECONDS: Final = 1.0
+# Interval in seconds over which the tokens of an account are added up.
+INTERVAL_SECONDS: Final = 0.1
+
+
+@attrs.frozen
+class Use:
+    """Use of limits by one placement.
+
+    Attributes:
+        at: Instant of the grant.
+        upstreams: Names of the upstreams that got a send.
+        client_account: The account that was charged; empty for none.
+        tokens: Tokens that it was charged.
+        counted_by: Coordinators that count this use.
+    """
+
+    at: float
+    upstreams: tuple[str, ...]
+    client_account: str
+    tokens: int
+    counted_by: frozenset[str]
+
+
+@attrs.define
+class UsageHistory:
+    """Recent use of limits, the newest last."""
+
+    uses: deque[Use] = attrs.field(factory=deque)
+
+
+def record_use(
+    history: UsageHistory, placement: Placement, coordinator: str, now: float
+) -> None:
+    """Record a placement that a coordinator granted."""
+    _drop_old(history, now)
+    request = placement.request
+    is_charged = request.attempt == 1
+    use = Use(
+        now,
+        tuple(filter(None, (placement.upstream, placement.prefill))),
+        request.client_account if is_charged else '',
+        request.cost_tokens if is_charged else 0,
+        frozenset((coordinator,)),
+    )
+    history.uses.append(use)
+
+
+def transfer_uses(
+    history: UsageHistory, coordinator: str, now: float
+) -> list[Use]:
+    """Return the use that a coordinator does not count yet.
+
+    It counts this use from now on.
+    """
+    _drop_old(history, now)
+    uncounted = [
+        use for use in history.uses if coordinator not in use.counted_by
+    ]
+    history.uses = deque(
+        attrs.evolve(use, counted_by=use.counted_by | {coordinator})
+        for use in history.uses
+    )
+    return uncounted
+
+
+def sends_by_upstream(
+    uses: list[Use], now: float
+) -> dict[str, tuple[float, ...]]:
+    """Return the instants of the sends in the last second, by upstream."""
+    sends: dict[str, list[float]] = defaultdict(list)
+    for use in uses:
+        if use.at > now - SENDS_SECONDS:
+            for name in use.upstreams:
+                sends[name].append(use.at)
+    return {upstream: tuple(times) for upstream, times in sends.items()}
+
+
+def tokens_by_account(uses: list[Use]) -> dict[str, dict[float, int]]:
+    """Return the charged tokens by account and instant.
+
+    The instant is the end of an interval, so that use counts as no older than
+    it is.
+    """
+    tokens: dict[str, Counter[float]] = defaultdict(Counter)
+    for use in uses:
+        if use.client_account and use.tokens:
+            interval = use.at // INTERVAL_SECONDS + 1
+            end = interval * INTERVAL_SECONDS
+            tokens[use.client_account][end] += use.tokens
+    return {name: dict(charged) for name, charged in tokens.items()}
+
+
+def _drop_old(history: UsageHistory, now: float) -> None:
+    while history.uses and history.uses[0].at < now - WINDOW_SECONDS:
+        history.uses.popleft()
--- a/libs/relay/tests/membership.feature
+++ b/libs/relay/tests/membership.feature
@@ -127,6 +127,14 @@
     When it switches to a coordinator on another relay
     Then it reports its placement, then the end of its report, and then requests
 
+  Scenario: A new coordinator learns once what earlier ones granted
+    Guards against limits of accounts and cold upstreams that start anew with
+    each coordinator, and against use that is charged twice.
+    Given a relay that was granted 3 placements of 200 tokens by one coordinator
+    When it switches to a second coordinator, to a third and back to the second
+    Then the second and the third learned of 3 sends and 600 tokens once each
+    And a restarted second one learns of them again
+
   Scenario: A new coordinator learns the rate limits before any request
     Guards against a full load on an upstream that stated a limit, because the
     coordinator that knew it is gone.
--- a/libs/relay/tests/steps/changes.py
+++ b/libs/relay/tests/steps/changes.py
@@ -8,6 +8,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+import attrs
 from behave import given, then, when
 from gypsumrelay_clock import monotonic
 from gypsumrelay_dispatch import (
@@ -36,6 +37,13 @@
 from gypsumrelay_relay.registration import give_up_rank, register_again
 from gypsumrelay_relay.retry_history import GrantedRetry
 from gypsumrelay_relay.topics import RecordReader
+from gypsumrelay_relay.usage_history import (
+    UsageHistory,
+    record_use,
+    sends_by_upstream,
+    tokens_by_account,
+    transfer_uses,
+)
 from gypsumrelay_settings import DispatchSettings
 from gypsumrelay_wire import (
     Endpoint,
@@ -47,6 +55,9 @@
     PlaceRequest,
 )
 
+# Instant of the grants in a history of use.
+USED_AT = 100.0
+
 
 @given('a relay that gave up its rank')
 def give_unranked(context: Any) -> None:
@@ -227,6 +238,49 @@
     assert context.sent[1].places_told == 1
 
 
+@given(
+    'a relay that was granted {count:d} placements of {tokens:d} tokens by one '
+    'coordinator',
+)
+def give_uses(context: Any, count: int, tokens: int) -> None:
+    context.uses = UsageHistory()
+    for number in range(count):
+        request = attrs.evolve(
+            new_request(f'r{number}'),
+            client_account='account',
+            cost_tokens=tokens,
+        )
+        placement = Placement(request, 'up', '10.0.0.9:80')
+        record_use(context.uses, placement, 'first/a', USED_AT)
+
+
+@when('it switches to a second coordinator, to a third and back to the second')
+def switch_in_turn(context: Any) -> None:
+    context.told = [
+        transfer_uses(context.uses, name, USED_AT + 0.5)
+        for name in ('second/a', 'third/a', 'second/a')
+    ]
+
+
+@then(
+    'the second and the third learned of {count:d} sends and {tokens:d} tokens '
+    'once each',
+)
+def check_told(context: Any, count: int, tokens: int) -> None:
+    assert not context.told.pop()
+    for uses in context.told:
+        sends = sends_by_upstream(uses, USED_AT + 0.5)
+        assert sends == {'up': (USED_AT,) * count}
+        charges = tokens_by_account(uses)['account']
+        assert list(charges.values()) == [tokens]
+        assert min(charges) >= USED_AT
+
+
+@then('a restarted second one learns of them again')
+def check_told_again(context: Any) -> None:
+    assert transfer_uses(context.uses, 'second/b', USED_AT + 0.5)
+
+
 @given('it got a grant that names a limit of {limit:g} for its upstream')
 def give_limit(context: Any, limit: float) -> None:
     coordination = context.coordination
--- a/libs/wire/src/gypsumrelay_wire/__init__.py
+++ b/libs/wire/src/gypsumrelay_wire/__init__.py
@@ -79,6 +79,8 @@
     RecordsCopy,
     RecordsRequest,
     RepeatsUsed,
+    SendsUsed,
+    TokensUsed,
 )
 
 __all__ = (
@@ -127,12 +129,14 @@
     'Reserve',
     'Reserved',
     'Resume',
+    'SendsUsed',
     'SessionKeys',
     'Settle',
     'TokenGrant',
     'TokenRefusal',
     'TokenRequest',
     'Tokens',
+    'TokensUsed',
     'check_proof',
     'decode',
     'dial',
--- a/libs/wire/src/gypsumrelay_wire/codec.py
+++ b/libs/wire/src/gypsumrelay_wire/codec.py
@@ -26,11 +26,13 @@
     'bool': bool,
     'bytes': bytes,
     'list[bytes]': list,
+    'list[int]': list,
     'list[str]': list,
     'list[list[str]]': list,
 }
 _ELEMENT_TYPES: Final[dict[str, type]] = {
     'list[bytes]': bytes,
+    'list[int]': int,
     'list[str]': str,
     'list[list[str]]': list,
 }
--- a/libs/wire/src/gypsumrelay_wire/placements.py
+++ b/libs/wire/src/gypsumrelay_wire/placements.py
@@ -200,3 +200,33 @@
     upstream: str
     request_id: str
     attempt: int
+
+
+@attrs.frozen
+class SendsUsed(Message):
+    """Reports sends that a previous coordinator granted to the new one.
+
+    Attributes:
+        upstream: Name of the upstream that got them.
+        ages_ms: Time in milliseconds since each send.
+    """
+
+    tag: ClassVar[int] = 51
+    upstream: str
+    ages_ms: list[int]
+
+
+@attrs.frozen
+class TokensUsed(Message):
+    """Reports tokens that a previous coordinator charged to an account.
+
+    Attributes:
+        client_account: The account.
+        ages_ms: Time in milliseconds since each charge.
+        tokens: Tokens of each charge.
+    """
+
+    tag: ClassVar[int] = 52
+    client_account: str
+    ages_ms: list[int]
+    tokens: list[int]
--- a/libs/wire/tests/steps/links.py
+++ b/libs/wire/tests/steps/links.py
@@ -37,6 +37,7 @@
     'bool': True,
     'bytes': b'\x00\xff',
     'list[bytes]': [b'a'],
+    'list[int]': [1, 250],
     'list[str]': ['a', 'b'],
     'list[list[str]]': [['a', 'b']],
 }
