Drop old instants of sends also without a cold limit

Cause: the coordinator appended the instant of each send to its upstream and dropped old ones only where the service has a cold limit, so that its memory grew with every request to any other service.

Evidence: "The instants of old sends are dropped without a cold limit" before: 1,000 instants after 1,000 requests in 100 s; 20 are allowed.

--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
@@ -453,6 +453,7 @@
     prefill = choice.prefill.upstream if choice.prefill else None
     load = choice.upstream
     for chosen in filter(None, (load, choice.prefill)):
+        drop_old_sends(chosen, now)
         chosen.send_times.append(now)
         rate_limits.count_request(
             scheduler.rate_limits, chosen.upstream.name, now
--- a/libs/dispatch/tests/limits.feature
+++ b/libs/dispatch/tests/limits.feature
@@ -85,3 +85,8 @@
     Given a cold upstream that tolerates 17 requests per second
     When 80 prompts arrive each second while the coordinator changes 4 times in 7 seconds
     Then no second has more than 30 sends to it
+
+  Scenario: The instants of old sends are dropped without a cold limit
+    Guards against memory that grows with each request to a plain service.
+    Given 1 plain upstream that runs 1000 requests in 100 seconds
+    Then the instants of at most 20 sends are kept
--- a/libs/dispatch/tests/steps/handover.py
+++ b/libs/dispatch/tests/steps/handover.py
@@ -24,6 +24,7 @@
 from simulation import (
     Simulation,
     model_simulation,
+    plain_simulation,
     token_counts,
 )
 
@@ -42,6 +43,17 @@
     context.sim = sim
 
 
+@given('1 plain upstream that runs {count:d} requests in {seconds:d} seconds')
+def give_long_run(context: Any, count: int, seconds: int) -> None:
+    context.sim = plain_simulation(1, 10)
+    for _ in range(count):
+        context.sim.now += seconds / count
+        key = context.sim.submit().key
+        end_attempt(
+            context.sim.scheduler, key, Ending.answered, context.sim.now
+        )
+
+
 @when(
     'it sends {rate:d} requests of {tokens:d} tokens each second while the '
     'coordinator changes {count:d} times in {seconds:d} seconds',
@@ -91,6 +103,12 @@
         assert got <= most, got
 
 
+@then('the instants of at most {most:d} sends are kept')
+def check_dropped(context: Any, most: int) -> None:
+    load = next(iter(context.sim.scheduler.loads.values()))
+    assert 0 < len(load.send_times) <= most, len(load.send_times)
+
+
 def submit_with(fields: dict[str, Any], sim: Simulation) -> PlacementRequest:
     entry = f'entry-{sim.submitted % INSTANCES}'
     return sim.submit(**fields, entry=entry, wait_until=sim.now + 0.1)
