Hand rejected contents over to a new coordinator

What was wrong: a content that had crashed three upstreams could crash three more after each change of the coordinator.

Evidence: without the handover a new coordinator grants the content ("Content that crashes upstreams is not run by a new coordinator" finds no rejection).

Change: a relay keeps the contents whose requests were rejected for their crashes, for the time of the attribution, and reports them to a new coordinator before its requests.

What remains: counts below the bound, and a content that no living relay had rejected, start anew.

--- a/libs/dispatch/src/gypsumrelay_dispatch/crashes.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/crashes.py
@@ -15,10 +15,17 @@
 
 @attrs.define
 class CrashRecord:
-    """Crashed upstreams of one content, by name and start time."""
+    """Crashes of one content.
+
+    Attributes:
+        crashed_upstreams: Crashed upstreams, by name and start time.
+        expires_at: Instant at which the record expires.
+        restored_count: Crashes that an earlier coordinator attributed.
+    """
 
     crashed_upstreams: set[tuple[str, int]]
     expires_at: float
+    restored_count: int = 0
 
 
 @attrs.frozen
@@ -82,11 +89,25 @@
     record = crashes.records.pop(digest, None) or CrashRecord(set(), expires_at)
     record.crashed_upstreams.add(upstream)
     record.expires_at = expires_at
+    _keep(crashes, digest, record)
+
+
+def _keep(crashes: CrashHistory, digest: bytes, record: CrashRecord) -> None:
     crashes.records[digest] = record
     if len(crashes.records) > MAX_CONTENTS:
         crashes.records.pop(next(iter(crashes.records)))
 
 
+def restore_count(
+    crashes: CrashHistory, digest: bytes, count: int, expires_at: float
+) -> None:
+    """Restore the crashes that an earlier coordinator attributed."""
+    record = crashes.records.pop(digest, None) or CrashRecord(set(), expires_at)
+    record.restored_count = max(record.restored_count, count)
+    record.expires_at = max(record.expires_at, expires_at)
+    _keep(crashes, digest, record)
+
+
 def clear(crashes: CrashHistory, digest: bytes) -> None:
     """Clear a content that an upstream completed."""
     crashes.records.pop(digest, None)
@@ -98,4 +119,4 @@
     if record is None or now >= record.expires_at:
         crashes.records.pop(digest, None)
         return 0
-    return len(record.crashed_upstreams)
+    return max(len(record.crashed_upstreams), record.restored_count)
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
@@ -193,6 +193,25 @@
     accounts.restore_charges(scheduler.accounts, client_account, charges, now)
 
 
+def restore_quarantine(
+    scheduler: SchedulerState, digest: bytes, since: float, now: float
+) -> None:
+    """Reject a content that a previous coordinator rejected for its crashes.
+
+    Args:
+        scheduler: The coordinator's state.
+        digest: Digest of the content.
+        since: Instant of its first rejection.
+        now: The present instant.
+    """
+    settings = scheduler.settings
+    expires_at = since + settings.blame_seconds
+    if expires_at > now:
+        crashes.restore_count(
+            scheduler.crash_history, digest, settings.blame_after, expires_at
+        )
+
+
 def apply_rate_limit(
     scheduler: SchedulerState, upstream: str, per_second: float, now: float
 ) -> None:
--- a/libs/dispatch/tests/limits.feature
+++ b/libs/dispatch/tests/limits.feature
@@ -56,6 +56,14 @@
     When the same content arrives again
     Then it is rejected as not run
 
+  Scenario: Content that crashes upstreams is not run by a new coordinator
+    Guards against three more crashes after each change of the coordinator.
+    Given 4 plain upstreams that a request crashes one after the other
+    When the same content arrives again
+    And an instance reports its rejection to a new coordinator
+    Then the new coordinator rejects it as not run
+    But runs it after the time for which crashes are attributed
+
   Scenario: Content that an upstream completed is not quarantined
     Given 4 plain upstreams that a request crashes one after the other
     When the same content was completed before the last crash
--- a/libs/dispatch/tests/steps/handover.py
+++ b/libs/dispatch/tests/steps/handover.py
@@ -18,9 +18,11 @@
     apply_upstreams,
     end_attempt,
     restore_charges,
+    restore_quarantine,
     restore_sends,
     tick,
 )
+from gypsumrelay_errors import Outcome
 from simulation import (
     Simulation,
     model_simulation,
@@ -75,6 +77,30 @@
     context.granted = run(context.sim, submit, rate, count, seconds)
 
 
+@when('an instance reports its rejection to a new coordinator')
+def report_rejection(context: Any) -> None:
+    digest = context.last.digest
+    context.sim = plain_simulation(4, 4)
+    now = context.sim.now
+    restore_quarantine(context.sim.scheduler, digest, now - 1, now)
+    context.rejected = digest
+
+
+@then('the new coordinator rejects it as not run')
+def check_rejected(context: Any) -> None:
+    context.sim.submit(digest=context.rejected)
+    failure = context.sim.rejections()[0].failure
+    assert failure.code == 'request_quarantined'
+    assert failure.outcome is Outcome.not_run
+
+
+@then('runs it after the time for which crashes are attributed')
+def check_runs(context: Any) -> None:
+    context.sim.now += context.sim.scheduler.settings.blame_seconds
+    context.sim.submit(digest=context.rejected)
+    assert len(context.sim.grants()) == 1
+
+
 @then(
     'its tokens in each {seconds:d} seconds stay within {ratio:g} times its '
     'contract plus {slack:d}',
--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -11,7 +11,7 @@
 import msgpack
 from gypsumrelay_clock import monotonic
 from gypsumrelay_dispatch import Decision, Ending, PlacementRequest, Rejection
-from gypsumrelay_errors import Failure, LinkClosed
+from gypsumrelay_errors import Failure, LinkClosed, RequestQuarantined
 from gypsumrelay_settings import DispatchSettings
 from gypsumrelay_wire import (
     Endpoint,
@@ -43,6 +43,11 @@
     granted_placement,
     own_placement,
 )
+from gypsumrelay_relay.quarantine import (
+    Quarantine,
+    drop_expired,
+    record_rejection,
+)
 from gypsumrelay_relay.retry_history import (
     RetryHistory,
     record_retry,
@@ -99,6 +104,7 @@
         active: Granted placements in use, by request id and attempt.
         retries: Retries that were granted to this relay recently.
         uses: Use of limits that was granted to this relay recently.
+        quarantine: Contents that were rejected for their crashes.
         stated_limits: Rate limits of upstreams that this relay knows.
         settings: Policy of the coordinator, with the window of the retry
             budget.
@@ -122,6 +128,7 @@
     active: dict[tuple[str, int], Placement] = attrs.field(factory=dict)
     retries: RetryHistory = attrs.field(factory=RetryHistory)
     uses: UsageHistory = attrs.field(factory=UsageHistory)
+    quarantine: Quarantine = attrs.field(factory=Quarantine)
     stated_limits: StatedLimits = attrs.field(factory=StatedLimits)
     settings: DispatchSettings = attrs.field(factory=DispatchSettings)
     leader: str = ''
@@ -328,6 +335,9 @@
             self._tell(messages.SendsReported(upstream, sent_at))
         for account, charges in tokens_by_account(uses).items():
             self._tell(messages.ChargesReported(account, charges))
+        drop_expired(self.quarantine, self.settings.blame_seconds, now)
+        for digest, since in self.quarantine.since.items():
+            self._tell(messages.QuarantineReported(digest, since))
 
     def _tell(self, message: Any) -> None:
         """Tell the coordinator, here or on another relay; needs `lock`."""
@@ -357,9 +367,13 @@
             pending = self.pending.pop(key, None)
             if pending is None:
                 return
+            now = monotonic()
+            if isinstance(answer, RequestQuarantined):
+                seconds = self.settings.blame_seconds
+                digest = pending.request.digest
+                record_rejection(self.quarantine, digest, seconds, now)
             if isinstance(answer, Placement):
                 self.active[key] = answer
-                now = monotonic()
                 for upstream, per_second in answer.rate_limits.items():
                     self.stated_limits.learn(upstream, per_second, now)
                 record_use(self.uses, answer, self.leader_start, now)
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -90,6 +90,14 @@
     charges: Mapping[float, int]
 
 
+@attrs.frozen
+class QuarantineReported:
+    """A content that an earlier coordinator rejected for its crashes."""
+
+    digest: bytes
+    since: float
+
+
 @attrs.frozen
 class RateLimitStated:
     """An upstream states a rate limit.
@@ -202,6 +210,7 @@
     RetriesReported,
     SendsReported,
     ChargesReported,
+    QuarantineReported,
     RateLimitStated,
 )
 
@@ -290,6 +299,8 @@
             dispatch.restore_sends(scheduler, upstream, sent_at, now)
         case ChargesReported(client_account, charges):
             dispatch.restore_charges(scheduler, client_account, charges, now)
+        case QuarantineReported(digest, since):
+            dispatch.restore_quarantine(scheduler, digest, since, now)
         case RateLimitStated(upstream, per_second, is_new=True):
             dispatch.apply_rate_limit(scheduler, upstream, per_second, now)
         case RateLimitStated(upstream, per_second):
--- a/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
@@ -6,6 +6,7 @@
 from typing import Any, Final
 
 from gypsumrelay_wire import (
+    ContentQuarantined,
     LimitEnded,
     LimitStated,
     Message,
@@ -90,6 +91,8 @@
         case messages.ChargesReported(client_account, charges):
             ages = [_age_ms(at, now) for at in charges]
             return TokensUsed(client_account, ages, list(charges.values()))
+        case messages.QuarantineReported(digest, since):
+            return ContentQuarantined(digest, _age_ms(since, now))
     raise TypeError(type(message).__name__)
 
 
@@ -108,6 +111,10 @@
             for age, charged in zip(ages, tokens, strict=False):
                 charges[_instant(age, now)] += max(0, charged)
             return messages.ChargesReported(client_account, charges)
+        case ContentQuarantined(digest, rejected_ms):
+            return messages.QuarantineReported(
+                digest, _instant(rejected_ms, now)
+            )
     return None
 
 
--- a/libs/relay/tests/membership.feature
+++ b/libs/relay/tests/membership.feature
@@ -135,6 +135,13 @@
     Then the second and the third learned of 3 sends and 600 tokens once each
     And a restarted second one learns of them again
 
+  Scenario: A new coordinator learns which contents crash upstreams
+    Guards against three more crashes after each change of the coordinator.
+    Given a relay that has a placement and waits for another
+    And its content "poison" was rejected for the crashes that it caused
+    When it switches to a coordinator on another relay
+    Then it reports the content "poison" before it requests
+
   Scenario: A new coordinator learns the rate limits before any request
     Guards against a full load on an upstream that stated a limit, because the
     coordinator that knew it is gone.
--- a/libs/relay/tests/steps/changes.py
+++ b/libs/relay/tests/steps/changes.py
@@ -46,12 +46,14 @@
 )
 from gypsumrelay_settings import DispatchSettings
 from gypsumrelay_wire import (
+    ContentQuarantined,
     Endpoint,
     Heartbeat,
     Identity,
     LimitStated,
     PlaceGranted,
     PlaceHeld,
+    PlaceRefused,
     PlaceRequest,
 )
 
@@ -281,6 +283,27 @@
     assert transfer_uses(context.uses, 'second/b', USED_AT + 0.5)
 
 
+@given('its content "{content}" was rejected for the crashes that it caused')
+def give_rejected(context: Any, content: str) -> None:
+    coordination = context.coordination
+    request = attrs.evolve(new_request('r'), digest=content.encode())
+    pending = coordination.request_placement(request)
+    coordination.link = silent_link('earlier')
+    coordination.link.close = lambda reason: None
+    coordination.link.closed = threading.Event()
+    refused = PlaceRefused('r', 1, 'request_quarantined', 'crashes', 0)
+    coordination.on_message(coordination.link, refused)
+    assert pending.answers.get(timeout=1).code == 'request_quarantined'
+
+
+@then('it reports the content "{content}" before it requests')
+def check_content(context: Any, content: str) -> None:
+    kinds = [type(message) for message in context.sent]
+    reported = context.sent[kinds.index(ContentQuarantined)]
+    assert reported.digest == content.encode()
+    assert kinds.index(ContentQuarantined) < kinds.index(PlaceRequest)
+
+
 @given('it got a grant that names a limit of {limit:g} for its upstream')
 def give_limit(context: Any, limit: float) -> None:
     coordination = context.coordination
--- a/libs/wire/src/gypsumrelay_wire/__init__.py
+++ b/libs/wire/src/gypsumrelay_wire/__init__.py
@@ -68,6 +68,7 @@
     Tokens,
 )
 from gypsumrelay_wire.placements import (
+    ContentQuarantined,
     LimitEnded,
     LimitStated,
     PlaceEnded,
@@ -95,6 +96,7 @@
     'Claimed',
     'ConfigurationCopy',
     'ConfigurationRequest',
+    'ContentQuarantined',
     'CrashReport',
     'Decode',
     'Endpoint',
--- a/libs/wire/src/gypsumrelay_wire/placements.py
+++ b/libs/wire/src/gypsumrelay_wire/placements.py
@@ -230,3 +230,17 @@
     client_account: str
     ages_ms: list[int]
     tokens: list[int]
+
+
+@attrs.frozen
+class ContentQuarantined(Message):
+    """Reports a content that a previous coordinator rejected for its crashes.
+
+    Attributes:
+        digest: Digest of the content.
+        age_ms: Time in milliseconds since its first rejection.
+    """
+
+    tag: ClassVar[int] = 53
+    digest: bytes
+    age_ms: int
