Stop at the first upstream without a limit when a wait is computed

The wait for rate limits looked at all upstreams of a pool for each queued request on each tick. It ends at the first usable one without a limit, which is almost always the first.

--- a/libs/dispatch/src/gypsumrelay_dispatch/rate_limits.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/rate_limits.py
@@ -162,8 +162,8 @@
         now: The present instant.
 
     Returns:
-        The instant; `now` if one of the upstreams has no limit, infinity
-        without upstreams.
+        The instant; `now` if one of the upstreams has no limit, or without
+        upstreams. The first one without a limit ends the search.
     """
     buckets = []
     for name in upstreams:
@@ -173,7 +173,7 @@
         refill(limit.bucket, now)
         buckets.append(limit.bucket)
     if not buckets:
-        return float('inf')
+        return now
     level = sum(bucket.level for bucket in buckets)
     rate = sum(bucket.size.rate for bucket in buckets)
     first = min(available_at(bucket, 1, now) or now for bucket in buckets)
--- a/libs/dispatch/src/gypsumrelay_dispatch/selection.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/selection.py
@@ -19,7 +19,7 @@
 from gypsumrelay_dispatch.scheduler_state import SchedulerState, is_usable
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
 # Score penalty of a decode upstream outside the prefill upstream's zone, as a
 # part of engine memory: a KV cache transfer takes twice as long between
@@ -67,7 +67,7 @@
 
     Suspended upstreams are included only if there are no others.
     """
-    found = _usable(scheduler, request, phase, now)
+    found = list(_usable(scheduler, request, phase, now))
     healthy = [load for load in found if load.suspended_until <= now]
     return _within_limits(scheduler, request, healthy or found, now)
 
@@ -77,15 +77,15 @@
     request: PlacementRequest,
     phase: Phase,
     now: float,
-) -> list[Load]:
-    return [
+) -> Iterator[Load]:
+    return (
         load
         for load in scheduler.loads.values()
         if is_in_pool(load, request.service, phase)
         and load.upstream.name not in request.excluded
         and not load.is_changing(now)
         and is_usable(scheduler, load, now)
-    ]
+    )
 
 
 def _within_limits(
@@ -131,9 +131,7 @@
         return now
     phase = Phase.decode if request.prompt_tokens else Phase.plain
     usable = _usable(scheduler, request, phase, now)
-    names = [load.upstream.name for load in usable]
-    if not names:
-        return now
+    names = (load.upstream.name for load in usable)
     return accepted_at(scheduler.rate_limits, names, ahead, now)
 
 
@@ -161,7 +159,7 @@
 def _choose_pair(
     scheduler: SchedulerState, request: PlacementRequest, now: float
 ) -> Choice | None:
-    prefill_loads = _usable(scheduler, request, Phase.prefill, now)
+    prefill_loads = list(_usable(scheduler, request, Phase.prefill, now))
     healthy = [load for load in prefill_loads if load.suspended_until <= now]
     if not healthy:
         direct = _choose_direct(scheduler, request, now)
