Add reported charges up by interval at the new coordinator

Each relay's charges were kept under their own instants, so that the cost of a report grew with the relays that had reported before. Charges of the same 0.2 s are one entry now, at most 50 for an account.

--- a/libs/dispatch/src/gypsumrelay_dispatch/accounts.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/accounts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter, defaultdict
 from typing import TYPE_CHECKING, Final
 
@@ -16,6 +17,9 @@
 # Seconds for which charges of earlier coordinators are kept, so that later
 # reports of other instances are added to them.
 RESTORED_SECONDS: Final = 10.0
+# Interval in seconds over which these charges are added up; bounds their number
+# in large fleets.
+INTERVAL_SECONDS: Final = 0.2
 
 
 @attrs.define
@@ -130,10 +134,16 @@
         if at < now - RESTORED_SECONDS:
             restored.pop(at)
     bucket.level += _deficit(restored, bucket.size.rate, now)
-    restored.update(charges)
+    for at, tokens in charges.items():
+        restored[_interval_end(at)] += tokens
     bucket.level -= _deficit(restored, bucket.size.rate, now)
 
 
+def _interval_end(at: float) -> float:
+    """Return the end of the interval, so that no charge counts as older."""
+    return math.ceil(at / INTERVAL_SECONDS) * INTERVAL_SECONDS
+
+
 def _deficit(charges: Mapping[float, int], rate: float, now: float) -> float:
     """Return the tokens by which a full bucket falls below its burst."""
     total = 0
--- a/libs/relay/src/gypsumrelay_relay/usage_history.py
+++ b/libs/relay/src/gypsumrelay_relay/usage_history.py
@@ -15,7 +15,7 @@
 # Seconds for which sends are reported: the window of the cold limit.
 SENDS_SECONDS: Final = 1.0
 # Interval in seconds over which the tokens of an account are added up.
-INTERVAL_SECONDS: Final = 0.1
+INTERVAL_SECONDS: Final = 0.2
 
 
 @attrs.frozen
