--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -3,6 +3,14 @@
 from gypsumrelay_dispatch.forecast import (
     expected_output_tokens,
 )
+from gypsumrelay_dispatch.handover import (
+    restore_charges,
+    restore_placement,
+    restore_quarantine,
+    restore_rate_limit,
+    restore_retries,
+    restore_sends,
+)
 from gypsumrelay_dispatch.loads import (
     ActivePlacement,
     Load,
@@ -22,6 +30,9 @@
 from gypsumrelay_dispatch.queueing import (
     queue_deadline,
 )
+from gypsumrelay_dispatch.rate_limits import (
+    UNLISTED_SECONDS,
+)
 from gypsumrelay_dispatch.rebalancing import (
     PhaseChange,
     plan_phase_change,
@@ -44,16 +55,11 @@
     reject_failed,
     remove_instance,
     request_placement,
-    restore_charges,
-    restore_placement,
-    restore_quarantine,
-    restore_rate_limit,
-    restore_retries,
-    restore_sends,
     tick,
 )
 
 __all__ = (
+    'UNLISTED_SECONDS',
     'AccountLimits',
     'ActivePlacement',
     'Decision',
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections import Counter, deque
+from collections import Counter
 from functools import partial
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 from gypsumrelay_errors import NoUpstream, Overloaded
 
@@ -66,9 +66,6 @@
     rate_limited_until,
 )
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
-
 # Prefill time at a decode upstream relative to a prefill upstream, which does
 # not decode at the same time.
 DIRECT_PREFILL_SLOWDOWN: Final = 2.5
@@ -132,14 +129,6 @@
     )
 
 
-def restore_placement(
-    scheduler: SchedulerState, placement: ActivePlacement
-) -> None:
-    """Restore a placement that a previous coordinator granted."""
-    placement.is_restored = True
-    add_placement(scheduler, placement)
-
-
 def complete_report(
     scheduler: SchedulerState,
     entry: str,
@@ -153,65 +142,6 @@
     return serve(scheduler, now)
 
 
-def restore_retries(
-    scheduler: SchedulerState,
-    service: str,
-    count: int,
-    now: float,
-) -> None:
-    """Count retries that a previous coordinator granted, as of now."""
-    retry_budget.count_retries(scheduler.retry_budget(service), count, now)
-
-
-def restore_sends(
-    scheduler: SchedulerState,
-    upstream: str,
-    sent_at: Iterable[float],
-    now: float,
-) -> None:
-    """Count sends to an upstream that a previous coordinator granted."""
-    load = scheduler.loads.get(upstream)
-    if load is not None:
-        load.send_times = deque(sorted((*load.send_times, *sent_at)))
-        drop_old_sends(load, now)
-
-
-def restore_charges(
-    scheduler: SchedulerState,
-    client_account: str,
-    charges: Mapping[float, int],
-    now: float,
-) -> None:
-    """Charge an account for what a previous coordinator admitted.
-
-    Args:
-        scheduler: The coordinator's state.
-        client_account: The account.
-        charges: Charged tokens, by instant.
-        now: The present instant.
-    """
-    accounts.restore_charges(scheduler.accounts, client_account, charges, now)
-
-
-def restore_quarantine(
-    scheduler: SchedulerState, digest: bytes, since: float, now: float
-) -> None:
-    """Reject a content that a previous coordinator rejected for its crashes.
-
-    Args:
-        scheduler: The coordinator's state.
-        digest: Digest of the content.
-        since: Instant of its first rejection.
-        now: The present instant.
-    """
-    settings = scheduler.settings
-    expires_at = since + settings.blame_seconds
-    if expires_at > now:
-        crashes.restore_count(
-            scheduler.crash_history, digest, settings.blame_after, expires_at
-        )
-
-
 def apply_rate_limit(
     scheduler: SchedulerState, upstream: str, per_second: float, now: float
 ) -> None:
@@ -219,13 +149,6 @@
     rate_limits.state_limit(scheduler.rate_limits, upstream, per_second, now)
 
 
-def restore_rate_limit(
-    scheduler: SchedulerState, upstream: str, per_second: float, now: float
-) -> None:
-    """Apply a rate limit that an instance learned before."""
-    rate_limits.restore_limit(scheduler.rate_limits, upstream, per_second, now)
-
-
 def end_rate_limit(
     scheduler: SchedulerState,
     upstream: str,
--- a/libs/relay/src/gypsumrelay_relay/stated_limits.py
+++ b/libs/relay/src/gypsumrelay_relay/stated_limits.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import threading
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 import attrs
+from gypsumrelay_dispatch import UNLISTED_SECONDS
 from logbook import Logger
 
 from gypsumrelay_relay import state_events
@@ -15,10 +16,6 @@
 
 log = Logger('limits')
 
-# Seconds for which the limit of an upstream is kept that is no longer listed:
-# its entry may only have expired during an outage of the store.
-UNLISTED_SECONDS: Final = 60.0
-
 
 @attrs.frozen
 class StatedLimit:
