Keep the retry budget when coordinators die

What was wrong: the retries of a relay that died together with its coordinator's count were granted once more.

A new coordinator adds up what the living relays were granted; nobody reports for a relay that is gone.

Change: the grant of a retry tells how many are counted for its service, and each relay reports the highest number that it knows beside its own count. The new coordinator takes the larger of the sum and the highest total.

What remains: retries that were granted to the dead relay after the last one of any other relay.

--- a/libs/dispatch/src/gypsumrelay_dispatch/handover.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/handover.py
@@ -27,11 +27,23 @@
 def restore_retries(
     scheduler: SchedulerState,
     service: str,
-    count: int,
+    own: int,
+    total: int,
     now: float,
 ) -> None:
-    """Count retries that a previous coordinator granted, as of now."""
-    retry_budget.count_retries(scheduler.retry_budget(service), count, now)
+    """Count retries that a previous coordinator granted, as of now.
+
+    Args:
+        scheduler: The coordinator's state.
+        service: Service that the retries were granted to.
+        own: Retries that the reporting instance was granted.
+        total: Retries of all instances, as far as that instance knows.
+        now: The present instant.
+    """
+    expires_at = now + scheduler.settings.repeat_window_seconds
+    retry_budget.restore_retries(
+        scheduler.retry_budget(service), own, total, expires_at, now
+    )
 
 
 def restore_sends(
--- a/libs/dispatch/src/gypsumrelay_dispatch/models.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/models.py
@@ -170,6 +170,7 @@
         list_position: Position of the list of upstreams.
         rate_limits: Rate limits in force at these upstreams in requests per
             second, by upstream.
+        retries_used: Retries of the service that are counted in the window.
     """
 
     request: PlacementRequest
@@ -179,6 +180,7 @@
     load: int
     list_position: int
     rate_limits: Mapping[str, float] = attrs.field(factory=dict)
+    retries_used: int = 0
 
 
 @attrs.frozen
--- a/libs/dispatch/src/gypsumrelay_dispatch/retry_budget.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/retry_budget.py
@@ -20,12 +20,36 @@
     slack: float
 
 
+@attrs.define
+class RestoredRetries:
+    """Retries of earlier coordinators, as reported by instances.
+
+    Attributes:
+        own: Sum of the retries that each instance was granted.
+        total: Highest number of retries of all instances that one knew of.
+        counted: Retries that were counted for these reports.
+        expires_at: Instant from which a report starts a new sum.
+    """
+
+    own: int = 0
+    total: int = 0
+    counted: int = 0
+    expires_at: float = float('-inf')
+
+
 @attrs.define
 class RetryBudget:
-    """Instants of a service's first sends and retries within the window."""
+    """Instants of a service's first sends and retries within the window.
+
+    Attributes:
+        first_sends: Instants of first sends.
+        retries: Instants of retries.
+        restored: Retries of earlier coordinators.
+    """
 
     first_sends: deque[float] = attrs.field(factory=deque)
     retries: deque[float] = attrs.field(factory=deque)
+    restored: RestoredRetries = attrs.field(factory=RestoredRetries)
 
 
 def count_first_send(budget: RetryBudget, now: float) -> None:
@@ -47,6 +71,31 @@
     budget.retries.extend(now for _ in range(count))
 
 
+def restore_retries(
+    budget: RetryBudget, own: int, total: int, expires_at: float, now: float
+) -> None:
+    """Count retries of earlier coordinators that an instance reports.
+
+    The sum of all reports lacks the retries of instances that are gone; the
+    total that one of the others knew includes most of them.
+
+    Args:
+        budget: The budget.
+        own: Retries that the instance was granted.
+        total: Retries of all instances, as far as it knows.
+        expires_at: Instant from which a report starts a new sum.
+        now: The present instant.
+    """
+    if now >= budget.restored.expires_at:
+        budget.restored = RestoredRetries(expires_at=expires_at)
+    restored = budget.restored
+    restored.own += own
+    restored.total = max(restored.total, total)
+    missing = max(restored.own, restored.total) - restored.counted
+    restored.counted += missing
+    count_retries(budget, missing, now)
+
+
 def spend_retries(
     budget: RetryBudget,
     limit: RetryLimit,
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
@@ -433,6 +433,7 @@
             for name in (placement.upstream, placement.prefill)
             if name in scheduler.rate_limits
         },
+        len(scheduler.retry_budget(request.service).retries),
     )
 
 
--- a/libs/dispatch/tests/limits.feature
+++ b/libs/dispatch/tests/limits.feature
@@ -44,6 +44,13 @@
     When 100 requests within 5 seconds are all retried
     Then at most 25 of the retries are placed
 
+  Scenario: Retries stay within the budget while coordinators die
+    Guards against retries that only the coordinator and the instance that
+    died with it had counted.
+    Given a service with a retry ratio of 0.2 and a slack of 58
+    When 8 requests each second are all retried for 24 seconds while 3 coordinators die
+    Then the retries in each 10 seconds stay within the budget
+
   Scenario: Prompts that are prefilled again take two retries
     Guards against a burst of failing prompts whose second prefill and second
     decode are counted as one retry.
--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -318,9 +318,8 @@
                 messages.PlacementReported(own_placement(placement, now))
             )
         window = self.settings.repeat_window_seconds
-        counts = transfer_retries(self.retries, self.leader, window, now)
-        for service, count in counts.items():
-            self._tell(messages.RetriesReported(service, count))
+        for report in transfer_retries(self.retries, self.leader, window, now):
+            self._tell(messages.RetriesReported(*attrs.astuple(report)))
         self._report_uses(now)
         if self.link is None:
             _complete_report(self, self.name, now)
@@ -377,7 +376,7 @@
                 for upstream, per_second in answer.rate_limits.items():
                     self.stated_limits.learn(upstream, per_second, now)
                 record_use(self.uses, answer, self.leader_start, now)
-                record_retry(self.retries, answer.request, self.leader, now)
+                record_retry(self.retries, answer, self.leader, now)
         pending.answers.put(answer)
 
 
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -68,10 +68,17 @@
 
 @attrs.frozen
 class RetriesReported:
-    """Retries that an earlier coordinator granted to a service."""
+    """Retries that an earlier coordinator granted to a service.
+
+    Attributes:
+        service: The service.
+        count: Retries that the reporting relay was granted.
+        total: Retries of all relays, as far as that relay knows.
+    """
 
     service: str
     count: int
+    total: int
 
 
 @attrs.frozen
@@ -293,8 +300,8 @@
     match message:
         case PlacementReported(placement):
             dispatch.restore_placement(scheduler, placement)
-        case RetriesReported(service, count):
-            dispatch.restore_retries(scheduler, service, count, now)
+        case RetriesReported(service, count, total):
+            dispatch.restore_retries(scheduler, service, count, total, now)
         case SendsReported(upstream, sent_at):
             dispatch.restore_sends(scheduler, upstream, sent_at, now)
         case ChargesReported(client_account, charges):
--- a/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
@@ -82,8 +82,8 @@
     match message:
         case messages.PlacementReported(placement):
             return report_message(placement)
-        case messages.RetriesReported(service, count):
-            return RepeatsUsed(service, count)
+        case messages.RetriesReported(service, count, total):
+            return RepeatsUsed(service, count, total)
         case messages.RateLimitStated(upstream, per_second, is_new):
             return LimitStated(upstream, rate_to_wire(per_second), is_new)
         case messages.SendsReported(upstream, sent_at):
@@ -98,8 +98,8 @@
 
 def _report_from_wire(message: Message, now: float) -> Any:
     match message:
-        case RepeatsUsed(service, count):
-            return messages.RetriesReported(service, count)
+        case RepeatsUsed(service, count, total):
+            return messages.RetriesReported(service, count, total)
         case LimitStated(upstream, rate, is_new):
             per_second = rate_from_wire(max(0, rate))
             return messages.RateLimitStated(upstream, per_second, is_new)
--- a/libs/relay/src/gypsumrelay_relay/placement.py
+++ b/libs/relay/src/gypsumrelay_relay/placement.py
@@ -61,6 +61,7 @@
         list_position: Position of the list of upstreams that was used.
         rate_limits: Rate limits in force at these upstreams in requests per
             second, by upstream.
+        retries_used: Retries of the service that the coordinator counted.
     """
 
     request: PlacementRequest
@@ -72,6 +73,7 @@
     waited_ms: int = 0
     list_position: int = -1
     rate_limits: Mapping[str, float] = attrs.field(factory=dict)
+    retries_used: int = 0
 
 
 def granted_placement(grant: Grant) -> Placement:
@@ -87,6 +89,7 @@
         int(grant.waited_seconds * MS_PER_SECOND),
         grant.list_position,
         grant.rate_limits,
+        grant.retries_used,
     )
 
 
@@ -169,6 +172,7 @@
         placement.list_position,
         rate_to_wire(placement.rate_limits.get(placement.upstream)),
         rate_to_wire(placement.rate_limits.get(placement.prefill)),
+        placement.retries_used,
     )
 
 
@@ -202,6 +206,7 @@
             for name, rate in rates.items()
             if name and rate >= 0
         },
+        message.repeats_used,
     )
 
 
--- a/libs/relay/src/gypsumrelay_relay/retry_history.py
+++ b/libs/relay/src/gypsumrelay_relay/retry_history.py
@@ -9,7 +9,7 @@
 from gypsumrelay_dispatch import retry_count
 
 if TYPE_CHECKING:
-    from gypsumrelay_dispatch import PlacementRequest
+    from gypsumrelay_relay.placement import Placement
 
 
 @attrs.frozen
@@ -21,12 +21,29 @@
         coordinator: Name of the coordinator that counts them.
         service: The service that they were granted to.
         count: Number of retries.
+        total: Retries of all relays that the coordinator counted then.
     """
 
     granted_at: float
     coordinator: str
     service: str
     count: int
+    total: int = 0
+
+
+@attrs.frozen
+class RetryReport:
+    """Retries of a service that a new coordinator is told of.
+
+    Attributes:
+        service: The service.
+        count: Retries that this relay was granted.
+        total: Retries of all relays, as far as this relay knows.
+    """
+
+    service: str
+    count: int
+    total: int
 
 
 @attrs.define
@@ -42,16 +59,21 @@
 
 def record_retry(
     history: RetryHistory,
-    request: PlacementRequest,
+    placement: Placement,
     coordinator: str,
     now: float,
 ) -> None:
     """Record the placement of a second or later attempt."""
+    request = placement.request
     if request.attempt > 1:
-        count = retry_count(request)
-        history.grants.append(
-            GrantedRetry(now, coordinator, request.service, count)
+        granted = GrantedRetry(
+            now,
+            coordinator,
+            request.service,
+            retry_count(request),
+            placement.retries_used,
         )
+        history.grants.append(granted)
 
 
 def transfer_retries(
@@ -59,8 +81,8 @@
     coordinator: str,
     window_seconds: float,
     now: float,
-) -> Counter[str]:
-    """Return the retries that other coordinators granted, by service.
+) -> list[RetryReport]:
+    """Return the retries that other coordinators granted.
 
     The named coordinator counts them from now on. Grants from before the window
     are dropped.
@@ -69,10 +91,16 @@
     while history.grants and history.grants[0].granted_at < start:
         history.grants.popleft()
     counts: Counter[str] = Counter()
+    totals: dict[str, int] = {}
     for granted in history.grants:
         if granted.coordinator != coordinator:
-            counts[granted.service] += granted.count
+            service = granted.service
+            counts[service] += granted.count
+            totals[service] = max(totals.get(service, 0), granted.total)
     history.grants = deque(
         attrs.evolve(grant, coordinator=coordinator) for grant in history.grants
     )
-    return counts
+    return [
+        RetryReport(service, count, totals[service])
+        for service, count in counts.items()
+    ]
--- a/libs/relay/tests/steps/changes.py
+++ b/libs/relay/tests/steps/changes.py
@@ -184,7 +184,13 @@
     now = monotonic()
     for message in context.messages:
         if isinstance(message, RetriesReported):
-            restore_retries(scheduler, message.service, message.count, now)
+            restore_retries(
+                scheduler,
+                message.service,
+                message.count,
+                message.total,
+                now,
+            )
     assert len(scheduler.retry_budget('service').retries) == count
 
 
--- a/libs/wire/src/gypsumrelay_wire/placements.py
+++ b/libs/wire/src/gypsumrelay_wire/placements.py
@@ -82,6 +82,7 @@
         rate_limit: Rate limit of the upstream in requests per 1,000 seconds;
             -1 without one.
         prefill_rate_limit: Rate limit of the prefill upstream, likewise.
+        repeats_used: Retries of the service that are counted in the window.
     """
 
     tag: ClassVar[int] = 41
@@ -96,6 +97,7 @@
     list_position: int = -1
     rate_limit: int = -1
     prefill_rate_limit: int = -1
+    repeats_used: int = 0
 
 
 @attrs.frozen
@@ -168,11 +170,18 @@
 
 @attrs.frozen
 class RepeatsUsed(Message):
-    """Reports retries that a previous coordinator granted to the new one."""
+    """Reports retries that a previous coordinator granted to the new one.
+
+    Attributes:
+        service: Service that they were granted to.
+        count: Retries that the sender was granted.
+        total: Retries of all instances, as far as the sender knows.
+    """
 
     tag: ClassVar[int] = 48
     service: str
     count: int
+    total: int = 0
 
 
 @attrs.frozen
