--- a/libs/dispatch/src/gypsumrelay_dispatch/rate_limits.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/rate_limits.py
@@ -20,9 +20,7 @@
 # Requests per second at which an upstream is tried that accepts fewer: only an
 # answer shows that a limit has ended.
 MIN_RATE: Final = 0.1
-# Seconds of its rate that an upstream may get at once after a pause. Together
-# with a second of overlap between two coordinators, the sum stays below one and
-# a half times the limit.
+# Seconds of its rate that an upstream may get at once after a pause.
 BURST_SECONDS: Final = 0.5
 # Seconds for which the limit of an upstream is kept that is no longer listed:
 # its entry may only have expired during an outage of the store.
