Reject at once beside a suspended upstream

What was wrong: a request whose healthy upstreams were at their rate limits waited in vain while another upstream without a limit was suspended, since that one counted as free. It gets requests only where there is no other.

Evidence: "A suspended upstream is awaited only while that helps" on the code before: no answer for a suspension of 3 s and a wait of 0.4 s.

Change: the delay ends with the limits of the healthy upstreams or with the suspension of one without a limit, whichever comes first.

--- a/libs/dispatch/src/gypsumrelay_dispatch/selection.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/selection.py
@@ -125,14 +125,31 @@
 
     Returns:
         The instant; `now` without a delay. Prefill is not considered, since
-        decode upstreams can prefill as well.
+        decode upstreams can prefill as well. A suspended upstream without a
+        limit ends the delay with its suspension.
     """
-    if not scheduler.rate_limits:
+    limits = scheduler.rate_limits
+    if not limits:
         return now
     phase = Phase.decode if request.prompt_tokens else Phase.plain
-    usable = _usable(scheduler, request, phase, now)
-    names = (load.upstream.name for load in usable)
-    return accepted_at(scheduler.rate_limits, names, ahead, now)
+    healthy = []
+    suspended = []
+    for load in _usable(scheduler, request, phase, now):
+        if load.suspended_until > now:
+            suspended.append(load)
+        elif load.upstream.name in limits:
+            healthy.append(load.upstream.name)
+        else:
+            return now
+    ends = [
+        other.suspended_until
+        for other in suspended
+        if other.upstream.name not in limits
+    ]
+    if not healthy:
+        names = [other.upstream.name for other in suspended]
+        return accepted_at(limits, names, ahead, now)
+    return min((accepted_at(limits, healthy, ahead, now), *ends))
 
 
 def prefill_estimate_ms(
--- a/libs/dispatch/tests/rate_limits.feature
+++ b/libs/dispatch/tests/rate_limits.feature
@@ -23,6 +23,19 @@
     When 2 requests that can wait for 0.4 seconds arrive
     Then the second one is placed within 0.3 seconds
 
+  Scenario Outline: A suspended upstream is awaited only while that helps
+    Guards against a wait for an upstream that stays suspended for longer than
+    the request can wait.
+    Given 2 plain upstreams, of which plain-0 states a limit of 0.5
+    And plain-1 is suspended for <seconds> seconds
+    When 2 requests that can wait for 0.4 seconds arrive
+    Then the second one is <result>
+
+    Examples:
+      | seconds | result                          |
+      | 3       | rejected at once, as not run    |
+      | 0.2     | placed within 0.3 seconds       |
+
   Scenario: Prefill and decode upstreams have limits of their own
     Given a prefill and 2 decode upstreams, of which prefill-0 states a limit of 1
     When 8 prompts arrive in 2 seconds
--- a/libs/dispatch/tests/steps/rate_limits.py
+++ b/libs/dispatch/tests/steps/rate_limits.py
@@ -63,6 +63,12 @@
     state(context.sim, name, limit)
 
 
+@given('{name} is suspended for {seconds:g} seconds')
+def give_suspended(context: Any, name: str, seconds: float) -> None:
+    sim = context.sim
+    sim.scheduler.loads[name].suspended_until = sim.now + seconds
+
+
 @given('1 plain upstream with {count:d} running requests')
 def give_running(context: Any, count: int) -> None:
     give_plain(context, 1)
