Handle reports without a pass over the queue

What was wrong: a new coordinator made a pass over its whole queue for each report, of which there are now more: about 1,200 for 68 relays.

"A report to a new coordinator causes no pass over its queue" fails on the code before.

Change: reports only add use, so that nothing can be granted because of them; the end of a relay's report and the tick every 50 ms serve the queue.

Measured: the scenarios of libs/relay, rate_limits and soak pass.

--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -272,7 +272,9 @@
             case RelayUnreachable(entry):
                 return dispatch.remove_instance(scheduler, entry, now)
             case _ if isinstance(message, REPORTS):
+                # A report frees no capacity, so that the queue is not served.
                 _apply_report(scheduler, message, now)
+                return []
             case _:
                 _apply_update(scheduler, message, now)
         return dispatch.tick(scheduler, now)
--- a/libs/relay/tests/membership.feature
+++ b/libs/relay/tests/membership.feature
@@ -142,6 +142,12 @@
     When it switches to a coordinator on another relay
     Then it reports the content "poison" before it requests
 
+  Scenario: A report to a new coordinator causes no pass over its queue
+    Guards against a new coordinator of a large fleet that spends its processor
+    time on the reports of all relays.
+    When a coordinator gets reports of sends, charges, retries and limits
+    Then it made no pass over its queue
+
   Scenario: A new coordinator learns the rate limits before any request
     Guards against a full load on an upstream that stated a limit, because the
     coordinator that knew it is gone.
--- a/libs/relay/tests/steps/changes.py
+++ b/libs/relay/tests/steps/changes.py
@@ -18,6 +18,7 @@
 )
 from gypsumrelay_errors import Overloaded
 from gypsumrelay_relay import coordination as module
+from gypsumrelay_relay import coordinator as coordinator_module
 from gypsumrelay_relay.coordination import Coordination
 from gypsumrelay_relay.coordinator import Coordinator, RetriesReported
 from gypsumrelay_relay.heartbeats import (
@@ -310,6 +311,33 @@
     assert kinds.index(ContentQuarantined) < kinds.index(PlaceRequest)
 
 
+@when('a coordinator gets reports of sends, charges, retries and limits')
+def send_reports(context: Any) -> None:
+    scheduler = SchedulerState(DispatchSettings())
+    actor = Coordinator.start(scheduler, lambda decision: None)
+    context.add_cleanup(actor.stop)
+    usual = coordinator_module.dispatch.tick
+    context.passes = []
+    coordinator_module.dispatch.tick = lambda *given: context.passes.append(
+        given
+    )
+    context.add_cleanup(setattr, coordinator_module.dispatch, 'tick', usual)
+    for message in (
+        coordinator_module.SendsReported('up', (1.0,)),
+        coordinator_module.ChargesReported('account', {}),
+        RetriesReported('service', 1, 1),
+        coordinator_module.RateLimitStated('up', 2, is_new=False),
+    ):
+        actor.tell(message)
+    context.figures = actor.ask(coordinator_module.GetFigures())
+
+
+@then('it made no pass over its queue')
+def check_no_pass(context: Any) -> None:
+    assert context.figures['rate_limits'] == {'up': 2}
+    assert not context.passes
+
+
 @given('it got a grant that names a limit of {limit:g} for its upstream')
 def give_limit(context: Any, limit: float) -> None:
     coordination = context.coordination
