Keep one history of use for all limits

What was wrong: a coordinator that restarted under its name and coordinated again was told of no retry that it had granted before.

Cause: retries and the other use of limits were handed over by two mechanisms. The one for retries knew coordinators by name only; the one for sends and charges also by incarnation.

Change: retry_history is gone; usage_history has the retries. leader_id replaces leader_start. The coordinator's messages RateLimitReported and RateLimitEndReported no longer have the names of two log events.

--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -48,15 +48,12 @@
     drop_expired,
     record_rejection,
 )
-from gypsumrelay_relay.retry_history import (
-    RetryHistory,
-    record_retry,
-    transfer_retries,
-)
 from gypsumrelay_relay.stated_limits import StatedLimits
 from gypsumrelay_relay.usage_history import (
     UsageHistory,
+    drop_old_uses,
     record_use,
+    retries_by_service,
     sends_by_upstream,
     tokens_by_account,
     transfer_uses,
@@ -102,14 +99,13 @@
         pending: Placement requests without an answer, by request id and
             attempt.
         active: Granted placements in use, by request id and attempt.
-        retries: Retries that were granted to this relay recently.
         uses: Use of limits that was granted to this relay recently.
         quarantine: Contents that were rejected for their crashes.
         stated_limits: Rate limits of upstreams that this relay knows.
         settings: Policy of the coordinator, with the window of the retry
             budget.
         leader: Name of the current coordinator; empty if there is none.
-        leader_start: Name and incarnation of the last coordinator.
+        leader_id: Name and incarnation of the last coordinator.
         link: Link to the coordinator; None if this relay coordinates.
         incoming: Links that other relays opened to this one, by relay.
         on_elected: Called when this relay becomes the coordinator.
@@ -126,13 +122,12 @@
     endpoint: Endpoint = attrs.field(init=False)
     pending: dict[tuple[str, int], PendingRequest] = attrs.field(factory=dict)
     active: dict[tuple[str, int], Placement] = attrs.field(factory=dict)
-    retries: RetryHistory = attrs.field(factory=RetryHistory)
     uses: UsageHistory = attrs.field(factory=UsageHistory)
     quarantine: Quarantine = attrs.field(factory=Quarantine)
     stated_limits: StatedLimits = attrs.field(factory=StatedLimits)
     settings: DispatchSettings = attrs.field(factory=DispatchSettings)
     leader: str = ''
-    leader_start: str = ''
+    leader_id: str = ''
     link: Link | None = None
     incoming: dict[str, Link] = attrs.field(factory=dict)
     on_elected: Callable[[], None] = do_nothing
@@ -176,10 +171,12 @@
             if not limits.record_answer(upstream, per_second, monotonic()):
                 return
             if per_second is None:
-                self._tell(messages.RateLimitEnded(upstream, key))
+                self._tell(messages.RateLimitEndReported(upstream, key))
             else:
                 self._tell(
-                    messages.RateLimitStated(upstream, per_second, is_new=True)
+                    messages.RateLimitReported(
+                        upstream, per_second, is_new=True
+                    )
                 )
 
     def deliver_answer(self, decision: Decision) -> None:
@@ -288,7 +285,7 @@
                 # relay's own coordinator must not count them, too.
                 self.actor.tell(messages.RelayUnreachable(self.name))
             self.leader = chosen.name
-            self.leader_start = f'{chosen.name}/{chosen.incarnation}'
+            self.leader_id = f'{chosen.name}/{chosen.incarnation}'
             change = state_events.CoordinatorChanged(
                 chosen.name,
                 chosen.seniority,
@@ -311,15 +308,12 @@
         """
         for upstream, per_second in self.stated_limits.current().items():
             self._tell(
-                messages.RateLimitStated(upstream, per_second, is_new=False)
+                messages.RateLimitReported(upstream, per_second, is_new=False)
             )
         for placement in self.active.values():
             self._tell(
                 messages.PlacementReported(own_placement(placement, now))
             )
-        window = self.settings.repeat_window_seconds
-        for report in transfer_retries(self.retries, self.leader, window, now):
-            self._tell(messages.RetriesReported(*attrs.astuple(report)))
         self._report_uses(now)
         if self.link is None:
             _complete_report(self, self.name, now)
@@ -329,12 +323,16 @@
             self._tell(messages.PlacementRequested(pending.request))
 
     def _report_uses(self, now: float) -> None:
-        uses = transfer_uses(self.uses, self.leader_start, now)
+        settings = self.settings
+        drop_old_uses(self.uses, settings, now)
+        uses = transfer_uses(self.uses, self.leader_id)
+        for report in retries_by_service(uses, settings, now):
+            self._tell(messages.RetriesReported(*attrs.astuple(report)))
         for upstream, sent_at in sends_by_upstream(uses, now).items():
             self._tell(messages.SendsReported(upstream, sent_at))
         for account, charges in tokens_by_account(uses).items():
             self._tell(messages.ChargesReported(account, charges))
-        drop_expired(self.quarantine, self.settings.blame_seconds, now)
+        drop_expired(self.quarantine, settings.blame_seconds, now)
         for digest, since in self.quarantine.since.items():
             self._tell(messages.QuarantineReported(digest, since))
 
@@ -375,8 +373,8 @@
                 self.active[key] = answer
                 for upstream, per_second in answer.rate_limits.items():
                     self.stated_limits.learn(upstream, per_second, now)
-                record_use(self.uses, answer, self.leader_start, now)
-                record_retry(self.retries, answer, self.leader, now)
+                drop_old_uses(self.uses, self.settings, now)
+                record_use(self.uses, answer, self.leader_id, now)
         pending.answers.put(answer)
 
 
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -106,7 +106,7 @@
 
 
 @attrs.frozen
-class RateLimitStated:
+class RateLimitReported:
     """An upstream states a rate limit.
 
     Attributes:
@@ -122,7 +122,7 @@
 
 
 @attrs.frozen
-class RateLimitEnded:
+class RateLimitEndReported:
     """The answer to an attempt states no rate limit of its upstream."""
 
     upstream: str
@@ -218,7 +218,7 @@
     SendsReported,
     ChargesReported,
     QuarantineReported,
-    RateLimitStated,
+    RateLimitReported,
 )
 
 
@@ -265,7 +265,7 @@
         match message:
             case PlacementRequested(request):
                 return dispatch.request_placement(scheduler, request, now)
-            case PrefillEnded() | PlacementEnded() | RateLimitEnded():
+            case PrefillEnded() | PlacementEnded() | RateLimitEndReported():
                 return _apply_result(scheduler, message, now)
             case ReportCompleted(entry, live):
                 return dispatch.complete_report(scheduler, entry, live, now)
@@ -282,7 +282,7 @@
 
 def _apply_result(
     scheduler: SchedulerState,
-    message: PrefillEnded | PlacementEnded | RateLimitEnded,
+    message: PrefillEnded | PlacementEnded | RateLimitEndReported,
     now: float,
 ) -> list[Decision]:
     match message:
@@ -290,7 +290,7 @@
             return dispatch.end_prefill(scheduler, key, ending, now)
         case PlacementEnded(key, ending):
             return dispatch.end_attempt(scheduler, key, ending, now)
-        case RateLimitEnded(upstream, key):
+        case RateLimitEndReported(upstream, key):
             return dispatch.end_rate_limit(scheduler, upstream, key, now)
 
 
@@ -310,9 +310,9 @@
             dispatch.restore_charges(scheduler, client_account, charges, now)
         case QuarantineReported(digest, since):
             dispatch.restore_quarantine(scheduler, digest, since, now)
-        case RateLimitStated(upstream, per_second, is_new=True):
+        case RateLimitReported(upstream, per_second, is_new=True):
             dispatch.apply_rate_limit(scheduler, upstream, per_second, now)
-        case RateLimitStated(upstream, per_second):
+        case RateLimitReported(upstream, per_second):
             dispatch.restore_rate_limit(scheduler, upstream, per_second, now)
 
 
--- a/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
@@ -50,7 +50,7 @@
             return PromptRead(*key, ending.value)
         case messages.PlacementEnded(key, ending):
             return PlaceEnded(*key, ending.value)
-        case messages.RateLimitEnded(upstream, key):
+        case messages.RateLimitEndReported(upstream, key):
             return LimitEnded(upstream, *key)
     return _report_to_wire(message, now)
 
@@ -84,7 +84,7 @@
             return report_message(placement)
         case messages.RetriesReported(service, count, total):
             return RepeatsUsed(service, count, total)
-        case messages.RateLimitStated(upstream, per_second, is_new):
+        case messages.RateLimitReported(upstream, per_second, is_new):
             return LimitStated(upstream, rate_to_wire(per_second), is_new)
         case messages.SendsReported(upstream, sent_at):
             return SendsUsed(upstream, [_age_ms(at, now) for at in sent_at])
@@ -102,7 +102,7 @@
             return messages.RetriesReported(service, count, total)
         case LimitStated(upstream, rate, is_new):
             per_second = rate_from_wire(max(0, rate))
-            return messages.RateLimitStated(upstream, per_second, is_new)
+            return messages.RateLimitReported(upstream, per_second, is_new)
         case SendsUsed(upstream, ages):
             sent_at = tuple(_instant(age, now) for age in ages)
             return messages.SendsReported(upstream, sent_at)
@@ -134,4 +134,4 @@
         case PlaceEnded(ending=ending):
             return messages.PlacementEnded(key, parse_ending(ending))
         case LimitEnded(upstream=upstream):
-            return messages.RateLimitEnded(upstream, key)
+            return messages.RateLimitEndReported(upstream, key)
--- a/libs/relay/tests/membership.feature
+++ b/libs/relay/tests/membership.feature
@@ -127,6 +127,13 @@
     When it switches to a coordinator on another relay
     Then it reports its placement, then the end of its report, and then requests
 
+  Scenario: A restarted coordinator counts retries that it granted before
+    Guards against a second full retry budget from a coordinator that restarts
+    under its name and coordinates again.
+    Given a relay that got 5 retries from an earlier coordinator
+    When that coordinator restarts and coordinates again
+    Then it is told of 5 retries
+
   Scenario: A new coordinator learns once what earlier ones granted
     Guards against limits of accounts and cold upstreams that start anew with
     each coordinator, and against use that is charged twice.
--- a/libs/relay/tests/steps/changes.py
+++ b/libs/relay/tests/steps/changes.py
@@ -36,11 +36,12 @@
 from gypsumrelay_relay.placement import Placement
 from gypsumrelay_relay.process import update_staleness
 from gypsumrelay_relay.registration import give_up_rank, register_again
-from gypsumrelay_relay.retry_history import GrantedRetry
 from gypsumrelay_relay.topics import RecordReader
 from gypsumrelay_relay.usage_history import (
     UsageHistory,
+    Use,
     record_use,
+    retries_by_service,
     sends_by_upstream,
     tokens_by_account,
     transfer_uses,
@@ -148,12 +149,13 @@
     coordination.actor = SimpleNamespace(tell=lambda message: None)
     context.coordination = coordination
     context.now = monotonic()
-    add_grants(context, 'gone', count, 0)
+    add_grants(context, 'gone/a', count, 0)
 
 
 def add_grants(context: Any, name: str, count: int, age: float) -> None:
-    context.coordination.retries.grants.extend(
-        GrantedRetry(context.now - age, name, 'service', 1)
+    at = context.now - age
+    context.coordination.uses.uses.extend(
+        Use(at, (), '', 0, 'service', 1, 0, frozenset((name,)))
         for _ in range(count)
     )
 
@@ -161,18 +163,31 @@
 @given('it got {count:d} retries before the window')
 def give_old(context: Any, count: int) -> None:
     window = context.coordination.settings.repeat_window_seconds
-    given = GrantedRetry(context.now - window - 1, 'gone', 'service', count)
-    context.coordination.retries.grants.appendleft(given)
+    at = context.now - window - 1
+    given = Use(at, (), '', 0, 'service', count, 0, frozenset(('gone/a',)))
+    context.coordination.uses.uses.appendleft(given)
 
 
 @when('it becomes the coordinator and was itself granted {count:d} retries')
 def coordinate_itself(context: Any, count: int) -> None:
-    add_grants(context, 'own', count, 0)
+    add_grants(context, 'own/a', count, 0)
     context.messages = []
     context.coordination.actor.tell = context.messages.append
     context.coordination.switch_coordinator()
 
 
+@when('that coordinator restarts and coordinates again')
+def restart_coordinator(context: Any) -> None:
+    uses = transfer_uses(context.coordination.uses, 'gone/b')
+    settings = context.coordination.settings
+    context.reports = retries_by_service(uses, settings, context.now)
+
+
+@then('it is told of {count:d} retries')
+def check_reports(context: Any, count: int) -> None:
+    assert [report.count for report in context.reports] == [count]
+
+
 @when('it chooses itself once more')
 def coordinate_again(context: Any) -> None:
     context.coordination.leader = ''
@@ -266,7 +281,7 @@
 @when('it switches to a second coordinator, to a third and back to the second')
 def switch_in_turn(context: Any) -> None:
     context.told = [
-        transfer_uses(context.uses, name, USED_AT + 0.5)
+        transfer_uses(context.uses, name)
         for name in ('second/a', 'third/a', 'second/a')
     ]
 
@@ -287,7 +302,7 @@
 
 @then('a restarted second one learns of them again')
 def check_told_again(context: Any) -> None:
-    assert transfer_uses(context.uses, 'second/b', USED_AT + 0.5)
+    assert transfer_uses(context.uses, 'second/b')
 
 
 @given('its content "{content}" was rejected for the crashes that it caused')
@@ -326,7 +341,7 @@
         coordinator_module.SendsReported('up', (1.0,)),
         coordinator_module.ChargesReported('account', {}),
         RetriesReported('service', 1, 1),
-        coordinator_module.RateLimitStated('up', 2, is_new=False),
+        coordinator_module.RateLimitReported('up', 2, is_new=False),
     ):
         actor.tell(message)
     context.figures = actor.ask(coordinator_module.GetFigures())
