--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
@@ -14,7 +14,6 @@
     placement_reports,
     rate_limits,
     rebalancing,
-    retry_budget,
 )
 from gypsumrelay_dispatch.admission import (
     DEFAULT_RETRY_SECONDS,
@@ -23,10 +22,12 @@
     refund_charge,
     reject_overloaded,
 )
-from gypsumrelay_dispatch.grant_rate import count_grant
+from gypsumrelay_dispatch.granting import (
+    grant_placement,
+    is_direct_prefill,
+)
 from gypsumrelay_dispatch.loads import (
     ActivePlacement,
-    drop_old_sends,
     observe_ending,
     observe_kv_fetch,
     observe_prefill,
@@ -34,7 +35,6 @@
 from gypsumrelay_dispatch.models import (
     Decision,
     Ending,
-    Grant,
     PlacementRequest,
     Rejection,
 )
@@ -53,22 +53,16 @@
 from gypsumrelay_dispatch.scheduler_state import (
     QueuedRequest,
     SchedulerState,
-    add_placement,
     expire_placements,
     is_usable,
     remove_departed,
     remove_placement,
 )
 from gypsumrelay_dispatch.selection import (
-    Choice,
     choose,
-    prefill_estimate_ms,
     rate_limited_until,
 )
 
-# Prefill time at a decode upstream relative to a prefill upstream, which does
-# not decode at the same time.
-DIRECT_PREFILL_SLOWDOWN: Final = 2.5
 # Milliseconds per token; observations outside this range are clamped as
 # outliers.
 MIN_PACE_MS: Final = 0.5
@@ -203,7 +197,7 @@
     if load is not None and not placement.prefill:
         seconds = now - placement.granted_at
         observe_ending(load, ending, seconds, scheduler.settings, now)
-        if _is_direct_prefill(placement):
+        if is_direct_prefill(placement):
             load.direct_prefill_until = min(load.direct_prefill_until, now)
         started = load.upstream.started_ms
         _attribute_crash(
@@ -349,7 +343,7 @@
     may_place = is_attempted and _may_place(scheduler, request, now)
     choice = choose(scheduler, request, now) if may_place else None
     if choice is not None:
-        return _grant(scheduler, waiting, choice, now)
+        return grant_placement(scheduler, waiting, choice, now)
     if now < request.wait_until:
         return None
     refund_charge(scheduler, request)
@@ -385,67 +379,6 @@
     return is_safe or not scheduler.placement_reports.is_incomplete(now)
 
 
-def _grant(
-    scheduler: SchedulerState,
-    waiting: QueuedRequest,
-    choice: Choice,
-    now: float,
-) -> Grant:
-    request = waiting.request
-    prefill = choice.prefill.upstream if choice.prefill else None
-    load = choice.upstream
-    for chosen in filter(None, (load, choice.prefill)):
-        drop_old_sends(chosen, now)
-        chosen.send_times.append(now)
-        rate_limits.count_request(
-            scheduler.rate_limits, chosen.upstream.name, now
-        )
-    if request.attempt == 1:
-        retry_budget.count_first_send(
-            scheduler.retry_budget(request.service), now
-        )
-    placement = ActivePlacement(
-        request,
-        load.upstream.name,
-        prefill.name if prefill else '',
-        choice.prefill_ms,
-        now,
-    )
-    if prefill is None:
-        placement.started_at = now
-    used = len(load.running)
-    count_grant(scheduler.grant_rate(request.service))
-    add_placement(scheduler, placement)
-    if _is_direct_prefill(placement):
-        prefill_work_ms = (
-            prefill_estimate_ms(scheduler, request) * DIRECT_PREFILL_SLOWDOWN
-        )
-        load.direct_prefill_until = now + prefill_work_ms / MS_PER_SECOND
-    return Grant(
-        request,
-        load.upstream,
-        prefill,
-        now - waiting.requested_at,
-        used,
-        scheduler.list_position,
-        {
-            name: scheduler.rate_limits[name].per_second
-            for name in (placement.upstream, placement.prefill)
-            if name in scheduler.rate_limits
-        },
-        len(scheduler.retry_budget(request.service).retries),
-    )
-
-
-def _is_direct_prefill(placement: ActivePlacement) -> bool:
-    """Return whether the decode upstream also runs the prefill."""
-    request = placement.request
-    was_prefilled = request.read or bool(
-        placement.prefill or placement.prefilled_by
-    )
-    return bool(request.prompt_tokens) and not was_prefilled
-
-
 def _has_upstream(
     scheduler: SchedulerState, request: PlacementRequest, now: float
 ) -> bool:
