Log confirmed crashes and the parts of prompts

The logs could not tell whether crashes of a part are attributed to single contents, confirmed too late or not at all. A relay now reads the parts of a prompt, logs their digests and whether an attempt had an event, and passes both on to the coordinator, which logs each confirmed crash. No decision changes.

--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -1,5 +1,9 @@
 """Scheduling by the coordinator: placement, admission control, queueing."""
 
+from gypsumrelay_dispatch.crashes import (
+    ConfirmedCrash,
+    take_unreported,
+)
 from gypsumrelay_dispatch.forecast import (
     expected_output_tokens,
 )
@@ -62,6 +66,7 @@
     'UNLISTED_SECONDS',
     'AccountLimits',
     'ActivePlacement',
+    'ConfirmedCrash',
     'Decision',
     'Ending',
     'Grant',
@@ -95,5 +100,6 @@
     'restore_retries',
     'restore_sends',
     'retry_count',
+    'take_unreported',
     'tick',
 )
--- a/libs/dispatch/src/gypsumrelay_dispatch/crashes.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/crashes.py
@@ -30,13 +30,38 @@
 
 @attrs.frozen
 class SuspectedCrash:
-    """Connection that was lost while an upstream ran a content."""
+    """Connection that was lost while an upstream ran a content.
+
+    Attributes:
+        digest: Digest of the content.
+        parts: Digests of the prompt's shared parts.
+        began: Whether the upstream had sent an event of the answer.
+        upstream: Name of the upstream.
+        lost_at: Instant of the loss.
+    """
 
     digest: bytes
+    parts: tuple[bytes, ...]
+    began: bool
     upstream: str
     lost_at: float
 
 
+@attrs.frozen
+class ConfirmedCrash:
+    """A crash of an upstream and the contents that it ran.
+
+    Attributes:
+        upstream: Name of the upstream.
+        lost: Connections that were lost.
+        counts: Crashes attributed to each content, including this one.
+    """
+
+    upstream: str
+    lost: tuple[SuspectedCrash, ...]
+    counts: dict[bytes, int]
+
+
 @attrs.define
 class CrashHistory:
     """Confirmed and suspected crashes.
@@ -44,22 +69,22 @@
     Attributes:
         records: Confirmed crashes, by digest of the content.
         suspected: Lost connections whose upstream may still be alive.
+        unreported: Confirmed crashes that were not logged yet.
     """
 
     records: dict[bytes, CrashRecord] = attrs.field(factory=dict)
     suspected: list[SuspectedCrash] = attrs.field(factory=list)
+    unreported: list[ConfirmedCrash] = attrs.field(factory=list)
 
 
-def suspect(
-    crashes: CrashHistory, digest: bytes, upstream: str, now: float
-) -> None:
+def suspect(crashes: CrashHistory, lost: SuspectedCrash, now: float) -> None:
     """Record a connection that was lost while an upstream ran a content."""
     crashes.suspected = [
         suspected
         for suspected in crashes.suspected
         if now - suspected.lost_at < CONFIRM_SECONDS
     ]
-    crashes.suspected.append(SuspectedCrash(digest, upstream, now))
+    crashes.suspected.append(lost)
 
 
 def confirm_crash(
@@ -73,10 +98,29 @@
     A lost connection alone does not show a crash: connections are also reset
     for other reasons.
     """
-    for suspected in crashes.suspected:
-        recent = now - suspected.lost_at < CONFIRM_SECONDS
-        if suspected.upstream == upstream[0] and recent:
-            record_crash(crashes, suspected.digest, upstream, expires_at)
+    lost = tuple(
+        suspected
+        for suspected in crashes.suspected
+        if suspected.upstream == upstream[0]
+        and now - suspected.lost_at < CONFIRM_SECONDS
+    )
+    news = [
+        suspected
+        for suspected in lost
+        if record_crash(crashes, suspected.digest, upstream, expires_at)
+    ]
+    if news:
+        counts = {
+            one.digest: crash_count(crashes, one.digest, now) for one in lost
+        }
+        crashes.unreported.append(ConfirmedCrash(upstream[0], lost, counts))
+
+
+def take_unreported(crashes: CrashHistory) -> list[ConfirmedCrash]:
+    """Return the confirmed crashes that were not logged yet, once each."""
+    unreported = crashes.unreported
+    crashes.unreported = []
+    return unreported
 
 
 def record_crash(
@@ -84,12 +128,18 @@
     digest: bytes,
     upstream: tuple[str, int],
     expires_at: float,
-) -> None:
-    """Record the crash of an upstream that ran a content."""
+) -> bool:
+    """Record the crash of an upstream that ran a content.
+
+    Returns:
+        Whether the crash was not known for this content.
+    """
     record = crashes.records.pop(digest, None) or CrashRecord(set(), expires_at)
+    is_new = upstream not in record.crashed_upstreams
     record.crashed_upstreams.add(upstream)
     record.expires_at = expires_at
     _keep(crashes, digest, record)
+    return is_new
 
 
 def _keep(crashes: CrashHistory, digest: bytes, record: CrashRecord) -> None:
--- a/libs/dispatch/src/gypsumrelay_dispatch/models.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/models.py
@@ -129,6 +129,7 @@
             caller already has.
         excluded: Upstreams that must not get this request again.
         digest: Digest of the request's content; equal for equal contents.
+        parts: Digests of the prompt's shared parts, in order.
     """
 
     request_id: str
@@ -150,6 +151,7 @@
     resumed: bool = False
     excluded: frozenset[str] = frozenset()
     digest: bytes = b''
+    parts: tuple[bytes, ...] = ()
 
     @property
     def key(self) -> tuple[str, int]:
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
@@ -28,6 +28,7 @@
 )
 from gypsumrelay_dispatch.loads import (
     ActivePlacement,
+    Load,
     observe_ending,
     observe_kv_fetch,
     observe_prefill,
@@ -187,8 +188,18 @@
     key: tuple[str, int],
     ending: Ending,
     now: float,
+    *,
+    began: bool = False,
 ) -> list[Decision]:
-    """Record the result of an attempt and remove its placement."""
+    """Record the result of an attempt and remove its placement.
+
+    Args:
+        scheduler: The coordinator's state.
+        key: Request id and number of the attempt.
+        ending: How the attempt ended.
+        now: The present instant.
+        began: Whether the upstream had sent an event of the answer.
+    """
     withdraw(scheduler, key)
     placement = remove_placement(scheduler, key)
     if placement is None:
@@ -199,10 +210,7 @@
         observe_ending(load, ending, seconds, scheduler.settings, now)
         if is_direct_prefill(placement):
             load.direct_prefill_until = min(load.direct_prefill_until, now)
-        started = load.upstream.started_ms
-        _attribute_crash(
-            scheduler, placement, (placement.upstream, started), ending, now
-        )
+        _attribute_crash(scheduler, placement, load, ending, now, began=began)
         if ending is Ending.answered:
             _observe_pace(scheduler, placement, now)
     prefill_load = scheduler.loads.get(placement.prefilled_by)
@@ -402,17 +410,22 @@
 def _attribute_crash(
     scheduler: SchedulerState,
     placement: ActivePlacement,
-    upstream: tuple[str, int],
+    load: Load,
     ending: Ending,
     now: float,
+    *,
+    began: bool,
 ) -> None:
-    digest = placement.request.digest
+    request = placement.request
+    history = scheduler.crash_history
     if ending is Ending.answered:
-        crashes.clear(scheduler.crash_history, digest)
-    if ending is Ending.lost and digest:
-        crashes.suspect(scheduler.crash_history, digest, upstream[0], now)
+        crashes.clear(history, request.digest)
+    if ending is Ending.lost and request.digest:
+        lost = crashes.SuspectedCrash(
+            request.digest, request.parts, began, placement.upstream, now
+        )
+        crashes.suspect(history, lost, now)
     if ending in {Ending.unreached, Ending.misdirected}:
+        upstream = (placement.upstream, load.upstream.started_ms)
         expires_at = now + scheduler.settings.blame_seconds
-        crashes.confirm_crash(
-            scheduler.crash_history, upstream, expires_at, now
-        )
+        crashes.confirm_crash(history, upstream, expires_at, now)
--- a/libs/relay/src/gypsumrelay_relay/admission.py
+++ b/libs/relay/src/gypsumrelay_relay/admission.py
@@ -21,6 +21,7 @@
 
 from gypsumrelay_relay import request_events
 from gypsumrelay_relay.cancellation import Cancellation
+from gypsumrelay_relay.digests import content_digest, part_digests, short_digest
 from gypsumrelay_relay.exchange import (
     Admitted,
     Chunks,
@@ -171,6 +172,7 @@
 def _dispatch(exchange: Exchange) -> Chunks:
     admitted = exchange.admitted
     headers = admitted.headers
+    content, parts = _shown_digests(exchange)
     exchange.log(
         request_events.Accepted(
             headers.request_id,
@@ -182,6 +184,8 @@
             headers.tokens,
             headers.expected_tokens,
             exchange.remaining_ms(),
+            content,
+            parts,
         ),
     )
     service = admitted.configuration.services.get(admitted.service)
@@ -191,6 +195,16 @@
     return exchange.reject(failure) if failure else answer_model(exchange)
 
 
+def _shown_digests(exchange: Exchange) -> tuple[str, str]:
+    """Return the digests of the content and of the shared parts to log."""
+    admitted = exchange.admitted
+    content = content_digest(
+        exchange.target, exchange.account_name, admitted.body
+    )
+    parts = part_digests(admitted.service, admitted.headers.parts)
+    return short_digest(content), ','.join(map(short_digest, parts))
+
+
 def token_failure(
     service: ServiceLimits, headers: CallerHeaders
 ) -> Failure | None:
--- a/libs/relay/src/gypsumrelay_relay/attempts.py
+++ b/libs/relay/src/gypsumrelay_relay/attempts.py
@@ -55,10 +55,12 @@
     Attributes:
         ending: The ending.
         reason: The error; empty if there is none.
+        began: Whether the upstream had sent an event of the answer.
     """
 
     ending: Ending
     reason: str = ''
+    began: bool = False
 
 
 def wait_for_placement(
@@ -205,7 +207,7 @@
     """Release the placement of an attempt and log how it ended."""
     request = placement.request
     ending = ending_for(exchange, result)
-    exchange.relay.coordination.report_end(request, ending)
+    exchange.relay.coordination.report_end(request, ending, began=result.began)
     exchange.relay.metrics.count_attempt(ending.value)
     exchange.log(
         request_events.AttemptEnded(
@@ -216,6 +218,7 @@
             status,
             int((monotonic() - started_at) * MS_PER_SECOND),
             result.reason,
+            result.began,
         ),
     )
 
--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -148,12 +148,20 @@
         with self.lock:
             self._tell(messages.PrefillEnded(key, ending))
 
-    def report_end(self, request: PlacementRequest, ending: Ending) -> None:
-        """Report that a placement is free, or that its request is cancelled."""
+    def report_end(
+        self, request: PlacementRequest, ending: Ending, *, began: bool = False
+    ) -> None:
+        """Report that a placement is free, or that its request is cancelled.
+
+        Args:
+            request: The placement request.
+            ending: How the attempt ended.
+            began: Whether the upstream had sent an event of the answer.
+        """
         with self.lock:
             self.pending.pop(request.key, None)
             self.active.pop(request.key, None)
-            self._tell(messages.PlacementEnded(request.key, ending))
+            self._tell(messages.PlacementEnded(request.key, ending, began))
 
     def report_rate_limit(
         self, upstream: str, per_second: float | None, key: tuple[str, int]
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -13,11 +13,17 @@
 from gypsumrelay_wire import to_retry_ms
 from logbook import Logger
 
-from gypsumrelay_relay.state_events import PlacementRejected, report
+from gypsumrelay_relay.digests import short_digest
+from gypsumrelay_relay.state_events import (
+    CrashConfirmed,
+    PlacementRejected,
+    report,
+)
 
 if TYPE_CHECKING:
     from gypsumrelay_dispatch import (
         ActivePlacement,
+        ConfirmedCrash,
         Decision,
         Ending,
         PhaseChange,
@@ -53,10 +59,17 @@
 
 @attrs.frozen
 class PlacementEnded:
-    """A placement is no longer used or no longer requested."""
+    """A placement is no longer used or no longer requested.
+
+    Attributes:
+        key: Request id and number of the attempt.
+        ending: How the attempt ended.
+        began: Whether the upstream had sent an event of the answer.
+    """
 
     key: tuple[str, int]
     ending: Ending
+    began: bool = False
 
 
 @attrs.frozen
@@ -254,6 +267,8 @@
             decisions = [
                 dispatch.reject_failed(self.scheduler, message.request)
             ]
+        for crash in dispatch.take_unreported(self.scheduler.crash_history):
+            report(log, _crash_event(crash, now))
         for decision in decisions:
             if isinstance(decision, Rejection):
                 report(log, _rejection_event(decision, now))
@@ -288,8 +303,10 @@
     match message:
         case PrefillEnded(key, ending):
             return dispatch.end_prefill(scheduler, key, ending, now)
-        case PlacementEnded(key, ending):
-            return dispatch.end_attempt(scheduler, key, ending, now)
+        case PlacementEnded(key, ending, began):
+            return dispatch.end_attempt(
+                scheduler, key, ending, now, began=began
+            )
         case RateLimitEndReported(upstream, key):
             return dispatch.end_rate_limit(scheduler, upstream, key, now)
 
@@ -364,6 +381,20 @@
     )
 
 
+def _crash_event(crash: ConfirmedCrash, now: float) -> CrashConfirmed:
+    unanswered = [lost for lost in crash.lost if not lost.began]
+    lost_at = min(lost.lost_at for lost in crash.lost)
+    parts = dict.fromkeys(part for lost in unanswered for part in lost.parts)
+    return CrashConfirmed(
+        crash.upstream,
+        len(crash.lost),
+        ','.join(short_digest(lost.digest) for lost in unanswered),
+        ','.join(map(short_digest, parts)),
+        max(crash.counts.values()),
+        int((now - lost_at) * MS_PER_SECOND),
+    )
+
+
 def _figures(scheduler: SchedulerState) -> dict[str, Any]:
     return {
         'rate_limits': {
--- a/libs/relay/src/gypsumrelay_relay/exchange.py
+++ b/libs/relay/src/gypsumrelay_relay/exchange.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
@@ -21,6 +20,7 @@
 
 from gypsumrelay_relay import request_events
 from gypsumrelay_relay.cancellation import CancelCause, Cancellation
+from gypsumrelay_relay.digests import content_digest, part_digests
 
 if TYPE_CHECKING:
     from gypsumrelay_relay.context import Relay
@@ -28,7 +28,6 @@
     from gypsumrelay_relay.routes import Account, Configuration, Route
 
 MS_PER_SECOND: Final = 1000
-DIGEST_BYTES: Final = 12
 # Time in seconds by which a time-out may fire early.
 EARLY_TIMEOUT_SECONDS: Final = 0.005
 # Decimals of `Retry-After`; callers accept fractions of a second.
@@ -167,7 +166,10 @@
                 headers.output_tokens,
             ),
             excluded=frozenset(self.excluded),
-            digest=self._digest(),
+            digest=content_digest(
+                self.target, self.account_name, admitted.body
+            ),
+            parts=part_digests(admitted.service, headers.parts),
         )
 
     def log(self, decision: request_events.RequestEvent) -> None:
@@ -253,17 +255,6 @@
             return 0
         return self.admitted.headers.tokens or account.default_tokens
 
-    def _digest(self) -> bytes:
-        """Return a digest that is equal for repeated requests.
-
-        It covers target, client account and body.
-        """
-        content = hashlib.blake2b(digest_size=DIGEST_BYTES)
-        for part in (self.target, self.account_name):
-            content.update(part.encode('latin-1', 'replace') + b'\0')
-        content.update(self.admitted.body)
-        return content.digest()
-
 
 @attrs.frozen
 class CompleteAnswer:
--- a/libs/relay/src/gypsumrelay_relay/model_requests.py
+++ b/libs/relay/src/gypsumrelay_relay/model_requests.py
@@ -329,16 +329,19 @@
     opened: OpenStream,
 ) -> Generator[bytes, None, AttemptResult]:
     """Yield the complete events of an answer; return how it ended."""
+    began = opened.first is not None
     try:
         for found in _complete_events(opened):
             run.last_event = found.last_id or run.last_event
             yield found.raw
             _limit_next_event(run, opened.reply)
     except IO_ERRORS as error:
-        return AttemptResult(Ending.lost, f'the stream was aborted: {error}')
+        reason = f'the stream was aborted: {error}'
+        return AttemptResult(Ending.lost, reason, began)
     if opened.splitter.buffer:
-        return AttemptResult(Ending.lost, 'the stream ended inside an event')
-    return AttemptResult(Ending.answered)
+        reason = 'the stream ended inside an event'
+        return AttemptResult(Ending.lost, reason, began)
+    return AttemptResult(Ending.answered, began=began)
 
 
 def _complete_events(opened: OpenStream) -> Iterator[EventBlock]:
--- a/libs/relay/src/gypsumrelay_relay/placement.py
+++ b/libs/relay/src/gypsumrelay_relay/placement.py
@@ -114,6 +114,7 @@
         wait_ms=to_remaining_ms(request.wait_until, now),
         reread=request.reread,
         resumed=request.resumed,
+        parts=list(request.parts),
     )
 
 
@@ -141,6 +142,7 @@
         resumed=message.resumed,
         excluded=frozenset(message.excluded),
         digest=message.digest,
+        parts=tuple(message.parts),
     )
 
 
@@ -232,6 +234,7 @@
         request.expected_tokens,
         placement.upstream,
         request.digest,
+        list(request.parts),
     )
 
 
@@ -255,6 +258,7 @@
         output_tokens=message.output_tokens,
         expected_tokens=message.expected_tokens,
         digest=message.digest,
+        parts=tuple(message.parts),
     )
     return ActivePlacement(
         request, message.upstream, '', 0, now, started_at=now
--- a/libs/relay/src/gypsumrelay_relay/protocol.py
+++ b/libs/relay/src/gypsumrelay_relay/protocol.py
@@ -35,6 +35,8 @@
             not stated.
         last_event: Id of the event after which a stream is resumed; empty to
             start at the beginning.
+        parts: Ids of the prompt's parts that other requests may share, in
+            order; without the last part, which is the request's own.
     """
 
     request_id: str
@@ -44,6 +46,7 @@
     output_tokens: int = 0
     expected_tokens: int = 0
     last_event: str = ''
+    parts: tuple[str, ...] = ()
 
     @property
     def tokens(self) -> int:
--- a/libs/relay/src/gypsumrelay_relay/request_events.py
+++ b/libs/relay/src/gypsumrelay_relay/request_events.py
@@ -36,6 +36,8 @@
         tokens: Tokens that the account is charged.
         expected_tokens: Output tokens that the caller expects.
         wait_ms: Time in milliseconds until the caller's deadline.
+        digest: Digest of the content, for crash attribution.
+        parts: Digests of the prompt's shared parts, separated by commas.
     """
 
     event: ClassVar[str] = 'accepted'
@@ -49,6 +51,8 @@
     tokens: int
     expected_tokens: int
     wait_ms: int
+    digest: str
+    parts: str
 
 
 @attrs.frozen
@@ -113,10 +117,16 @@
 
 @attrs.frozen
 class AttemptEnded(UpstreamWorkEnded):
-    """An attempt ended: a plain answer, or the decode of a stream."""
+    """An attempt ended: a plain answer, or the decode of a stream.
+
+    Attributes:
+        began: Whether the upstream had sent an event of a stream.
+    """
 
     event: ClassVar[str] = 'attempt'
 
+    began: bool
+
 
 @attrs.frozen
 class FirstEvent(RequestEvent):
--- a/libs/relay/src/gypsumrelay_relay/state_events.py
+++ b/libs/relay/src/gypsumrelay_relay/state_events.py
@@ -266,6 +266,35 @@
     list_position: int
 
 
+@attrs.frozen
+class CrashConfirmed(StateChange):
+    """The coordinator knows for certain that an upstream crashed.
+
+    Attributes:
+        upstream: Name of the upstream.
+        lost: Number of requests whose connection was lost.
+        unanswered: Digests of the contents of those without an event of an
+            answer, separated by commas.
+        parts: Digests of the shared parts of their prompts, likewise.
+        highest_count: Highest number of crashes attributed to one of the
+            contents.
+        delay_ms: Time in milliseconds since the first connection was lost.
+    """
+
+    event: ClassVar[str] = 'upstream_crashed'
+    severity: ClassVar[str] = 'WARNING'
+    template: ClassVar[str] = (
+        'Upstream {upstream} crashed {delay_ms} ms ago; {lost} requests lost.'
+    )
+
+    upstream: str
+    lost: int
+    unanswered: str
+    parts: str
+    highest_count: int
+    delay_ms: int
+
+
 @attrs.frozen
 class PhaseSwitchOrdered(StateChange):
     """An upstream was ordered to switch between prefill and decode.
--- a/libs/wire/src/gypsumrelay_wire/placements.py
+++ b/libs/wire/src/gypsumrelay_wire/placements.py
@@ -42,6 +42,7 @@
         reread: Whether the prompt is prefilled again.
         resumed: Whether the attempt resumes a stream whose first part the
             caller already has.
+        parts: Digests of the shared parts of the prompt, in order.
     """
 
     tag: ClassVar[int] = 40
@@ -63,6 +64,7 @@
     wait_ms: int = DEFAULT_WAIT_MS
     reread: bool = False
     resumed: bool = False
+    parts: list[bytes] = attrs.field(factory=list)
 
 
 @attrs.frozen
@@ -124,12 +126,20 @@
 
 @attrs.frozen
 class PlaceEnded(Message):
-    """Reports the end of a placement and the outcome of the attempt."""
+    """Reports the end of a placement and the outcome of the attempt.
+
+    Attributes:
+        request_id: Identifier of the caller's request.
+        attempt: Number of the attempt.
+        ending: The outcome.
+        began: Whether the upstream had sent an event of the answer.
+    """
 
     tag: ClassVar[int] = 44
     request_id: str
     attempt: int
     ending: str
+    began: bool = False
 
 
 @attrs.frozen
@@ -145,6 +155,7 @@
     expected_tokens: int
     upstream: str
     digest: bytes
+    parts: list[bytes] = attrs.field(factory=list)
 
 
 @attrs.frozen
