Attribute crashes to parts of prompts

Callers of one kind of request, and all whose streams ran beside theirs, lost them: a part of a prompt crashed one upstream after the other, and no two requests with it were alike. Cause: crashes were attributed to whole contents, so that each count stayed at one or two. Class: evidence is kept by a key that is more specific than the cause. Besides, crashes were known for certain up to three seconds late, some counted twice, requests that waited were not checked again, and a coordinator took counts below the bound with it.

libs/attribution explains crashes by the content or the part that fits best: only requests without an event count against one, what an upstream completed since is cleared, and crashes that one cause explains count against no other. A relay probes an upstream whose connection broke, all relays know all crashes and tell a new coordinator, waiting requests are checked at each pass, and one trial at a time finds out whether a part is sound again.

--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -1,14 +1,16 @@
 """Scheduling by the coordinator: placement, admission control, queueing."""
 
 from gypsumrelay_dispatch.crashes import (
-    ConfirmedCrash,
-    take_unreported,
+    attribution_limits,
+    content_of,
 )
 from gypsumrelay_dispatch.forecast import (
     expected_output_tokens,
 )
 from gypsumrelay_dispatch.handover import (
     restore_charges,
+    restore_completed,
+    restore_crash,
     restore_placement,
     restore_quarantine,
     restore_rate_limit,
@@ -66,7 +68,6 @@
     'UNLISTED_SECONDS',
     'AccountLimits',
     'ActivePlacement',
-    'ConfirmedCrash',
     'Decision',
     'Ending',
     'Grant',
@@ -82,7 +83,9 @@
     'apply_configuration',
     'apply_rate_limit',
     'apply_upstreams',
+    'attribution_limits',
     'complete_report',
+    'content_of',
     'end_attempt',
     'end_prefill',
     'end_rate_limit',
@@ -94,12 +97,13 @@
     'remove_instance',
     'request_placement',
     'restore_charges',
+    'restore_completed',
+    'restore_crash',
     'restore_placement',
     'restore_quarantine',
     'restore_rate_limit',
     'restore_retries',
     'restore_sends',
     'retry_count',
-    'take_unreported',
     'tick',
 )
--- a/libs/dispatch/src/gypsumrelay_dispatch/admission.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/admission.py
@@ -4,9 +4,10 @@
 
 from typing import TYPE_CHECKING, Final
 
-from gypsumrelay_errors import Overloaded, RateExceeded, RequestQuarantined
+from gypsumrelay_errors import Overloaded, RateExceeded
 
-from gypsumrelay_dispatch import accounts, crashes, retry_budget
+from gypsumrelay_dispatch import accounts, retry_budget
+from gypsumrelay_dispatch.crashes import quarantine_failure
 from gypsumrelay_dispatch.grant_rate import seconds_per_grant
 from gypsumrelay_dispatch.models import (
     PlacementRequest,
@@ -42,12 +43,9 @@
 ) -> Rejection | None:
     """Charge a request, or reject it by content, retry budget or account."""
     settings = scheduler.settings
-    if (
-        crashes.crash_count(scheduler.crash_history, request.digest, now)
-        >= settings.blame_after
-    ):
-        sentence = 'upstreams broke off while they ran this'
-        return build_rejection(scheduler, request, RequestQuarantined(sentence))
+    quarantined = quarantine_failure(scheduler, request, now)
+    if quarantined is not None:
+        return build_rejection(scheduler, request, quarantined)
     if request.attempt > 1:
         budget = scheduler.retry_budget(request.service)
         count = retry_budget.retry_count(request)
--- a/libs/dispatch/src/gypsumrelay_dispatch/granting.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/granting.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from gypsumrelay_dispatch import rate_limits, retry_budget
+from gypsumrelay_dispatch.crashes import note_placed
 from gypsumrelay_dispatch.grant_rate import count_grant
 from gypsumrelay_dispatch.loads import ActivePlacement, drop_old_sends
 from gypsumrelay_dispatch.models import Grant, PlacementRequest
@@ -36,6 +37,7 @@
     prefill = choice.prefill.upstream if choice.prefill else None
     used = len(load.running)
     _count_use(scheduler, request, choice, now)
+    note_placed(scheduler, request, now)
     placement = _placement(request, choice, now)
     add_placement(scheduler, placement)
     if is_direct_prefill(placement):
--- a/libs/dispatch/src/gypsumrelay_dispatch/handover.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/handover.py
@@ -5,7 +5,15 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from gypsumrelay_dispatch import accounts, crashes, rate_limits, retry_budget
+from gypsumrelay_attribution import (
+    Crash,
+    merge_crash,
+    restore_completion,
+    restore_rejection,
+)
+
+from gypsumrelay_dispatch import accounts, rate_limits, retry_budget
+from gypsumrelay_dispatch.crashes import attribution_limits
 from gypsumrelay_dispatch.loads import ActivePlacement, drop_old_sends
 from gypsumrelay_dispatch.scheduler_state import (
     SchedulerState,
@@ -87,12 +95,32 @@
         since: Instant of its first rejection.
         now: The present instant.
     """
-    settings = scheduler.settings
-    expires_at = since + settings.blame_seconds
+    expires_at = since + scheduler.settings.blame_seconds
     if expires_at > now:
-        crashes.restore_count(
-            scheduler.crash_history, digest, settings.blame_after, expires_at
-        )
+        restore_rejection(scheduler.crash_history, digest, expires_at)
+
+
+def restore_crash(scheduler: SchedulerState, crash: Crash, now: float) -> None:
+    """Count a crash that an instance knows of."""
+    limits = attribution_limits(scheduler.settings)
+    merge_crash(scheduler.crash_history, crash, limits, now)
+
+
+def restore_completed(
+    scheduler: SchedulerState, subject: bytes, started_at: float, now: float
+) -> None:
+    """Record the completion of a request with a content or part.
+
+    Args:
+        scheduler: The coordinator's state.
+        subject: Digest of the content or part.
+        started_at: Instant at which the completed run started.
+        now: The present instant.
+    """
+    limits = attribution_limits(scheduler.settings)
+    restore_completion(
+        scheduler.crash_history, subject, started_at, limits, now
+    )
 
 
 def restore_rate_limit(
--- a/libs/dispatch/src/gypsumrelay_dispatch/loads.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/loads.py
@@ -33,6 +33,12 @@
 # also fail for lack of memory.
 FETCH_FAILURES_TO_SUSPEND: Final = 3
 COLD_WINDOW_SECONDS: Final = 1.0
+# Endings after which an upstream may be suspended.
+FAILED_ENDINGS: Final = frozenset(
+    (Ending.lost, Ending.crashed, Ending.unreached, Ending.misdirected)
+)
+# Endings that show by themselves that an upstream accepts no connections.
+REFUSED_ENDINGS: Final = frozenset((Ending.crashed, Ending.unreached))
 
 
 @attrs.define
@@ -144,7 +150,7 @@
         load.suspended_until = 0
         load.latency += SMOOTHING * (seconds - load.latency)
     load.success += SMOOTHING * ((ending is Ending.answered) - load.success)
-    if ending in {Ending.lost, Ending.unreached, Ending.misdirected}:
+    if ending in FAILED_ENDINGS:
         load.consecutive_losses += 1
         _suspend(load, ending, settings, now)
 
@@ -211,7 +217,7 @@
         # The upstream has left; its entry in the list expires soon.
         load.suspended_until = now + settings.max_suspend_seconds
         return
-    threshold = 1 if ending is Ending.unreached else LOSSES_TO_SUSPEND
+    threshold = 1 if ending in REFUSED_ENDINGS else LOSSES_TO_SUSPEND
     if load.consecutive_losses < threshold:
         return
     doublings = min(load.consecutive_losses - threshold, 10)
--- a/libs/dispatch/src/gypsumrelay_dispatch/models.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/models.py
@@ -29,8 +29,9 @@
     the request. `unfetched`: the upstream did not run the request because it
     could not fetch the prompt's KV cache. `misdirected`: another upstream
     uses the address, or the upstream serves the other phase. `lost`: the
-    connection broke or timed out before the end of the answer. `unreached`:
-    no connection was established. `cancelled`: the caller disconnected or
+    connection broke or timed out before the end of the answer. `crashed`: it
+    broke, and the upstream refuses new ones. `unreached`: no connection was
+    established. `cancelled`: the caller disconnected or
     the deadline passed.
     """
 
@@ -40,6 +41,7 @@
     unfetched = 'unfetched'
     misdirected = 'misdirected'
     lost = 'lost'
+    crashed = 'crashed'
     unreached = 'unreached'
     cancelled = 'cancelled'
 
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
@@ -5,9 +5,10 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
+from gypsumrelay_attribution import CrashHistory, PendingLosses
 
 from gypsumrelay_dispatch.accounts import Accounts, set_accounts
-from gypsumrelay_dispatch.crashes import CrashHistory, confirm_crash
+from gypsumrelay_dispatch.crashes import confirm
 from gypsumrelay_dispatch.grant_rate import GrantRate
 from gypsumrelay_dispatch.loads import ActivePlacement, Load
 from gypsumrelay_dispatch.models import (
@@ -74,7 +75,8 @@
         queue: Queued placement requests.
         accounts: Token buckets of the client accounts.
         retry_budgets: Retry budgets, by service.
-        crash_history: Upstream crashes attributed to request contents.
+        crash_history: Upstream crashes and their causes.
+        losses: Lost connections that may have been crashes.
         pace_ms: Moving average of the decode time per expected token, in
             milliseconds.
         workloads: Average work of the requests, by service.
@@ -100,6 +102,7 @@
     accounts: Accounts = attrs.field(factory=Accounts)
     retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     crash_history: CrashHistory = attrs.field(factory=CrashHistory)
+    losses: PendingLosses = attrs.field(factory=PendingLosses)
     pace_ms: float = INITIAL_PACE_MS
     workloads: dict[str, Workload] = attrs.field(factory=dict)
     grant_rates: dict[str, GrantRate] = attrs.field(factory=dict)
@@ -166,7 +169,7 @@
             scheduler.loads[name] = Load(upstream)
             continue
         if load.upstream.started_ms != upstream.started_ms:
-            _confirm_crashes(scheduler, load, now)
+            _confirm_crash(scheduler, load, now)
             scheduler.loads[name] = Load(upstream)
             admit_restarted(scheduler.rate_limits, name, now)
             continue
@@ -185,18 +188,13 @@
         )
         grace = scheduler.settings.lapse_seconds if may_reregister else 0
         if gone.usable_until > now:
-            _confirm_crashes(scheduler, gone, now)
+            _confirm_crash(scheduler, gone, now)
         gone.usable_until = min(gone.usable_until, now + grace)
 
 
-def _confirm_crashes(scheduler: SchedulerState, load: Load, now: float) -> None:
-    upstream = load.upstream
-    confirm_crash(
-        scheduler.crash_history,
-        (upstream.name, upstream.started_ms),
-        now + scheduler.settings.blame_seconds,
-        now,
-    )
+def _confirm_crash(scheduler: SchedulerState, load: Load, now: float) -> None:
+    if not load.upstream.leaving:
+        confirm(scheduler, load.upstream.name, now)
 
 
 def is_usable(scheduler: SchedulerState, load: Load, now: float) -> bool:
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
@@ -10,7 +10,6 @@
 
 from gypsumrelay_dispatch import (
     accounts,
-    crashes,
     placement_reports,
     rate_limits,
     rebalancing,
@@ -22,13 +21,13 @@
     refund_charge,
     reject_overloaded,
 )
+from gypsumrelay_dispatch.crashes import attribute, quarantine_failure
 from gypsumrelay_dispatch.granting import (
     grant_placement,
     is_direct_prefill,
 )
 from gypsumrelay_dispatch.loads import (
     ActivePlacement,
-    Load,
     observe_ending,
     observe_kv_fetch,
     observe_prefill,
@@ -173,6 +172,8 @@
     if placement is None or load is None:
         return []
     load.prefill_work_ms.pop(key, None)
+    if ending is not Ending.answered:
+        attribute(scheduler, placement, load, ending, now, began=False)
     seconds = now - placement.granted_at
     if ending is Ending.answered:
         observe_prefill(load, placement.prefill_ms, seconds)
@@ -210,7 +211,7 @@
         observe_ending(load, ending, seconds, scheduler.settings, now)
         if is_direct_prefill(placement):
             load.direct_prefill_until = min(load.direct_prefill_until, now)
-        _attribute_crash(scheduler, placement, load, ending, now, began=began)
+        attribute(scheduler, placement, load, ending, now, began=began)
         if ending is Ending.answered:
             _observe_pace(scheduler, placement, now)
     prefill_load = scheduler.loads.get(placement.prefilled_by)
@@ -348,6 +349,11 @@
     is_attempted: bool,
 ) -> Decision | None:
     request = waiting.request
+    # Its content or a part may have crashed upstreams while it waited.
+    quarantined = quarantine_failure(scheduler, request, now)
+    if quarantined is not None:
+        refund_charge(scheduler, request)
+        return build_rejection(scheduler, request, quarantined)
     may_place = is_attempted and _may_place(scheduler, request, now)
     choice = choose(scheduler, request, now) if may_place else None
     if choice is not None:
@@ -405,27 +411,3 @@
         pace_ms = (now - placement.started_at) * MS_PER_SECOND / expected
         pace_ms = min(MAX_PACE_MS, max(MIN_PACE_MS, pace_ms))
         scheduler.pace_ms += PACE_SMOOTHING * (pace_ms - scheduler.pace_ms)
-
-
-def _attribute_crash(
-    scheduler: SchedulerState,
-    placement: ActivePlacement,
-    load: Load,
-    ending: Ending,
-    now: float,
-    *,
-    began: bool,
-) -> None:
-    request = placement.request
-    history = scheduler.crash_history
-    if ending is Ending.answered:
-        crashes.clear(history, request.digest)
-    if ending is Ending.lost and request.digest:
-        lost = crashes.SuspectedCrash(
-            request.digest, request.parts, began, placement.upstream, now
-        )
-        crashes.suspect(history, lost, now)
-    if ending in {Ending.unreached, Ending.misdirected}:
-        upstream = (placement.upstream, load.upstream.started_ms)
-        expires_at = now + scheduler.settings.blame_seconds
-        crashes.confirm_crash(history, upstream, expires_at, now)
--- a/libs/errors/src/gypsumrelay_errors/failures.py
+++ b/libs/errors/src/gypsumrelay_errors/failures.py
@@ -179,6 +179,13 @@
     http_status: ClassVar[int] = 503
 
 
+class PartQuarantined(Failure):
+    """Several upstreams failed while they started prompts with one part."""
+
+    code: ClassVar[str] = 'part_quarantined'
+    http_status: ClassVar[int] = 503
+
+
 class DeadlinePassed(Failure):
     """The deadline of the caller or the time-out of the route has passed."""
 
--- a/libs/relay/src/gypsumrelay_relay/attempts.py
+++ b/libs/relay/src/gypsumrelay_relay/attempts.py
@@ -206,7 +206,7 @@
 ) -> None:
     """Release the placement of an attempt and log how it ended."""
     request = placement.request
-    ending = ending_for(exchange, result)
+    ending = ending_at(exchange, result, placement.address)
     exchange.relay.coordination.report_end(request, ending, began=result.began)
     exchange.relay.metrics.count_attempt(ending.value)
     exchange.log(
@@ -236,6 +236,20 @@
     return result.ending
 
 
+def ending_at(
+    exchange: Exchange, result: AttemptResult, address: str
+) -> Ending:
+    """Return how an attempt ended, with a probe of a lost upstream.
+
+    The coordinator has to know of a crash before the request, or another one
+    like it, crashes the next upstream.
+    """
+    ending = ending_for(exchange, result)
+    if ending is Ending.lost and exchange.relay.connections.refuses(address):
+        return Ending.crashed
+    return ending
+
+
 def timeout_failure(exchange: Exchange) -> Failure:
     """Return the failure of a request that was cancelled or timed out."""
     if exchange.runs:
--- a/libs/relay/src/gypsumrelay_relay/building.py
+++ b/libs/relay/src/gypsumrelay_relay/building.py
@@ -129,6 +129,7 @@
     coordination.actor = Coordinator.start(
         SchedulerState(settings.dispatch),
         coordination.deliver_answer,
+        coordination.publish_crash,
     )
     coordination.endpoint = Endpoint(
         Identity(instance.name, incarnation, 'relay'),
--- a/libs/relay/src/gypsumrelay_relay/connections.py
+++ b/libs/relay/src/gypsumrelay_relay/connections.py
@@ -30,6 +30,13 @@
 # Longest idle time in seconds of a connection that is used for a request which
 # must not run twice; an upstream may drop idle connections without notice.
 FRESH_SECONDS: Final = 1.0
+# Time limit in seconds of a probe after a lost connection; a dead upstream
+# refuses at once.
+PROBE_SECONDS: Final = 0.1
+# Time in seconds for which the result of a probe is used again.
+PROBE_REUSE_SECONDS: Final = 0.05
+# Maximum number of addresses whose last probe is kept.
+MAX_PROBES: Final = 1024
 # Maximum number of idle connections per upstream.
 MAX_IDLE: Final = 24
 
@@ -69,11 +76,13 @@
         idle: Idle connections by address, the newest last.
         lock: Guards `idle`.
         opened: Number of connections opened so far.
+        probes: Instant and result of the last probe, by address.
     """
 
     idle: dict[str, deque[IdleConnection]] = attrs.field(factory=dict)
     lock: threading.Lock = attrs.field(factory=threading.Lock)
     opened: int = 0
+    probes: dict[str, tuple[float, bool]] = attrs.field(factory=dict)
 
     def take(self, address: str, *, fresh: bool) -> HTTPConnection | None:
         """Return an idle connection that is usable, or None.
@@ -107,6 +116,23 @@
         self.opened += 1
         return connection
 
+    def refuses(self, address: str) -> bool:
+        """Return whether an upstream refuses connections, as a dead one does.
+
+        Several requests lose their connections at once; they share the answer.
+        """
+        now = monotonic()
+        with self.lock:
+            probed_at, is_refused = self.probes.get(address, (0, False))
+            if now - probed_at < PROBE_REUSE_SECONDS:
+                return is_refused
+        is_refused = _probe(address)
+        with self.lock:
+            if len(self.probes) >= MAX_PROBES:
+                self.probes.clear()
+            self.probes[address] = (now, is_refused)
+        return is_refused
+
     def put_back(
         self,
         address: str,
@@ -152,3 +178,15 @@
         # Unread bytes belong to no request; is_connection_dropped() reports
         # them, so that the connection is not reused.
         return not is_connection_dropped(entry.connection)
+
+
+def _probe(address: str) -> bool:
+    """Return whether an address refuses a connection."""
+    host, _, port = address.rpartition(':')
+    try:
+        socket.create_connection((host, int(port)), PROBE_SECONDS).close()
+    except ConnectionRefusedError:
+        return True
+    except (OSError, ValueError):
+        return False
+    return False
--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -10,7 +10,12 @@
 import attrs
 import msgpack
 from gypsumrelay_clock import monotonic
-from gypsumrelay_dispatch import Decision, Ending, PlacementRequest, Rejection
+from gypsumrelay_dispatch import (
+    Decision,
+    Ending,
+    PlacementRequest,
+    Rejection,
+)
 from gypsumrelay_errors import Failure, LinkClosed, RequestQuarantined
 from gypsumrelay_settings import DispatchSettings
 from gypsumrelay_wire import (
@@ -22,6 +27,7 @@
     PlaceRefused,
     RecordsCopy,
     RecordsRequest,
+    UpstreamCrashed,
     dial,
 )
 from logbook import Logger
@@ -29,6 +35,8 @@
 from gypsumrelay_relay import coordinator as messages
 from gypsumrelay_relay import state_events
 from gypsumrelay_relay.coordinator_messages import from_wire, to_wire
+from gypsumrelay_relay.crash_reports import crash_to_wire
+from gypsumrelay_relay.known_crashes import KnownCrashes
 from gypsumrelay_relay.membership import (
     Members,
     alive,
@@ -61,6 +69,7 @@
 
 if TYPE_CHECKING:
     import pykka
+    from gypsumrelay_attribution import Crash
 
 log = Logger('coordination')
 
@@ -101,6 +110,7 @@
         active: Granted placements in use, by request id and attempt.
         uses: Use of limits that was granted to this relay recently.
         quarantine: Contents that were rejected for their crashes.
+        known_crashes: Crashes of upstreams that this relay knows of.
         stated_limits: Rate limits of upstreams that this relay knows.
         settings: Policy of the coordinator, with the window of the retry
             budget.
@@ -124,6 +134,7 @@
     active: dict[tuple[str, int], Placement] = attrs.field(factory=dict)
     uses: UsageHistory = attrs.field(factory=UsageHistory)
     quarantine: Quarantine = attrs.field(factory=Quarantine)
+    known_crashes: KnownCrashes = attrs.field(factory=KnownCrashes)
     stated_limits: StatedLimits = attrs.field(factory=StatedLimits)
     settings: DispatchSettings = attrs.field(factory=DispatchSettings)
     leader: str = ''
@@ -160,7 +171,11 @@
         """
         with self.lock:
             self.pending.pop(request.key, None)
-            self.active.pop(request.key, None)
+            placement = self.active.pop(request.key, None)
+            if placement is not None:
+                self.known_crashes.record_end(
+                    placement, ending, monotonic(), began=began
+                )
             self._tell(messages.PlacementEnded(request.key, ending, began))
 
     def report_rate_limit(
@@ -205,6 +220,27 @@
         if link is not None:
             link.send(answer_message(decision, monotonic()))
 
+    def publish_crash(self, crash: Crash, relay: str) -> None:
+        """Report a crash that the own coordinator counts.
+
+        Args:
+            crash: The crash.
+            relay: Name of the relay that it is reported to; empty for all.
+        """
+        now = monotonic()
+        message = crash_to_wire(crash, now)
+        with self.lock:
+            if self.link is not None:
+                return
+            self.known_crashes.merge(message, now)
+            links = [
+                link
+                for name, link in self.incoming.items()
+                if relay in {'', name}
+            ]
+        for link in links:
+            link.send(message)
+
     def start(self) -> None:
         """Start the thread that follows the coordinator.
 
@@ -227,6 +263,9 @@
         match message:
             case PlaceGranted() | PlaceRefused():
                 self._handle_answer(link, message, now)
+            case UpstreamCrashed() if link is self.link:
+                with self.lock:
+                    self.known_crashes.merge(message, now)
             case Heartbeat(places_told=1):
                 _complete_report(self, sender, now)
             case RecordsRequest() | RecordsCopy():
@@ -340,6 +379,8 @@
             self._tell(messages.SendsReported(upstream, sent_at))
         for account, charges in tokens_by_account(uses).items():
             self._tell(messages.ChargesReported(account, charges))
+        for message in self.known_crashes.reports(settings, now):
+            self._tell(message)
         drop_expired(self.quarantine, settings.blame_seconds, now)
         for digest, since in self.quarantine.since.items():
             self._tell(messages.QuarantineReported(digest, since))
@@ -378,6 +419,7 @@
                 digest = pending.request.digest
                 record_rejection(self.quarantine, digest, seconds, now)
             if isinstance(answer, Placement):
+                answer = attrs.evolve(answer, granted_at=now)
                 self.active[key] = answer
                 for upstream, per_second in answer.rate_limits.items():
                     self.stated_limits.learn(upstream, per_second, now)
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -8,22 +8,22 @@
 import attrs
 import gypsumrelay_dispatch as dispatch
 import pykka
+from gypsumrelay_attribution import Cause, Crash, take_changed
 from gypsumrelay_clock import monotonic
 from gypsumrelay_dispatch import Rejection
 from gypsumrelay_wire import to_retry_ms
 from logbook import Logger
 
-from gypsumrelay_relay.digests import short_digest
-from gypsumrelay_relay.state_events import (
-    CrashConfirmed,
-    PlacementRejected,
-    report,
+from gypsumrelay_relay.crash_reports import (
+    crash_event,
+    report_causes,
 )
+from gypsumrelay_relay.digests import short_digest
+from gypsumrelay_relay.state_events import PlacementRejected, report
 
 if TYPE_CHECKING:
     from gypsumrelay_dispatch import (
         ActivePlacement,
-        ConfirmedCrash,
         Decision,
         Ending,
         PhaseChange,
@@ -40,6 +40,12 @@
 MS_PER_SECOND: Final = 1000
 
 Deliver = Callable[['Decision'], None]
+# Reports a crash to a relay, or to all relays if the name is empty.
+Publish = Callable[[Crash, str], None]
+
+
+def publish_nothing(crash: Crash, relay: str) -> None:
+    """Report nothing; the default without other relays."""
 
 
 @attrs.frozen
@@ -118,6 +124,24 @@
     since: float
 
 
+@attrs.frozen
+class CrashReported:
+    """A crash of an upstream that a relay knows of."""
+
+    crash: Crash
+
+
+@attrs.frozen
+class CompletionsReported:
+    """Contents and parts that upstreams completed.
+
+    Attributes:
+        started_at: Start of the newest completed run, by digest.
+    """
+
+    started_at: Mapping[bytes, float]
+
+
 @attrs.frozen
 class RateLimitReported:
     """An upstream states a rate limit.
@@ -231,6 +255,8 @@
     SendsReported,
     ChargesReported,
     QuarantineReported,
+    CrashReported,
+    CompletionsReported,
     RateLimitReported,
 )
 
@@ -240,11 +266,18 @@
 
     use_daemon_thread = True
 
-    def __init__(self, scheduler: SchedulerState, deliver: Deliver) -> None:
-        """Set the state and the callback that delivers answers."""
+    def __init__(
+        self,
+        scheduler: SchedulerState,
+        deliver: Deliver,
+        publish: Publish = publish_nothing,
+    ) -> None:
+        """Set the state and the callbacks for answers and crash reports."""
         super().__init__()
         self.scheduler = scheduler
         self.deliver = deliver
+        self.publish = publish
+        self.logged_causes: dict[bytes, Cause] = {}
 
     def on_receive(self, message: Any) -> Any:
         """Handle one message."""
@@ -267,14 +300,28 @@
             decisions = [
                 dispatch.reject_failed(self.scheduler, message.request)
             ]
-        for crash in dispatch.take_unreported(self.scheduler.crash_history):
-            report(log, _crash_event(crash, now))
         for decision in decisions:
             if isinstance(decision, Rejection):
                 report(log, _rejection_event(decision, now))
             self.deliver(decision)
+        if isinstance(message, Tick):
+            self._publish_crashes(now)
+        if isinstance(message, ReportCompleted):
+            # A relay that started later knows no earlier crash.
+            for crash in self.scheduler.crash_history.crashes:
+                self.publish(crash, message.entry)
         return None
 
+    def _publish_crashes(self, now: float) -> None:
+        """Report the crashes since the last tick to all relays."""
+        history = self.scheduler.crash_history
+        for crash in take_changed(history):
+            report(log, crash_event(crash, now))
+            self.publish(crash, '')
+        self.logged_causes = report_causes(
+            log, self.logged_causes, history.causes
+        )
+
     def _apply(self, message: Any, now: float) -> Iterable[Decision]:
         scheduler = self.scheduler
         match message:
@@ -327,10 +374,27 @@
             dispatch.restore_charges(scheduler, client_account, charges, now)
         case QuarantineReported(digest, since):
             dispatch.restore_quarantine(scheduler, digest, since, now)
-        case RateLimitReported(upstream, per_second, is_new=True):
-            dispatch.apply_rate_limit(scheduler, upstream, per_second, now)
-        case RateLimitReported(upstream, per_second):
-            dispatch.restore_rate_limit(scheduler, upstream, per_second, now)
+        case CrashReported() | CompletionsReported():
+            _apply_crash_report(scheduler, message, now)
+        case RateLimitReported(upstream, per_second, is_new):
+            apply_limit = (
+                dispatch.apply_rate_limit
+                if is_new
+                else dispatch.restore_rate_limit
+            )
+            apply_limit(scheduler, upstream, per_second, now)
+
+
+def _apply_crash_report(
+    scheduler: SchedulerState,
+    message: CrashReported | CompletionsReported,
+    now: float,
+) -> None:
+    if isinstance(message, CrashReported):
+        dispatch.restore_crash(scheduler, message.crash, now)
+        return
+    for subject, started_at in message.started_at.items():
+        dispatch.restore_completed(scheduler, subject, started_at, now)
 
 
 def _apply_update(scheduler: SchedulerState, message: Any, now: float) -> None:
@@ -381,26 +445,15 @@
     )
 
 
-def _crash_event(crash: ConfirmedCrash, now: float) -> CrashConfirmed:
-    unanswered = [lost for lost in crash.lost if not lost.began]
-    lost_at = min(lost.lost_at for lost in crash.lost)
-    parts = dict.fromkeys(part for lost in unanswered for part in lost.parts)
-    return CrashConfirmed(
-        crash.upstream,
-        len(crash.lost),
-        ','.join(short_digest(lost.digest) for lost in unanswered),
-        ','.join(map(short_digest, parts)),
-        max(crash.counts.values()),
-        int((now - lost_at) * MS_PER_SECOND),
-    )
-
-
 def _figures(scheduler: SchedulerState) -> dict[str, Any]:
     return {
         'rate_limits': {
             name: limit.per_second
             for name, limit in scheduler.rate_limits.items()
         },
+        'quarantined': sorted(
+            short_digest(subject) for subject in scheduler.crash_history.causes
+        ),
         'waiting': len(scheduler.queue),
         'places': len(scheduler.placements),
         'upstreams': {
--- a/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
@@ -16,10 +16,13 @@
     PromptRead,
     RepeatsUsed,
     SendsUsed,
+    SubjectsCompleted,
     TokensUsed,
+    UpstreamCrashed,
 )
 
 from gypsumrelay_relay import coordinator as messages
+from gypsumrelay_relay.crash_reports import crash_from_wire, crash_to_wire
 from gypsumrelay_relay.placement import (
     parse_ending,
     rate_from_wire,
@@ -91,8 +94,18 @@
         case messages.ChargesReported(client_account, charges):
             ages = [_age_ms(at, now) for at in charges]
             return TokensUsed(client_account, ages, list(charges.values()))
+    return _crash_report_to_wire(message, now)
+
+
+def _crash_report_to_wire(message: Any, now: float) -> Message:
+    match message:
         case messages.QuarantineReported(digest, since):
             return ContentQuarantined(digest, _age_ms(since, now))
+        case messages.CrashReported(crash):
+            return crash_to_wire(crash, now)
+        case messages.CompletionsReported(started_at):
+            ages_ms = [_age_ms(at, now) for at in started_at.values()]
+            return SubjectsCompleted(list(started_at), ages_ms)
     raise TypeError(type(message).__name__)
 
 
@@ -111,6 +124,17 @@
             for age, charged in zip(ages, tokens, strict=False):
                 charges[_instant(age, now)] += max(0, charged)
             return messages.ChargesReported(client_account, charges)
+    return _crash_report_from_wire(message, now)
+
+
+def _crash_report_from_wire(message: Message, now: float) -> Any:
+    match message:
+        case UpstreamCrashed():
+            return messages.CrashReported(crash_from_wire(message, now))
+        case SubjectsCompleted(subjects, ages_ms):
+            instants = [_instant(age_ms, now) for age_ms in ages_ms]
+            pairs = zip(subjects, instants, strict=False)
+            return messages.CompletionsReported(dict(pairs))
         case ContentQuarantined(digest, rejected_ms):
             return messages.QuarantineReported(
                 digest, _instant(rejected_ms, now)
--- a/libs/relay/src/gypsumrelay_relay/placement.py
+++ b/libs/relay/src/gypsumrelay_relay/placement.py
@@ -17,6 +17,7 @@
     Failure,
     NoUpstream,
     Overloaded,
+    PartQuarantined,
     RateExceeded,
     RequestQuarantined,
 )
@@ -41,7 +42,13 @@
 # Failures that a coordinator returns; an unknown code is handled as overload.
 _FAILURES: Final = {
     kind.code: kind
-    for kind in (NoUpstream, Overloaded, RateExceeded, RequestQuarantined)
+    for kind in (
+        NoUpstream,
+        Overloaded,
+        PartQuarantined,
+        RateExceeded,
+        RequestQuarantined,
+    )
 }
 
 
@@ -62,6 +69,7 @@
         rate_limits: Rate limits in force at these upstreams in requests per
             second, by upstream.
         retries_used: Retries of the service that the coordinator counted.
+        granted_at: Instant at which this relay got the placement.
     """
 
     request: PlacementRequest
@@ -74,6 +82,7 @@
     list_position: int = -1
     rate_limits: Mapping[str, float] = attrs.field(factory=dict)
     retries_used: int = 0
+    granted_at: float = 0
 
 
 def granted_placement(grant: Grant) -> Placement:
--- a/libs/relay/src/gypsumrelay_relay/prefill.py
+++ b/libs/relay/src/gypsumrelay_relay/prefill.py
@@ -14,7 +14,7 @@
     MISDIRECTED,
     AttemptResult,
     belongs_to_another,
-    ending_for,
+    ending_at,
     read_reply_headers,
     send_request,
 )
@@ -167,7 +167,7 @@
         if isinstance(outcome, Cache)
         else outcome
     )
-    ending = ending_for(exchange, result)
+    ending = ending_at(exchange, result, placement.prefill_address)
     exchange.relay.coordination.report_prefill(placement, ending)
     exchange.log(
         request_events.PrefillWorkEnded(
--- a/libs/relay/src/gypsumrelay_relay/state_events.py
+++ b/libs/relay/src/gypsumrelay_relay/state_events.py
@@ -276,8 +276,6 @@
         unanswered: Digests of the contents of those without an event of an
             answer, separated by commas.
         parts: Digests of the shared parts of their prompts, likewise.
-        highest_count: Highest number of crashes attributed to one of the
-            contents.
         delay_ms: Time in milliseconds since the first connection was lost.
     """
 
@@ -291,10 +289,40 @@
     lost: int
     unanswered: str
     parts: str
-    highest_count: int
     delay_ms: int
 
 
+@attrs.frozen
+class CauseFound(StateChange):
+    """Crashes are attributed to a content or part, which is rejected now.
+
+    Attributes:
+        digest: Digest of the content or part.
+        is_part: Whether it is a part of prompts.
+        crashes: Number of crashes that it explains.
+    """
+
+    event: ClassVar[str] = 'cause_found'
+    severity: ClassVar[str] = 'WARNING'
+    template: ClassVar[str] = (
+        'Requests with {digest} are rejected after {crashes} crashes.'
+    )
+
+    digest: str
+    is_part: bool
+    crashes: int
+
+
+@attrs.frozen
+class CauseCleared(StateChange):
+    """Crashes are no longer attributed to a content or part."""
+
+    event: ClassVar[str] = 'cause_cleared'
+    template: ClassVar[str] = 'Requests with {digest} are admitted again.'
+
+    digest: str
+
+
 @attrs.frozen
 class PhaseSwitchOrdered(StateChange):
     """An upstream was ordered to switch between prefill and decode.
--- a/libs/settings/src/gypsumrelay_settings/models.py
+++ b/libs/settings/src/gypsumrelay_settings/models.py
@@ -194,8 +194,13 @@
             was unreachable; doubled after each further failure.
         max_suspend_seconds: Maximum suspension of an upstream.
         blame_after: Number of upstream crashes after which requests with the
-            same content are rejected.
-        blame_seconds: Time for which crashes are attributed to a content.
+            same content, or the same part of a prompt, are rejected.
+        blame_after_success: The same number for a content or part that an
+            upstream has completed before.
+        blame_trial_seconds: Time after the last of these crashes until one
+            request with the content or part may run again; doubled with each
+            further crash.
+        blame_seconds: Time for which crashes are attributed.
         overdraft_tokens: Tokens that a client account may use beyond its
             rate and burst while capacity is free.
         lapse_seconds: Time for which an upstream that left the list during
@@ -218,6 +223,8 @@
     suspend_seconds: float = bounded(0, 60, default=0.5)
     max_suspend_seconds: float = bounded(0, 600, default=4)
     blame_after: int = bounded(1, 100, default=3)
+    blame_after_success: int = bounded(1, 100, default=5)
+    blame_trial_seconds: float = bounded(0.1, 3600, default=10)
     blame_seconds: float = bounded(1, 86_400, default=120)
     overdraft_tokens: float = bounded(0, 1_000_000_000, default=0)
     lapse_seconds: float = bounded(0, 60, default=2.5)
--- a/libs/wire/src/gypsumrelay_wire/__init__.py
+++ b/libs/wire/src/gypsumrelay_wire/__init__.py
@@ -12,7 +12,6 @@
 )
 from gypsumrelay_wire.frames import (
     FRAME_LIMIT_BYTES,
-    FrameFault,
     FrameReader,
     FrameWriter,
     new_unpacker,
@@ -81,7 +80,9 @@
     RecordsRequest,
     RepeatsUsed,
     SendsUsed,
+    SubjectsCompleted,
     TokensUsed,
+    UpstreamCrashed,
 )
 
 __all__ = (
@@ -102,7 +103,6 @@
     'Endpoint',
     'Failed',
     'Finished',
-    'FrameFault',
     'FrameReader',
     'FrameWriter',
     'Heartbeat',
@@ -134,11 +134,13 @@
     'SendsUsed',
     'SessionKeys',
     'Settle',
+    'SubjectsCompleted',
     'TokenGrant',
     'TokenRefusal',
     'TokenRequest',
     'Tokens',
     'TokensUsed',
+    'UpstreamCrashed',
     'check_proof',
     'decode',
     'dial',
--- a/libs/wire/src/gypsumrelay_wire/placements.py
+++ b/libs/wire/src/gypsumrelay_wire/placements.py
@@ -264,3 +264,43 @@
     tag: ClassVar[int] = 53
     digest: bytes
     age_ms: int
+
+
+@attrs.frozen
+class UpstreamCrashed(Message):
+    """Reports a crash of an upstream and what it ran.
+
+    The coordinator reports each crash to all instances, and these report it to
+    a new coordinator.
+
+    Attributes:
+        upstream: Name of the upstream.
+        age_ms: Time in milliseconds since the crash.
+        digests: Digests of the contents that it ran.
+        began: For each of them 1 if it had sent an event of the answer, else 0.
+        part_counts: Number of parts of each of them.
+        parts: Digests of the parts of all of them, in order.
+    """
+
+    tag: ClassVar[int] = 54
+    upstream: str
+    age_ms: int
+    digests: list[bytes]
+    began: list[int]
+    part_counts: list[int]
+    parts: list[bytes]
+
+
+@attrs.frozen
+class SubjectsCompleted(Message):
+    """Reports contents and parts that upstreams completed after crashes.
+
+    Attributes:
+        subjects: Digests of the contents and parts.
+        ages_ms: Time in milliseconds since the start of the newest completed
+            run of each.
+    """
+
+    tag: ClassVar[int] = 55
+    subjects: list[bytes]
+    ages_ms: list[int]
