Detect answers that end inside their head

An upstream that stopped in the middle of an answer's head and closed the connection looked like one that sent an empty body: the HTTP library takes the end of the bytes for the end of the head. Callers got a 200 with an empty body, framed as whole, or an empty stream that looked complete. The reader of an answer now fails there, so that the attempt counts as lost.

--- a/libs/relay/src/gypsumrelay_relay/read_limits.py
+++ b/libs/relay/src/gypsumrelay_relay/read_limits.py
@@ -74,6 +74,36 @@
         super().close()
 
 
+class AnswerReader(io.BufferedReader):
+    """Reads an answer, and fails if its head is truncated.
+
+    The HTTP library takes the end of the bytes for the end of the head, so
+    that a truncated head looks like an answer with an empty body.
+
+    Attributes:
+        is_in_head: Whether the head is being read.
+        has_started: Whether a line of it was read.
+    """
+
+    def __init__(self, raw: io.RawIOBase) -> None:
+        """Wrap a raw reader."""
+        super().__init__(raw)
+        self.is_in_head = True
+        self.has_started = False
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Return the next line.
+
+        Raises:
+            ConnectionError: The bytes ended inside the head.
+        """
+        line = super().readline(size)
+        if self.is_in_head and self.has_started and not line:
+            raise ConnectionError('the answer ended inside its head')
+        self.has_started = True
+        return line
+
+
 class BoundedSocket:
     """A socket whose readers enforce limits in time and bytes."""
 
@@ -81,10 +111,17 @@
         """Wrap a connected socket."""
         self.sock = sock
         self.limits = ReadLimits()
+        self.reader: AnswerReader | None = None
 
     def makefile(self, mode: str) -> io.BufferedReader:
         """Return a buffered reader for the next answer."""
-        return io.BufferedReader(BoundedReader(self.sock, self.limits))
+        self.reader = AnswerReader(BoundedReader(self.sock, self.limits))
+        return self.reader
+
+    def end_head(self) -> None:
+        """Note that the head of the answer was read."""
+        if self.reader is not None:
+            self.reader.is_in_head = False
 
     def __getattr__(self, name: str) -> Any:
         """Return any other attribute of the socket."""
--- a/libs/relay/src/gypsumrelay_relay/sending.py
+++ b/libs/relay/src/gypsumrelay_relay/sending.py
@@ -197,7 +197,9 @@
         preload_content=False,
         decode_content=False,
     )
-    return connection.getresponse()
+    response = connection.getresponse()
+    sock.end_head()
+    return response
 
 
 def _empty_body(method: str) -> bytes | None:
