Keep errors of an upstream out of a resumed stream

A stream had begun and broke off, and the upstream that was to resume it rejected that with a 4xx. Such an answer was forwarded like a stream: callers found its text in the middle of their stream, which then ended as if it were complete. An answer to a prompt that is no success is now read as a whole; the caller gets it before the first event, and after it the connection breaks off. Before, a 4xx to a new stream broke off, too.

An error to a prompt no longer counts as a completed run for the attribution of crashes.

--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -3,6 +3,7 @@
 from gypsumrelay_dispatch.crashes import (
     attribution_limits,
     content_of,
+    is_completion,
 )
 from gypsumrelay_dispatch.forecast import (
     expected_output_tokens,
@@ -90,6 +91,7 @@
     'end_prefill',
     'end_rate_limit',
     'expected_output_tokens',
+    'is_completion',
     'plan_phase_change',
     'queue_deadline',
     'record_phase_change',
--- a/libs/dispatch/src/gypsumrelay_dispatch/crashes.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/crashes.py
@@ -46,6 +46,18 @@
     return Content(request.digest, request.parts)
 
 
+def is_completion(
+    request: PlacementRequest, ending: Ending, *, began: bool
+) -> bool:
+    """Return whether an upstream has run a request to its end.
+
+    An answer to a prompt without an event is an error, for which the upstream
+    may not have started the prompt.
+    """
+    has_run = began or not request.prompt_tokens
+    return ending is Ending.answered and has_run and bool(request.digest)
+
+
 def quarantine_failure(
     scheduler: SchedulerState, request: PlacementRequest, now: float
 ) -> Failure | None:
@@ -93,7 +105,11 @@
     upstream = load.upstream
     request = placement.request
     if ending is Ending.answered and not placement.is_restored:
-        _complete(scheduler, placement, now)
+        confirm_alive(
+            scheduler.losses, placement.upstream, placement.granted_at
+        )
+        if is_completion(request, ending, began=began):
+            _complete(scheduler, placement, now)
     if upstream.leaving or not request.digest:
         # An upstream that leaves ends without a crash.
         return
@@ -120,14 +136,10 @@
 def _complete(
     scheduler: SchedulerState, placement: ActivePlacement, now: float
 ) -> None:
-    request = placement.request
-    started_at = placement.granted_at
-    confirm_alive(scheduler.losses, placement.upstream, started_at)
-    if request.digest:
-        record_completion(
-            scheduler.crash_history,
-            content_of(request),
-            started_at,
-            attribution_limits(scheduler.settings),
-            now,
-        )
+    record_completion(
+        scheduler.crash_history,
+        content_of(placement.request),
+        placement.granted_at,
+        attribution_limits(scheduler.settings),
+        now,
+    )
--- a/libs/dispatch/tests/steps/crashes.py
+++ b/libs/dispatch/tests/steps/crashes.py
@@ -160,15 +160,16 @@
 def check_waiting(context: Any) -> None:
     sim = context.sim
     sim.collect(tick(sim.scheduler, sim.now))
-    rejection = first_answer(context, context.waiting)
-    assert rejection.failure.code == 'part_quarantined', rejection
-    assert rejection.failure.outcome is Outcome.not_run
-    assert rejection.failure.retry_at > sim.now
+    failure = first_answer(context, context.waiting).failure
+    assert failure.code == 'part_quarantined', failure
+    assert failure.outcome is Outcome.not_run
+    assert failure.retry_at > sim.now
 
 
 @then('its account is not charged for it')
 def check_refunded(context: Any) -> None:
-    bucket = context.sim.scheduler.accounts.buckets['account']
+    scheduler = context.sim.scheduler
+    bucket = scheduler.accounts.buckets['account']
     assert bucket.level == bucket.size.burst
 
 
--- a/libs/relay/src/gypsumrelay_relay/known_crashes.py
+++ b/libs/relay/src/gypsumrelay_relay/known_crashes.py
@@ -14,7 +14,12 @@
     merge_crash,
     record_completion,
 )
-from gypsumrelay_dispatch import Ending, attribution_limits, content_of
+from gypsumrelay_dispatch import (
+    Ending,
+    attribution_limits,
+    content_of,
+    is_completion,
+)
 
 from gypsumrelay_relay.coordinator import CompletionsReported, CrashReported
 from gypsumrelay_relay.crash_reports import crash_from_wire
@@ -46,7 +51,7 @@
     ) -> None:
         """Record the end of an attempt of this relay."""
         content = content_of(placement.request)
-        if ending is Ending.answered:
+        if is_completion(placement.request, ending, began=began):
             record_completion(
                 self.history, content, placement.granted_at, self.limits, now
             )
--- a/libs/relay/src/gypsumrelay_relay/model_requests.py
+++ b/libs/relay/src/gypsumrelay_relay/model_requests.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Generator, Iterator
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, TypeGuard
 
 import attrs
 from gypsumrelay_clock import monotonic
@@ -12,6 +12,7 @@
 
 from gypsumrelay_relay import request_events
 from gypsumrelay_relay.attempts import (
+    FIRST_SERVER_ERROR,
     NOT_RUN_ENDINGS,
     AttemptResult,
     classify_reply,
@@ -36,6 +37,8 @@
     from gypsumrelay_relay.placement import Placement
 
 MS_PER_SECOND: Final = 1000
+# Status from which on an answer is not a stream.
+FIRST_REDIRECTION: Final = 300
 # Time-out in seconds for the next event of a stream that can be resumed at
 # another upstream; far above the gap between events of a healthy upstream.
 EVENT_TIMEOUT_SECONDS: Final = 1.0
@@ -146,13 +149,20 @@
     while placements_left:
         placements_left -= 1
         outcome = _request_and_run(run)
-        if isinstance(outcome, OpenStream):
+        if isinstance(outcome, OpenStream) or _lies_in_request(outcome):
             return outcome
         if not isinstance(outcome, AttemptResult):
             last = last if isinstance(last, CompleteAnswer) else outcome
         if not _may_retry(run, outcome):
             break
     _drop_cache(run)
+    return _last_failure(run, last)
+
+
+def _last_failure(
+    run: StreamRun, last: CompleteAnswer | Failure | None
+) -> CompleteAnswer | Failure:
+    """Return what the caller gets if no stream starts."""
     exchange = run.exchange
     if exchange.cancellation.cause is not None or exchange.is_overdue():
         return timeout_failure(exchange)
@@ -254,7 +264,10 @@
     if run.cache is not None and result.ending is Ending.rejected:
         result = AttemptResult(Ending.unfetched, result.reason)
     _count_run(run, result)
-    if result.ending is Ending.answered:
+    is_answered = result.ending is Ending.answered
+    if is_answered and reply.status >= FIRST_REDIRECTION:
+        return _read_error(run, placement, reply, started_at)
+    if is_answered:
         opened = _first_events(run, placement, reply, started_at)
         if isinstance(opened, OpenStream):
             return opened
@@ -265,6 +278,43 @@
     return answer or result
 
 
+def _lies_in_request(
+    outcome: CompleteAnswer | AttemptResult | Failure,
+) -> TypeGuard[CompleteAnswer]:
+    """Return whether any other upstream would answer with the same error."""
+    if not isinstance(outcome, CompleteAnswer):
+        return False
+    return outcome.status < FIRST_SERVER_ERROR
+
+
+def _read_error(
+    run: StreamRun,
+    placement: Placement,
+    reply: Reply,
+    started_at: float,
+) -> CompleteAnswer | AttemptResult:
+    """Read an answer that is an error of the request, not a stream.
+
+    The caller gets it as the whole answer, or not at all if it has the first
+    part of a stream.
+    """
+    exchange = run.exchange
+    result = AttemptResult(Ending.answered)
+    try:
+        body = reply.read(exchange.deadline, EVENT_BYTES)
+    except IO_ERRORS as error:
+        reply.close()
+        result = AttemptResult(Ending.lost, f'the answer broke off: {error}')
+        end_attempt(exchange, placement, result, reply.status, started_at)
+        return result
+    reply.return_connection()
+    end_attempt(exchange, placement, result, reply.status, started_at)
+    if run.has_started:
+        return AttemptResult(Ending.failed, f'status {reply.status}')
+    headers = exchange.relay.protocol.caller_headers(reply.headers.items())
+    return CompleteAnswer(reply.status, headers, body)
+
+
 def _first_events(
     run: StreamRun,
     placement: Placement,
