Test the handover of crashes, and parts in the design with agents

Entries and agents have the fault of this incident still: crashes are attributed to whole requests, so that all of 8 requests that share a part crash an upstream.

--- a/libs/relay/tests/membership.feature
+++ b/libs/relay/tests/membership.feature
@@ -195,3 +195,24 @@
     When it follows the coordinator
     Then it continues to send heartbeats
     And it becomes the coordinator within 2 seconds
+
+  Scenario: A new coordinator learns of each crash before any request
+    Guards against crashes below the bound, and crashes that only the relay and
+    a dead coordinator saw, which start anew with each coordinator.
+    Given a relay that has a placement and waits for another
+    And its coordinator reported the crash of "up-1" with the part "deadly"
+    And it lost a stream with the part "deadly" at the crash of "up-2"
+    And it completed a stream with the part "shared" that ran at the crash of "up-1"
+    When it switches to a coordinator on another relay
+    Then it reports the crashes of "up-1" and "up-2" before it requests
+    And it reports that the part "shared" was completed
+
+  Scenario: A relay that joins later learns of earlier crashes
+    Guards against crashes that are forgotten once all relays were replaced.
+    Given a coordinator that knows of the crash of "up-1"
+    When a relay completes its report
+    Then the crash of "up-1" is reported to that relay alone
+    And the next tick reports it to all relays once
+
+  Scenario: Reports of crashes keep their contents
+    Then 100 random crashes are equal after their way over a link
--- a/libs/routing/tests/attribution.feature
+++ b/libs/routing/tests/attribution.feature
@@ -21,3 +21,9 @@
   Scenario: Memory is bounded and old evidence expires
     When 500 digests crash upstreams with a limit of 100 digests
     Then 100 of them are stored, and none after the retention period
+
+  Scenario: A part of prompts that crashes upstreams is held back, though no two requests are alike
+    Guards against a part that crashes one upstream after the other, because
+    crashes are attributed to whole requests only.
+    When 8 requests that share a part crash an upstream each that was not rejected
+    Then at most 5 of them ran
--- a/libs/routing/tests/steps/crashes.py
+++ b/libs/routing/tests/steps/crashes.py
@@ -215,3 +215,24 @@
     attribution.expire(context.now + attribution.settings.retention_seconds)
     assert not attribution.histories
     assert not attribution.trials
+
+
+@when(
+    '{count:d} requests that share a part crash an upstream each that was not '
+    'rejected',
+)
+def crash_shared(context: Any, count: int) -> None:
+    attribution = CrashAttribution()
+    context.ran = 0
+    for number in range(count):
+        digest = b'request %d' % number
+        now = float(number)
+        if isinstance(attribution.verdict(digest, now), RequestBlamed):
+            continue
+        context.ran += 1
+        attribution.record_crash(f'crash {number}', [digest], now)
+
+
+@then('at most {most:d} of them ran')
+def check_ran(context: Any, most: int) -> None:
+    assert context.ran <= most, context.ran
