--- a/libs/wire/tests/links.feature
+++ b/libs/wire/tests/links.feature
@@ -48,3 +48,10 @@
     Given a listener that accepts a link and then sends nothing
     When the dialer waits for a message on the link
     Then the link is closed by a time-out within 6 seconds
+
+  Scenario: The previous build ignores messages that it does not know
+    Guards against links that close between two builds while a fleet is
+    upgraded, because a new message has the version of the old build.
+    Given a build with version 2 that knows no tag above 53
+    Then it ignores reports of crashes and of completed parts
+    And it reads the heartbeats of this build
