Bound the crashes that wait to be reported

Each relay keeps a copy of the crashes that it knows of, and only a coordinator takes the changed ones out for its reports. In all other relays that list grew with each crash for as long as the process lived: 500 after 500 crashes in the test, which fails before; at most 64 now.

--- a/libs/attribution/src/gypsumrelay_attribution/history.py
+++ b/libs/attribution/src/gypsumrelay_attribution/history.py
@@ -161,6 +161,8 @@
     """Note that a crash has to be reported to other processes."""
     if crash not in history.changed:
         history.changed.append(crash)
+        # Only a coordinator takes them out.
+        del history.changed[:-MAX_CRASHES]
 
 
 def take_changed(history: CrashHistory) -> list[Crash]:
--- a/libs/attribution/tests/attribution.feature
+++ b/libs/attribution/tests/attribution.feature
@@ -98,4 +98,5 @@
   Scenario: Memory is bounded, whatever parts callers invent
     When 20000 prompts with invented parts are completed and 500 upstreams crash as they start others
     Then at most 8192 completed parts and 64 crashes are stored
+    And at most 64 crashes wait to be reported
     And none of the crashes is stored after the time of their attribution
--- a/libs/attribution/tests/steps/attribution.py
+++ b/libs/attribution/tests/steps/attribution.py
@@ -306,6 +306,12 @@
     assert len(history.suspected_at) <= crashes * 3
 
 
+@then('at most {count:d} crashes wait to be reported')
+def check_unreported(context: Any, count: int) -> None:
+    changed = fleet_of(context).history.changed
+    assert 0 < len(changed) <= count, len(changed)
+
+
 @then('none of the crashes is stored after the time of their attribution')
 def check_expired(context: Any) -> None:
     fleet = fleet_of(context)
