Count a silent upstream's losses as one crash

Requests at an upstream that falls silent time out one after the other, some of them seconds after the crash. Each loss more than a second after the first counted as a crash of its own, so that a part that all of them shared reached three crashes with one dead upstream, and sound requests with it were rejected. A loss now belongs to the first known crash of its upstream after its run had started. The scenario with three losses 1.5 s apart failed before (rejected) and passes.

--- a/libs/attribution/src/gypsumrelay_attribution/__init__.py
+++ b/libs/attribution/src/gypsumrelay_attribution/__init__.py
@@ -23,6 +23,7 @@
     PendingLosses,
     confirm_alive,
     confirm_crash,
+    record_crash,
     record_loss,
 )
 
@@ -41,6 +42,7 @@
     'confirm_crash',
     'merge_crash',
     'record_completion',
+    'record_crash',
     'record_loss',
     'restore_completion',
     'restore_rejection',
--- a/libs/attribution/src/gypsumrelay_attribution/history.py
+++ b/libs/attribution/src/gypsumrelay_attribution/history.py
@@ -138,6 +138,17 @@
         history.crashes.sort(key=lambda one: one.at)
         del history.crashes[:-MAX_CRASHES]
     known.at = min(known.at, crash.at)
+    join_crash(history, known, crash, limits, now)
+
+
+def join_crash(
+    history: CrashHistory,
+    known: Crash,
+    crash: Crash,
+    limits: AttributionLimits,
+    now: float,
+) -> None:
+    """Add what another report of a known crash says."""
     news = [
         known.add(content, began=began)
         for ran, began in ((crash.started, False), (crash.answered, True))
--- a/libs/attribution/src/gypsumrelay_attribution/losses.py
+++ b/libs/attribution/src/gypsumrelay_attribution/losses.py
@@ -15,6 +15,7 @@
     Content,
     Crash,
     CrashHistory,
+    join_crash,
     merge_crash,
     same_crash,
 )
@@ -34,12 +35,14 @@
         upstream: Name of the upstream.
         content: The content.
         began: Whether the upstream had sent an event of the answer.
-        at: Instant of the loss.
+        started_at: Instant at which the run started.
+        at: Instant at which the loss was noticed.
     """
 
     upstream: str
     content: Content
     began: bool
+    started_at: float
     at: float
 
 
@@ -58,8 +61,7 @@
     now: float,
 ) -> None:
     """Record a loss; one of a known crash is added to that crash."""
-    if same_crash(history, loss.upstream, loss.at) is not None:
-        merge_crash(history, _crash((loss,)), limits, now)
+    if join_known_crash(history, loss, limits, now):
         return
     recent = [one for one in pending.losses if _is_recent(one, now)]
     pending.losses = [*recent, loss][-MAX_LOSSES:]
@@ -73,10 +75,39 @@
     now: float,
 ) -> None:
     """Turn the recent losses of an upstream into a crash."""
-    own = _take_losses(pending, upstream)
-    recent = tuple(loss for loss in own if _is_recent(loss, now))
-    if recent:
-        merge_crash(history, _crash(recent), limits, now)
+    for loss in _take_losses(pending, upstream):
+        if _is_recent(loss, now):
+            record_crash(history, loss, limits, now)
+
+
+def record_crash(
+    history: CrashHistory, loss: Loss, limits: AttributionLimits, now: float
+) -> None:
+    """Record the crash of an upstream that shows in a loss."""
+    if not join_known_crash(history, loss, limits, now):
+        merge_crash(history, _crash(loss), limits, now)
+
+
+def join_known_crash(
+    history: CrashHistory, loss: Loss, limits: AttributionLimits, now: float
+) -> bool:
+    """Add a loss to the crash that ended its run; return whether one did.
+
+    Requests at a silent upstream time out one after the other, some of them
+    long after the crash. All that had started before it ended with it.
+    """
+    known = same_crash(history, loss.upstream, loss.at) or next(
+        (
+            crash
+            for crash in history.crashes
+            if crash.upstream == loss.upstream and loss.started_at <= crash.at
+        ),
+        None,
+    )
+    if known is None:
+        return False
+    join_crash(history, known, _crash(loss), limits, now)
+    return True
 
 
 def confirm_alive(
@@ -103,8 +134,7 @@
     return now - loss.at < CONFIRM_SECONDS
 
 
-def _crash(losses: tuple[Loss, ...]) -> Crash:
-    crash = Crash(losses[0].upstream, min(loss.at for loss in losses))
-    for loss in losses:
-        crash.add(loss.content, began=loss.began)
+def _crash(loss: Loss) -> Crash:
+    crash = Crash(loss.upstream, loss.at)
+    crash.add(loss.content, began=loss.began)
     return crash
--- a/libs/dispatch/src/gypsumrelay_dispatch/crashes.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/crashes.py
@@ -117,10 +117,11 @@
         # An upstream that leaves ends without a crash.
         return
     if ending in {Ending.lost, Ending.crashed}:
+        started_at = placement.granted_at
         record_loss(
             scheduler.losses,
             scheduler.crash_history,
-            Loss(upstream.name, content_of(request), began, now),
+            Loss(upstream.name, content_of(request), began, started_at, now),
             attribution_limits(scheduler.settings),
             now,
         )
--- a/libs/dispatch/tests/crashes.feature
+++ b/libs/dispatch/tests/crashes.feature
@@ -25,6 +25,13 @@
     When 3 upstreams crash while each starts a prompt with the part "deadly", whose loss is reported last
     Then prompts with the part "deadly" are rejected
 
+  Scenario: A loss that is noticed seconds after its crash belongs to that crash
+    Guards against a silent upstream whose requests time out one after the
+    other, so that one crash counts several times against a part.
+    Given 4 decode upstreams
+    When an upstream falls silent while it starts 3 prompts with the part "shared", which time out 1.5 seconds apart
+    Then prompts with the part "shared" are placed
+
   Scenario: Streams that end with an upstream that leaves show no crash
     Given 4 decode upstreams
     When 3 upstreams that leave end while each starts a prompt with the part "deadly"
--- a/libs/dispatch/tests/steps/crashes.py
+++ b/libs/dispatch/tests/steps/crashes.py
@@ -16,6 +16,7 @@
     end_prefill,
     restore_completed,
     restore_crash,
+    restore_quarantine,
     tick,
 )
 from gypsumrelay_errors import Outcome
@@ -29,6 +30,8 @@
 
 MEMORY_TOKENS = 20_000
 DOWN_SECONDS = 2.0
+# Digest of a prompt that is sent again and again.
+REPEATED = b'repeated'
 
 
 @given('{count:d} decode upstreams')
@@ -92,6 +95,57 @@
         restart(context.sim, name)
 
 
+@when(
+    'an upstream falls silent while it starts {count:d} prompts with the part '
+    '"{part}", which time out {seconds:g} seconds apart',
+)
+def time_out(context: Any, count: int, part: str, seconds: float) -> None:
+    first = submit(context, part, read=True)
+    name = upstream_of(context, first)
+    excluded = others(context, name)
+    requests = [
+        submit(context, part, read=True, excluded=excluded)
+        for _ in range(count - 1)
+    ]
+    for request in (first, *requests):
+        assert upstream_of(context, request) == name
+        context.sim.now += seconds
+        end(context, request, Ending.lost)
+        # A refused connection confirms each loss by itself.
+        probe = submit(context, 'sound', read=True, excluded=excluded)
+        end(context, probe, Ending.unreached)
+    restart(context.sim, name)
+
+
+@when('a prompt crashes {count:d} upstreams')
+def crash_same(context: Any, count: int) -> None:
+    for _ in range(count):
+        request = submit(context, 'own', digest=REPEATED)
+        name = upstream_of(context, request)
+        context.crashed_at = context.sim.now
+        end(context, request, Ending.crashed)
+        restart(context.sim, name)
+
+
+@when('they report that the prompt was rejected')
+def report_rejected(context: Any) -> None:
+    sim = context.sim
+    restore_quarantine(sim.scheduler, REPEATED, sim.now - 0.5, sim.now)
+
+
+@then(
+    'the prompt is placed as a trial {seconds:g} seconds after its last crash',
+)
+def check_trial(context: Any, seconds: float) -> None:
+    sim = context.sim
+    request = submit(context, 'own', digest=REPEATED)
+    failure = first_answer(context, request).failure
+    assert failure.code == 'request_quarantined', failure
+    sim.now = context.crashed_at + seconds
+    request = submit(context, 'own', digest=REPEATED)
+    assert isinstance(first_answer(context, request), Grant)
+
+
 @when(
     '{count:d} upstreams that leave end while each starts a prompt with the '
     'part "{part}"',
--- a/libs/relay/src/gypsumrelay_relay/known_crashes.py
+++ b/libs/relay/src/gypsumrelay_relay/known_crashes.py
@@ -10,9 +10,11 @@
     AttributionLimits,
     Crash,
     CrashHistory,
+    Loss,
     completions_of_suspects,
     merge_crash,
     record_completion,
+    record_crash,
 )
 from gypsumrelay_dispatch import (
     Ending,
@@ -56,9 +58,9 @@
                 self.history, content, placement.granted_at, self.limits, now
             )
         if ending is Ending.crashed:
-            crash = Crash(placement.upstream, now)
-            crash.add(content, began=began)
-            merge_crash(self.history, crash, self.limits, now)
+            started_at = placement.granted_at
+            loss = Loss(placement.upstream, content, began, started_at, now)
+            record_crash(self.history, loss, self.limits, now)
 
     def merge(self, message: UpstreamCrashed, now: float) -> None:
         """Merge a crash that the coordinator reports."""
