Let trials end also what an earlier coordinator rejected

A content that a relay had seen rejected was held back for two minutes after a change of the coordinator, without a trial, although its crashes had been handed over as well: callers got 503 for what may be sound again. The known crashes now decide; the reported rejection counts only without them, as from coordinators of earlier builds.

--- a/libs/attribution/src/gypsumrelay_attribution/admission.py
+++ b/libs/attribution/src/gypsumrelay_attribution/admission.py
@@ -43,7 +43,8 @@
     if now >= history.causes_expire_at:
         update_causes(history, limits, now)
     rejected_until = history.rejected.get(content.digest, now)
-    if rejected_until > now:
+    # Known crashes say more than the rejection that followed from them.
+    if rejected_until > now and content.digest not in history.suspected_at:
         return Admission(rejected_until)
     causes = _causes_of(history, content)
     if not causes:
--- a/libs/attribution/src/gypsumrelay_attribution/history.py
+++ b/libs/attribution/src/gypsumrelay_attribution/history.py
@@ -225,7 +225,11 @@
 def restore_rejection(
     history: CrashHistory, digest: bytes, expires_at: float
 ) -> None:
-    """Reject a content that another process rejected."""
+    """Reject a content that another process rejected.
+
+    It has no effect while crashes with the content are known. Coordinators of
+    earlier builds report no crashes.
+    """
     latest = max(history.rejected.pop(digest, 0), expires_at)
     history.rejected[digest] = latest
     if len(history.rejected) > MAX_REJECTED:
--- a/libs/dispatch/tests/crashes.feature
+++ b/libs/dispatch/tests/crashes.feature
@@ -71,3 +71,12 @@
     And 2 instances report these crashes to a new coordinator
     And one of them reports that upstreams completed the part "shared" since
     Then prompts with the part "shared" are placed
+
+  Scenario: A content that an earlier coordinator rejected gets its trial as well
+    Guards against a content that is held back for longer after a change of
+    the coordinator.
+    Given 4 decode upstreams
+    When a prompt crashes 3 upstreams
+    And 2 instances report these crashes to a new coordinator
+    And they report that the prompt was rejected
+    Then the prompt is placed as a trial 10.1 seconds after its last crash
