--- a/libs/attribution/tests/attribution.feature
+++ b/libs/attribution/tests/attribution.feature
@@ -6,36 +6,36 @@
 
   Scenario: A part is found although no two requests with it are alike
     Given parts "manual" that upstreams complete
-    When 3 upstreams crash as each starts another prompt with "manual, deadly"
-    Then prompts with "manual, deadly" are rejected
+    When 3 upstreams crash as each starts another prompt with "manual, broken"
+    Then prompts with "manual, broken" are rejected
     But prompts with "manual, session" are admitted
 
   Scenario: A part that nothing else distinguishes is not blamed with its shared first part
     Guards against the rejection of all prompts with a new first part.
-    When 3 upstreams crash as each starts another prompt with "manual, deadly"
-    Then prompts with "manual, deadly" are rejected
+    When 3 upstreams crash as each starts another prompt with "manual, broken"
+    Then prompts with "manual, broken" are rejected
     But prompts with "manual, session" are admitted
 
   Scenario: The first part of the prompts is found
     Given parts "session-0, session-1, session-2" that upstreams complete
-    When an upstream crashes as it starts a prompt with "deadly, session-0"
-    And an upstream crashes as it starts a prompt with "deadly, session-1"
-    And an upstream crashes as it starts a prompt with "deadly, session-2"
-    Then prompts with "deadly, other" are rejected
+    When an upstream crashes as it starts a prompt with "broken, session-0"
+    And an upstream crashes as it starts a prompt with "broken, session-1"
+    And an upstream crashes as it starts a prompt with "broken, session-2"
+    Then prompts with "broken, other" are rejected
     But prompts with "session-0" are admitted
 
   Scenario: Two parts that crash upstreams at the same time are both found
     Given parts "manual" that upstreams complete
-    When 3 upstreams crash as each starts another prompt with "manual, deadly"
-    And 3 upstreams crash as each starts another prompt with "manual, fatal"
-    Then prompts with "manual, deadly" are rejected
-    And prompts with "manual, fatal" are rejected
+    When 3 upstreams crash as each starts another prompt with "manual, broken"
+    And 3 upstreams crash as each starts another prompt with "manual, faulty"
+    Then prompts with "manual, broken" are rejected
+    And prompts with "manual, faulty" are rejected
     But prompts with "manual, session" are admitted
 
   Scenario: A sound request that started beside the part at each crash is admitted
     Given parts "manual" that upstreams complete
-    When 3 upstreams crash as each starts another prompt with "manual, deadly" beside the same prompt with "manual, session"
-    Then prompts with "manual, deadly" are rejected
+    When 3 upstreams crash as each starts another prompt with "manual, broken" beside the same prompt with "manual, session"
+    Then prompts with "manual, broken" are rejected
     But that prompt is admitted
     And prompts with "manual, session" are admitted
 
@@ -46,8 +46,8 @@
     But prompts with "manual, session" are admitted
 
   Scenario: Requests that were being answered are not suspected
-    When 4 upstreams crash as each starts another prompt with "deadly" beside an answered prompt with "manual"
-    Then prompts with "deadly" are rejected
+    When 4 upstreams crash as each starts another prompt with "broken" beside an answered prompt with "manual"
+    Then prompts with "broken" are rejected
     But prompts with "manual" are admitted
 
   Scenario: Many upstreams that fail together blame no part that they completed
@@ -64,27 +64,27 @@
     But prompts with "manual" are admitted
 
   Scenario: A completed run clears earlier crashes, unless it started before them
-    When 4 upstreams crash as each starts another prompt with "deadly"
-    And upstreams complete a prompt with "deadly" that started before the crashes
-    And an upstream crashes as it starts a prompt with "deadly"
-    Then prompts with "deadly" are rejected
-    When upstreams complete a prompt with "deadly"
-    Then prompts with "deadly" are admitted
+    When 4 upstreams crash as each starts another prompt with "broken"
+    And upstreams complete a prompt with "broken" that started before the crashes
+    And an upstream crashes as it starts a prompt with "broken"
+    Then prompts with "broken" are rejected
+    When upstreams complete a prompt with "broken"
+    Then prompts with "broken" are admitted
 
   Scenario: One trial at a time finds out that a part is sound again
-    When 3 upstreams crash as each starts another prompt with "deadly"
+    When 3 upstreams crash as each starts another prompt with "broken"
     And 10.1 seconds pass
-    Then one of 2 prompts with "deadly" runs as a trial
-    When upstreams complete a prompt with "deadly"
-    Then prompts with "deadly" are admitted
+    Then one of 2 prompts with "broken" runs as a trial
+    When upstreams complete a prompt with "broken"
+    Then prompts with "broken" are admitted
 
   Scenario: Each trial that crashes an upstream doubles the time to the next one
-    When 3 upstreams crash as each starts another prompt with "deadly"
+    When 3 upstreams crash as each starts another prompt with "broken"
     And 10.1 seconds pass
-    Then one of 2 prompts with "deadly" runs as a trial
-    When an upstream crashes as it starts a prompt with "deadly"
+    Then one of 2 prompts with "broken" runs as a trial
+    When an upstream crashes as it starts a prompt with "broken"
     And 19 seconds pass
-    Then prompts with "deadly" are rejected
+    Then prompts with "broken" are rejected
 
   Scenario: A part that crashes upstreams for a long time gets few trials
     Then a part that crashes each upstream for 60 seconds runs at most 3 times after its fifth crash
--- a/libs/attribution/tests/steps/attribution.py
+++ b/libs/attribution/tests/steps/attribution.py
@@ -198,7 +198,7 @@
     fleet = fleet_of(context)
     runs = 0
     for _ in range(seconds * 10):
-        content = fleet.content('manual, deadly')
+        content = fleet.content('manual, broken')
         if fleet.is_admitted(content):
             runs += 1
             start_trial(fleet.history, content, LIMITS, fleet.now)
@@ -224,7 +224,7 @@
 def random_crash(rng: random.Random, number: int) -> Crash:
     crash = Crash(f'upstream-{number}', 1000 + 2.0 * number)
     for _ in range(rng.randrange(1, 4)):
-        parts = rng.sample(('manual', 'deadly', 'fatal', 'session'), 2)
+        parts = rng.sample(('manual', 'broken', 'faulty', 'session'), 2)
         digest = b'%d' % rng.randrange(8)
         crash.add(
             Content(digest, digests(','.join(parts))),
@@ -253,14 +253,14 @@
     """Run prompts with and without crashing parts for two minutes."""
     rng = random.Random(seed)
     fleet = Fleet()
-    deadly = ['deadly', 'fatal'][: 1 + seed % 2]
-    runs = dict.fromkeys(deadly, 0)
+    broken = ['broken', 'faulty'][: 1 + seed % 2]
+    runs = dict.fromkeys(broken, 0)
     running: list[Content] = []
     admitted = 0
     for step in range(1200):
         fleet.now += 0.1
         is_bad = step > 50 and rng.random() < 0.3
-        part = rng.choice(deadly) if is_bad else f'{rng.randrange(9)}'
+        part = rng.choice(broken) if is_bad else f'{rng.randrange(9)}'
         content = fleet.content(f'manual-{rng.randrange(2)}, {part}')
         admission = admit(fleet.history, content, LIMITS, fleet.now)
         if admission.rejected_until is not None:
--- a/libs/dispatch/tests/crashes.feature
+++ b/libs/dispatch/tests/crashes.feature
@@ -7,8 +7,8 @@
     Guards against requests that were queued before the attribution and crash
     another upstream after it.
     Given 4 decode upstreams
-    And a prompt with the part "deadly" that waits for a placement
-    When 3 prompts with the part "deadly" crash an upstream each
+    And a prompt with the part "broken" that waits for a placement
+    When 3 prompts with the part "broken" crash an upstream each
     Then the waiting prompt is rejected as not run, with a time to return
     And its account is not charged for it
 
@@ -16,14 +16,14 @@
     Guards against a refused connection to a restarted upstream that counts as
     a crash of that one.
     Given 4 decode upstreams
-    When 2 prompts with the part "deadly" crash an upstream each
+    When 2 prompts with the part "broken" crash an upstream each
     And the last crash is confirmed once more by the list and by a refused connection
-    Then prompts with the part "deadly" are placed
+    Then prompts with the part "broken" are placed
 
   Scenario: A loss that is reported after its crash belongs to that crash
     Given 4 decode upstreams
-    When 3 upstreams crash while each starts a prompt with the part "deadly", whose loss is reported last
-    Then prompts with the part "deadly" are rejected
+    When 3 upstreams crash while each starts a prompt with the part "broken", whose loss is reported last
+    Then prompts with the part "broken" are rejected
 
   Scenario: A loss that is noticed seconds after its crash belongs to that crash
     Guards against a silent upstream whose requests time out one after the
@@ -34,28 +34,28 @@
 
   Scenario: Streams that end with an upstream that leaves show no crash
     Given 4 decode upstreams
-    When 3 upstreams that leave end while each starts a prompt with the part "deadly"
-    Then prompts with the part "deadly" are placed
+    When 3 upstreams that leave end while each starts a prompt with the part "broken"
+    Then prompts with the part "broken" are placed
 
   Scenario: A lost connection to an upstream that answers later shows no crash
     Guards against connections that are reset, followed by a crash for another
     reason.
     Given 4 decode upstreams
-    When 4 prompts with the part "deadly" lose their connections, and their upstreams answer others and crash later
-    Then prompts with the part "deadly" are placed
+    When 4 prompts with the part "broken" lose their connections, and their upstreams answer others and crash later
+    Then prompts with the part "broken" are placed
 
   Scenario: Prompts that crash prefill upstreams are rejected as well
     Given 4 prefill and 1 decode upstreams
-    When 3 prompts with the part "deadly" crash a prefill upstream each
-    Then prompts with the part "deadly" are rejected
+    When 3 prompts with the part "broken" crash a prefill upstream each
+    Then prompts with the part "broken" are rejected
 
   Scenario Outline: A new coordinator counts on after <before> crashes
     Guards against crashes that start anew with each coordinator.
     Given 4 decode upstreams
-    When <before> prompts with the part "deadly" crash an upstream each
+    When <before> prompts with the part "broken" crash an upstream each
     And 2 instances report these crashes to a new coordinator
-    And <after> prompts with the part "deadly" crash an upstream each
-    Then prompts with the part "deadly" are rejected
+    And <after> prompts with the part "broken" crash an upstream each
+    Then prompts with the part "broken" are rejected
 
     Examples:
       | before | after |
--- a/libs/relay/tests/membership.feature
+++ b/libs/relay/tests/membership.feature
@@ -200,8 +200,8 @@
     Guards against crashes below the bound, and crashes that only the relay and
     a dead coordinator saw, which start anew with each coordinator.
     Given a relay that has a placement and waits for another
-    And its coordinator reported the crash of "up-1" with the part "deadly"
-    And it lost a stream with the part "deadly" at the crash of "up-2"
+    And its coordinator reported the crash of "up-1" with the part "broken"
+    And it lost a stream with the part "broken" at the crash of "up-2"
     And it completed a stream with the part "shared" that ran at the crash of "up-1"
     When it switches to a coordinator on another relay
     Then it reports the crashes of "up-1" and "up-2" before it requests
--- a/libs/relay/tests/steps/crash_reports.py
+++ b/libs/relay/tests/steps/crash_reports.py
@@ -98,7 +98,7 @@
 def give_coordinator(context: Any, upstream: str) -> None:
     scheduler = SchedulerState(DispatchSettings())
     crash = Crash(upstream, monotonic())
-    crash.add(Content(b'c1', (b'deadly',)), began=False)
+    crash.add(Content(b'c1', (b'broken',)), began=False)
     restore_crash(scheduler, crash, monotonic())
     context.published = queue.SimpleQueue()
     context.actor = Coordinator.start(
