--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
-import msgpack
 from gypsumrelay_clock import monotonic
 from gypsumrelay_dispatch import (
     Decision,
@@ -43,28 +42,21 @@
     coordinator,
     mark_unreachable,
 )
-from gypsumrelay_relay.operator_records import OperatorRecords, apply_records
+from gypsumrelay_relay.operator_records import OperatorRecords
 from gypsumrelay_relay.placement import (
     Placement,
     answer_from_message,
     answer_message,
     granted_placement,
-    own_placement,
-)
-from gypsumrelay_relay.quarantine import (
-    Quarantine,
-    drop_expired,
-    record_rejection,
 )
+from gypsumrelay_relay.quarantine import Quarantine, record_rejection
+from gypsumrelay_relay.records_exchange import exchange_records
+from gypsumrelay_relay.state_reports import state_reports
 from gypsumrelay_relay.stated_limits import StatedLimits
 from gypsumrelay_relay.usage_history import (
     UsageHistory,
     drop_old_uses,
     record_use,
-    retries_by_service,
-    sends_by_upstream,
-    tokens_by_account,
-    transfer_uses,
 )
 
 if TYPE_CHECKING:
@@ -269,7 +261,7 @@
             case Heartbeat(places_told=1):
                 _complete_report(self, sender, now)
             case RecordsRequest() | RecordsCopy():
-                _exchange_records(self.operator_records, link, message)
+                exchange_records(self.operator_records, link, message)
             case _:
                 local = from_wire(message, sender, now)
                 if local is not None:
@@ -348,20 +340,9 @@
         return False
 
     def _report_state(self, now: float) -> None:
-        """Report what this relay knows, and resend pending requests.
-
-        The limits come first, so that the new coordinator applies them to the
-        first request of this relay.
-        """
-        for upstream, per_second in self.stated_limits.current().items():
-            self._tell(
-                messages.RateLimitReported(upstream, per_second, is_new=False)
-            )
-        for placement in self.active.values():
-            self._tell(
-                messages.PlacementReported(own_placement(placement, now))
-            )
-        self._report_uses(now)
+        """Report what this relay knows, and resend pending requests."""
+        for message in state_reports(self, now):
+            self._tell(message)
         if self.link is None:
             _complete_report(self, self.name, now)
         else:
@@ -369,22 +350,6 @@
         for pending in list(self.pending.values()):
             self._tell(messages.PlacementRequested(pending.request))
 
-    def _report_uses(self, now: float) -> None:
-        settings = self.settings
-        drop_old_uses(self.uses, settings, now)
-        uses = transfer_uses(self.uses, self.leader_id)
-        for report in retries_by_service(uses, settings, now):
-            self._tell(messages.RetriesReported(*attrs.astuple(report)))
-        for upstream, sent_at in sends_by_upstream(uses, now).items():
-            self._tell(messages.SendsReported(upstream, sent_at))
-        for account, charges in tokens_by_account(uses).items():
-            self._tell(messages.ChargesReported(account, charges))
-        for message in self.known_crashes.reports(settings, now):
-            self._tell(message)
-        drop_expired(self.quarantine, settings.blame_seconds, now)
-        for digest, since in self.quarantine.since.items():
-            self._tell(messages.QuarantineReported(digest, since))
-
     def _tell(self, message: Any) -> None:
         """Tell the coordinator, here or on another relay; needs `lock`."""
         if self.link is None:
@@ -447,29 +412,6 @@
     return link
 
 
-def request_records(coordination: Coordination, now: float) -> None:
-    """Request the operator records if another relay has newer ones.
-
-    A relay requests them from the coordinator. The coordinator requests them
-    from the relay with the newest records, because the answer to its own read
-    may have been lost.
-    """
-    position = coordination.operator_records.position
-    with coordination.lock:
-        members = coordination.members
-        link = coordination.link
-        source = members.known.get(coordination.leader)
-        if link is None:
-            source = max(
-                (one for one in alive(members, now) if one.position > position),
-                key=lambda one: one.position,
-                default=None,
-            )
-            link = coordination.incoming.get(source.name) if source else None
-    if link is not None and source is not None and source.position > position:
-        link.send(RecordsRequest(position))
-
-
 def _complete_report(
     coordination: Coordination,
     entry: str,
@@ -490,21 +432,3 @@
 ) -> Heartbeat:
     position = max(0, coordination.operator_records.position)
     return Heartbeat(position, 0, 0, places_told)
-
-
-def _exchange_records(
-    operator_records: OperatorRecords,
-    link: Link,
-    message: RecordsRequest | RecordsCopy,
-) -> None:
-    if isinstance(message, RecordsCopy):
-        records = msgpack.unpackb(message.records)
-        apply_records(
-            operator_records, message.position, records, link.peer.name
-        )
-        return
-    with operator_records.lock:
-        position = operator_records.position
-        packed = msgpack.packb(operator_records.records)
-    if position > message.position:
-        link.send(RecordsCopy(position, packed))
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -24,7 +24,6 @@
     serve_probes,
     split_address,
 )
-from gypsumrelay_relay.coordination import request_records
 from gypsumrelay_relay.header_timeout import HeaderTimeout
 from gypsumrelay_relay.heartbeats import SUSPENSION_SECONDS
 from gypsumrelay_relay.membership import (
@@ -33,6 +32,7 @@
 )
 from gypsumrelay_relay.phase_switching import PhaseSwitcher
 from gypsumrelay_relay.read_intervals import ReadIntervals, read_intervals
+from gypsumrelay_relay.records_exchange import request_records
 from gypsumrelay_relay.registration import (
     give_up_rank,
     register_and_discover,
--- a/libs/relay/tests/steps/reading.py
+++ b/libs/relay/tests/steps/reading.py
@@ -9,10 +9,11 @@
 from behave import given, then, when
 from gypsumrelay_clock import monotonic
 from gypsumrelay_errors import PlatformUnavailable
-from gypsumrelay_relay.coordination import Coordination, request_records
+from gypsumrelay_relay.coordination import Coordination
 from gypsumrelay_relay.membership import Member, Members, record_heartbeat
 from gypsumrelay_relay.operator_records import OperatorRecords
 from gypsumrelay_relay.read_intervals import ReadIntervals, read_intervals
+from gypsumrelay_relay.records_exchange import request_records
 from gypsumrelay_relay.store_follower import StoreFollower
 from gypsumrelay_relay.topics import Changes, RecordReader, Snapshot
 from gypsumrelay_settings import StoreSettings
