--- a/review/standins.py
+++ b/review/standins.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import contextlib
 import http.client
@@ -40,6 +41,9 @@
 HELD: Final = 0
 BROKEN: Final = 1
 NOT_RUN: Final = 2
+# Time without an event after which a client abandons a stream: four times
+# the objective of 0.9 s.
+GAP_SECONDS: Final = 3.6
 # Limit of a machine of the site files, and its descriptors for files.
 MAX_DESCRIPTORS: Final = 4100
 
@@ -615,6 +619,63 @@
     return uuid.uuid4().hex[:16]
 
 
+class Client:
+    """A client with one connection at a time."""
+
+    def __init__(self, host: str) -> None:
+        """Set the machine that the platform chose for this client."""
+        self.host = host
+        self.reader: asyncio.StreamReader | None = None
+        self.writer: asyncio.StreamWriter | None = None
+
+    async def exchange(
+        self, method: str, path: str, headers: dict[str, str], body: bytes = b''
+    ) -> tuple[int, bytes]:
+        """Send a request; return status and body of the whole answer."""
+        if self.writer is None:
+            # Clients allow a new connection one second.
+            self.reader, self.writer = await asyncio.wait_for(
+                asyncio.open_connection(self.host, CALLER_PORT), 1
+            )
+        assert self.reader is not None  # noqa: S101
+        lines = [f'{name}: {text}' for name, text in headers.items()]
+        if body:
+            lines.append(f'Content-Length: {len(body)}')
+        head = '\r\n'.join([f'{method} {path} HTTP/1.1', *lines])
+        self.writer.write(f'{head}\r\n\r\n'.encode() + body)
+        answer = await self.reader.readuntil(b'\r\n\r\n')
+        fields = answer.decode('latin-1').split('\r\n')
+        values = {
+            name.lower(): text.strip()
+            for name, _, text in (line.partition(':') for line in fields[1:])
+        }
+        if values.get('transfer-encoding') == 'chunked':
+            content = await self._read_chunks(self.reader)
+        else:
+            length = int(values.get('content-length', 0))
+            content = await self.reader.readexactly(length)
+        if values.get('connection', '').lower() == 'close':
+            self.drop()
+        return int(fields[0].split(' ')[1]), content
+
+    async def _read_chunks(self, reader: asyncio.StreamReader) -> bytes:
+        content = b''
+        while True:
+            # Clients abandon a stream after such a gap.
+            line = await asyncio.wait_for(reader.readline(), GAP_SECONDS)
+            size = int(line, 16)
+            chunk = await reader.readexactly(size + 2)
+            if not size:
+                return content
+            content += chunk[:-2]
+
+    def drop(self) -> None:
+        """Close the connection."""
+        if self.writer is not None:
+            self.writer.close()
+        self.reader = self.writer = None
+
+
 # Model replicas: tokens that are read in a millisecond, time between tokens.
 PREFILL_TOKENS_PER_MS: Final = 100 / 3
 TOKEN_SECONDS: Final = 0.015
@@ -635,6 +696,9 @@
         self.slowness = 1.0
         self.models = models
         self.expiry: dict[str, float] = {}
+        # Tokens of an event, and seconds between tokens.
+        self.stride = 1
+        self.token_seconds = TOKEN_SECONDS
         self.runs: list[tuple[float, str]] = []
         super().__init__(*given)
         self.work = self.run_model
@@ -685,8 +749,8 @@
         handler.send_header('Transfer-Encoding', 'chunked')
         handler.end_headers()
         first = int(handler.headers.get('Last-Event-Id') or 0)
-        for number in range(first + 1, tokens + 1):
-            time.sleep(TOKEN_SECONDS * self.slowness)
+        for number in range(first + 1, tokens // self.stride + 1):
+            time.sleep(self.token_seconds * self.stride * self.slowness)
             event = stream_event(request_id, number)
             handler.wfile.write(b'%x\r\n%s\r\n' % (len(event), event))
         handler.wfile.write(b'0\r\n\r\n')
