--- a/review/standins.py
+++ b/review/standins.py
@@ -354,6 +354,10 @@
                     }
                     self.answer(503, b'{}', not_run)
                     return
+                replica.record.write(
+                    f'{replica.name} takes {self.command} {self.path} '
+                    f'{request_id}'
+                )
                 try:
                     replica.work(self, request_id)
                 finally:
