Log how long a read of the store went without an answer

Callers saw requests refused by an older configuration. The log said that a read of the operator's topic had failed, but not whether it was refused at once or its answer was lost and ended with its time-out, which tells the hypotheses of the late configuration apart.

store_lost has elapsed_ms.

--- a/libs/relay/src/gypsumrelay_relay/state_events.py
+++ b/libs/relay/src/gypsumrelay_relay/state_events.py
@@ -123,14 +123,18 @@
     Attributes:
         topic: The topic that was read.
         reason: The error.
+        elapsed_ms: Time in milliseconds that the read took.
     """
 
     event: ClassVar[str] = 'store_lost'
     severity: ClassVar[str] = 'WARNING'
-    template: ClassVar[str] = 'Store unavailable for topic {topic}: {reason}.'
+    template: ClassVar[str] = (
+        'Store unavailable for topic {topic} after {elapsed_ms} ms: {reason}.'
+    )
 
     topic: str
     reason: str
+    elapsed_ms: int
 
 
 @attrs.frozen
--- a/libs/relay/src/gypsumrelay_relay/store_follower.py
+++ b/libs/relay/src/gypsumrelay_relay/store_follower.py
@@ -35,6 +35,7 @@
 
 log = Logger('store')
 
+MS_PER_SECOND: Final = 1000
 # Time in seconds after the store becomes available again in which a missing
 # upstream may be listed again.
 RECOVERY_SECONDS: Final = 2.5
@@ -157,11 +158,14 @@
 
     def _refresh(self, copy: TopicCopy, wait_seconds: float) -> bool | None:
         was_failing = copy.failing
+        started_at = monotonic()
         outcome = refresh(copy, self.store, wait_seconds)
         if isinstance(outcome, Failure):
             if not was_failing:
                 unavailable = state_events.StoreUnavailable(
-                    copy.topic.value, outcome.sentence
+                    copy.topic.value,
+                    outcome.sentence,
+                    int((copy.failed_at - started_at) * MS_PER_SECOND),
                 )
                 state_events.report(log, unavailable)
             return None
