Read the operator's records beside the read that waits for them

Callers got 404 on routes of a configuration that had been acknowledged more than two seconds before, around an outage of the store.

A relay learned of records by one read that waits up to 4 s, in large fleets up to 25 s, and takes 1.5 s more to notice that its answer is lost. After an outage or a lost answer the reads of all relays can be dead at once. The exchange between relays did not help, since none had the records, and it ran once a second only.

Each relay now also reads the records at intervals, without a wait: the coordinator every second, the others as often as they read the list. A relay that gets first in rank reads at once instead of going on with the wait of its former rank. Records are requested from a relay that has newer ones with the heartbeat that says so. The loss of any one read thus delays a configuration by a second, whatever the reason of the loss.

--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -108,6 +108,8 @@
         leader_id: Name and incarnation of the last coordinator.
         link: Link to the coordinator; None if this relay coordinates.
         incoming: Links that other relays opened to this one, by relay.
+        records_due_at: Instant from which operator records may be requested
+            again.
         on_elected: Called when this relay becomes the coordinator.
         changed: Set when the choice of the coordinator has to be checked.
         stopped: Ends the thread that follows the coordinator.
@@ -133,6 +135,7 @@
     leader_id: str = ''
     link: Link | None = None
     incoming: dict[str, Link] = attrs.field(factory=dict)
+    records_due_at: float = 0
     on_elected: Callable[[], None] = do_nothing
     changed: threading.Event = attrs.field(factory=threading.Event)
     stopped: threading.Event = attrs.field(factory=threading.Event)
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -259,9 +259,11 @@
 
 
 def _after_heartbeats(process: Process, follower: StoreFollower) -> None:
-    """Check for a new coordinator, and whether the list has to be read."""
-    process.relay.coordination.changed.set()
+    """Check for a new coordinator, and for what has to be read."""
+    coordination = process.relay.coordination
+    coordination.changed.set()
     follower.read_early(monotonic())
+    request_records(coordination, monotonic())
 
 
 def _configuration_listener(process: Process, timeouts: CallerTimeouts) -> Any:
@@ -318,7 +320,6 @@
     while not process.stopped.wait(LINK_HEARTBEAT_SECONDS):
         coordination.send_heartbeats()
         end_holds(coordination.operator_records, monotonic())
-        request_records(coordination, monotonic())
         gauges = process.relay.metrics.gauges
         gauges.labels('open_requests').set(process.relay.watcher.count())
         gauges.labels('limited_upstreams').set(
--- a/libs/relay/src/gypsumrelay_relay/read_intervals.py
+++ b/libs/relay/src/gypsumrelay_relay/read_intervals.py
@@ -17,6 +17,10 @@
 
     from gypsumrelay_relay.membership import Members
 
+# Shortest interval in seconds between checks for operator records; with a retry
+# and the way to the other relays less than the two seconds within which a
+# configuration has to be in force.
+CHECK_SECONDS: Final = 1.0
 # Delay in seconds before the coordinator repeats a failed read.
 RETRY_SECONDS: Final = 0.3
 # Delay in seconds before any other relay repeats a failed read, and its limit
@@ -45,6 +49,11 @@
     watch_seconds: float
     retry_seconds: float
 
+    @property
+    def check_seconds(self) -> float:
+        """Return the interval between checks for operator records."""
+        return max(CHECK_SECONDS, self.list_seconds)
+
 
 def read_intervals(
     members: Members, settings: StoreSettings, now: float
--- a/libs/relay/src/gypsumrelay_relay/records_exchange.py
+++ b/libs/relay/src/gypsumrelay_relay/records_exchange.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import msgpack
 from gypsumrelay_wire import Link, RecordsCopy, RecordsRequest
@@ -18,6 +18,9 @@
     from gypsumrelay_relay.coordination import Coordination
     from gypsumrelay_relay.membership import Member
 
+# Delay in seconds before records that have not arrived are requested again.
+REQUEST_SECONDS: Final = 0.5
+
 
 def request_records(coordination: Coordination, now: float) -> None:
     """Request the operator records if another relay has newer ones.
@@ -31,6 +34,8 @@
     position = operator_records.position
     version = operator_records.version
     with coordination.lock:
+        if now < coordination.records_due_at:
+            return
         members = coordination.members
         if coordination.link is None:
             links = coordination.incoming
@@ -46,6 +51,8 @@
             for one in sources
             if one.position > position or one.version > version
         ]
+        if targets:
+            coordination.records_due_at = now + REQUEST_SECONDS
     for link in targets:
         link.send(RecordsRequest(position, version))
 
--- a/libs/relay/src/gypsumrelay_relay/store_follower.py
+++ b/libs/relay/src/gypsumrelay_relay/store_follower.py
@@ -14,6 +14,7 @@
 from gypsumrelay_relay import state_events
 from gypsumrelay_relay.coordinator import ListRead, UpstreamsChanged
 from gypsumrelay_relay.membership import becomes_stale
+from gypsumrelay_relay.operator_check import OperatorCheck
 from gypsumrelay_relay.operator_records import OperatorRecords, apply_records
 from gypsumrelay_relay.read_intervals import ReadIntervals
 from gypsumrelay_relay.store_epoch import epoch_of
@@ -71,7 +72,8 @@
         history: The newest record that was read of each upstream.
         due_at: Instant at which the next read of the list is due.
         read_requested: Set to read the list at once.
-        stopped: Ends both threads.
+        stopped: Ends all threads.
+        operator_check: Reads the operator records at intervals.
     """
 
     store: Store
@@ -87,10 +89,21 @@
     due_at: float = 0
     read_requested: threading.Event = attrs.field(factory=threading.Event)
     stopped: threading.Event = attrs.field(factory=threading.Event)
+    operator_check: OperatorCheck = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the periodic read of the operator records."""
+        self.operator_check = OperatorCheck(
+            self.store, self.operator_records, self.intervals, self.stopped
+        )
 
     def start(self) -> None:
-        """Start both threads."""
-        for follow in (self.follow_operator, self.follow_upstreams):
+        """Start all threads."""
+        for follow in (
+            self.follow_operator,
+            self.follow_upstreams,
+            self.operator_check.run,
+        ):
             threading.Thread(
                 target=self._keep_following, args=(follow,), daemon=True
             ).start()
@@ -182,20 +195,22 @@
         return seconds
 
     def read_early(self, now: float) -> None:
-        """Read the list at once if its current rank requires an earlier read.
+        """Read at once what its current rank requires earlier.
 
-        The read is due from `now` on, so that a relay which cannot read the
-        list counts as stale soon after it became a candidate.
+        The list is due from `now` on, so that a relay which cannot read it
+        counts as stale soon after it became a candidate.
         """
+        self.operator_check.read_early(now)
         if self.due_at > now + self.intervals().list_seconds:
-            self.read_now(now)
+            self._read_list_now(now)
 
     def read_after_suspension(self, now: float) -> None:
-        """Read the list at once after the process was suspended.
+        """Read at once after the process was suspended.
 
-        The list may be as old as the suspension was long, although no read
-        failed.
+        What was read may be as old as the suspension was long, although no
+        read failed.
         """
+        self.operator_check.read_now(now)
         self.due_at = now
         self.read_requested.set()
 
@@ -204,7 +219,11 @@
         self.on_update(ListRead(now + LIST_USABLE_SECONDS))
 
     def read_now(self, now: float) -> None:
-        """Make the list due for a read now."""
+        """Make the next reads due now, as this relay coordinates."""
+        self.operator_check.read_now(now)
+        self._read_list_now(now)
+
+    def _read_list_now(self, now: float) -> None:
         self.due_at = min(self.due_at, now)
         self.read_requested.set()
 
