Log the software version of placements and resumed streams

Callers got streams that hold events of two software versions of a service. The log showed neither which requests go on with an earlier stream of their caller, nor which version an upstream has, so that the placements that join versions could not be told from others.

Nothing decides by them yet.

--- a/libs/dispatch/src/gypsumrelay_dispatch/models.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/models.py
@@ -65,6 +65,7 @@
         cold_ms: Remaining warm-up time in milliseconds, as listed.
         sequence: Number that rises with the records which the upstream writes
             since its start; 0 where unknown.
+        version: Version of its software; empty where unknown.
     """
 
     name: str
@@ -77,6 +78,7 @@
     leaving: bool = False
     cold_ms: int = 0
     sequence: int = 0
+    version: str = ''
 
 
 @attrs.frozen
--- a/libs/relay/src/gypsumrelay_relay/admission.py
+++ b/libs/relay/src/gypsumrelay_relay/admission.py
@@ -58,6 +58,8 @@
 # Time in seconds before the caller's deadline at which the final answer is
 # sent, so that it arrives in time.
 ANSWER_MARGIN_SECONDS: Final = 0.03
+# Number of characters of an id from a caller's header that log lines show.
+SHOWN_CHARACTERS: Final = 64
 
 
 @attrs.define(eq=False)
@@ -189,6 +191,8 @@
             exchange.remaining_ms(),
             content,
             parts,
+            headers.last_event[:SHOWN_CHARACTERS],
+            headers.resumes[:SHOWN_CHARACTERS],
         ),
     )
     service = admitted.configuration.services.get(admitted.service)
--- a/libs/relay/src/gypsumrelay_relay/attempts.py
+++ b/libs/relay/src/gypsumrelay_relay/attempts.py
@@ -123,6 +123,7 @@
             epoch_of(placement.list_position),
             offset_of(placement.list_position),
             placement.rate_limits.get(placement.upstream, NO_RATE_LIMIT),
+            placement.version,
         ),
     )
 
--- a/libs/relay/src/gypsumrelay_relay/placement.py
+++ b/libs/relay/src/gypsumrelay_relay/placement.py
@@ -74,6 +74,7 @@
         started_ms: Start of these upstreams, Unix milliseconds, by upstream;
             none where unknown.
         granted_at: Instant at which this relay got the placement.
+        version: Version of the upstream's software; empty where unknown.
     """
 
     request: PlacementRequest
@@ -88,6 +89,7 @@
     retries_used: int = 0
     started_ms: Mapping[str, int] = attrs.field(factory=dict)
     granted_at: float = 0
+    version: str = ''
 
     @property
     def upstreams(self) -> tuple[str, ...]:
@@ -111,6 +113,7 @@
         grant.rate_limits,
         grant.retries_used,
         {upstream.name: upstream.started_ms for upstream in granted},
+        version=grant.upstream.version,
     )
 
 
@@ -198,6 +201,7 @@
         placement.retries_used,
         start_to_wire(placement.started_ms.get(placement.upstream, 0)),
         start_to_wire(placement.started_ms.get(placement.prefill, 0)),
+        placement.version,
     )
 
 
@@ -237,6 +241,7 @@
         },
         message.repeats_used,
         started_ms,
+        version=message.version,
     )
 
 
--- a/libs/relay/src/gypsumrelay_relay/protocol.py
+++ b/libs/relay/src/gypsumrelay_relay/protocol.py
@@ -37,6 +37,8 @@
             start at the beginning.
         parts: Ids of the prompt's parts that other requests may share, in
             order; without the last part, which is the request's own.
+        resumes: Id of the caller's earlier request that brought the first
+            event of the stream which this one goes on with; empty for none.
     """
 
     request_id: str
@@ -47,6 +49,7 @@
     expected_tokens: int = 0
     last_event: str = ''
     parts: tuple[str, ...] = ()
+    resumes: str = ''
 
     @property
     def tokens(self) -> int:
--- a/libs/relay/src/gypsumrelay_relay/request_events.py
+++ b/libs/relay/src/gypsumrelay_relay/request_events.py
@@ -39,6 +39,10 @@
         wait_ms: Time in milliseconds until the caller's deadline.
         digest: Digest of the content, for crash attribution.
         parts: Digests of the prompt's shared parts, separated by commas.
+        last_event: Start of the id of the event that the caller's stream goes
+            on after; empty for a new stream.
+        resumes: Start of the id of the request that began this stream, as the
+            caller states it.
     """
 
     event: ClassVar[str] = 'accepted'
@@ -55,6 +59,8 @@
     wait_ms: int
     digest: str
     parts: str
+    last_event: str
+    resumes: str
 
 
 @attrs.frozen
@@ -73,6 +79,7 @@
         list_position: Offset of that list in the epoch.
         rate_limit: Rate limit that the coordinator applies to the upstream,
             in requests per second; -1 for none.
+        version: Version of the upstream's software.
     """
 
     event: ClassVar[str] = 'placed'
@@ -87,6 +94,7 @@
     list_epoch: int
     list_position: int
     rate_limit: float
+    version: str
 
 
 @attrs.frozen
--- a/libs/wire/src/gypsumrelay_wire/placements.py
+++ b/libs/wire/src/gypsumrelay_wire/placements.py
@@ -87,6 +87,7 @@
         repeats_used: Retries of the service that are counted in the window.
         started_ms: Start of the upstream, Unix milliseconds; 0 if unknown.
         prefill_started_ms: Start of the prefill upstream, likewise.
+        version: Version of the upstream's software; empty if unknown.
     """
 
     tag: ClassVar[int] = 41
@@ -104,6 +105,7 @@
     repeats_used: int = 0
     started_ms: int = 0
     prefill_started_ms: int = 0
+    version: str = ''
 
 
 @attrs.frozen
