Resume a stream inside its answer at the version that began it

Callers got streams whose first part one software version had written and the rest another, in one answer, after an upstream had broken off or fallen silent.

A relay placed the rest of such a stream by load alone. The version of the upstream that brought the first event now goes with the run and into each later placement request: retries, substitutes and the prefill of these. The coordinator chooses among the upstreams of that version only, and rejects the request at once if there is none, since waiting does not bring the version back; the answer then ends early, as without an upstream. A relay returns a grant at another version, which a coordinator of an older release may give. Until its first event, a request may go anywhere. A request that is bound to a version reserves no capacity for itself, since others may run elsewhere.

--- a/libs/dispatch/src/gypsumrelay_dispatch/models.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/models.py
@@ -139,6 +139,8 @@
         excluded: Upstreams that must not get this request again.
         digest: Digest of the request's content; equal for equal contents.
         parts: Digests of the prompt's shared parts, in order.
+        version: Software version that the upstreams must have, since it began
+            the stream; empty for any.
     """
 
     request_id: str
@@ -161,6 +163,7 @@
     excluded: frozenset[str] = frozenset()
     digest: bytes = b''
     parts: tuple[bytes, ...] = ()
+    version: str = ''
 
     @property
     def key(self) -> tuple[str, int]:
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
@@ -6,7 +6,7 @@
 from functools import partial
 from typing import Final
 
-from gypsumrelay_errors import NoUpstream, Overloaded
+from gypsumrelay_errors import NoUpstream, Overloaded, StreamNotResumable
 
 from gypsumrelay_dispatch import (
     accounts,
@@ -62,6 +62,7 @@
 )
 from gypsumrelay_dispatch.selection import (
     choose,
+    has_version,
     is_held,
     limited_until,
 )
@@ -335,7 +336,10 @@
     """Return whether later prompts wait for an urgent one.
 
     One that only a pause of its instance keeps waiting needs no capacity yet.
+    One that is bound to a version needs capacity that others may lack.
     """
+    if request.version:
+        return False
     is_urgent = urgency_of(scheduler.settings, request, now) is Urgency.urgent
     return is_urgent and not is_held(scheduler, request, now)
 
@@ -362,14 +366,20 @@
 
 def _comparison_key(
     request: PlacementRequest,
-) -> tuple[str, bool, bool, frozenset[str]]:
+) -> tuple[str, str, bool, bool, frozenset[str]]:
     """Return the properties that must be equal to compare two requests.
 
     They include the excluded upstreams, because suspended upstreams are
     candidates if all others are excluded.
     """
     has_prompt = bool(request.prompt_tokens)
-    return request.service, request.read, has_prompt, request.excluded
+    return (
+        request.service,
+        request.version,
+        request.read,
+        has_prompt,
+        request.excluded,
+    )
 
 
 def _serve_one(
@@ -385,6 +395,12 @@
     if quarantined is not None:
         refund_charge(scheduler, request)
         return build_rejection(scheduler, request, quarantined)
+    if _lacks_version(scheduler, request, now):
+        refund_charge(scheduler, request)
+        failure = StreamNotResumable(
+            'no upstream has the version that began the stream'
+        )
+        return build_rejection(scheduler, request, failure)
     may_place = is_attempted and _may_place(scheduler, request, now)
     choice = choose(scheduler, request, now) if may_place else None
     if choice is not None:
@@ -405,6 +421,19 @@
     )
 
 
+def _lacks_version(
+    scheduler: SchedulerState, request: PlacementRequest, now: float
+) -> bool:
+    """Return whether no upstream has the version that a request is bound to.
+
+    An old list of upstreams does not show that.
+    """
+    if not request.version or now >= scheduler.list_expires_at:
+        return False
+    is_listed = scheduler.list_position >= 0
+    return is_listed and not has_version(scheduler, request, now)
+
+
 def _may_place(
     scheduler: SchedulerState, request: PlacementRequest, now: float
 ) -> bool:
--- a/libs/dispatch/src/gypsumrelay_dispatch/selection.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/selection.py
@@ -22,6 +22,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from gypsumrelay_dispatch.models import Upstream
+
 # Score penalty of a decode upstream outside the prefill upstream's zone, as a
 # part of engine memory: a KV cache transfer takes twice as long between
 # zones.
@@ -106,12 +108,18 @@
         load
         for load in scheduler.loads.values()
         if is_in_pool(load, request.service, phase)
-        and load.upstream.name not in request.excluded
+        and _is_eligible(load.upstream, request)
         and not load.is_changing(now)
         and is_usable(scheduler, load, now)
     )
 
 
+def _is_eligible(upstream: Upstream, request: PlacementRequest) -> bool:
+    """Return whether a request may go to an upstream of its pool."""
+    has_version = request.version in {'', upstream.version}
+    return has_version and upstream.name not in request.excluded
+
+
 def _within_limits(
     scheduler: SchedulerState,
     request: PlacementRequest,
@@ -161,6 +169,13 @@
     return min((limited, *paused))
 
 
+def has_version(
+    scheduler: SchedulerState, request: PlacementRequest, now: float
+) -> bool:
+    """Return whether an upstream of the request's version may run it."""
+    return any(_pool(scheduler, request, _last_phase(request), now))
+
+
 def is_held(
     scheduler: SchedulerState, request: PlacementRequest, now: float
 ) -> bool:
--- a/libs/errors/src/gypsumrelay_errors/__init__.py
+++ b/libs/errors/src/gypsumrelay_errors/__init__.py
@@ -32,6 +32,7 @@
     RequestQuarantined,
     RouteNotAllowed,
     RouteUnknown,
+    StreamNotResumable,
     TokensOutOfRange,
     UpstreamFailed,
 )
@@ -68,6 +69,7 @@
     'RequestQuarantined',
     'RouteNotAllowed',
     'RouteUnknown',
+    'StreamNotResumable',
     'TokensOutOfRange',
     'UpstreamFailed',
 )
--- a/libs/errors/src/gypsumrelay_errors/failures.py
+++ b/libs/errors/src/gypsumrelay_errors/failures.py
@@ -81,6 +81,13 @@
     http_status: ClassVar[int] = 403
 
 
+class StreamNotResumable(Failure):
+    """No upstream can go on with the stream that the caller resumes."""
+
+    code: ClassVar[str] = 'stream_not_resumable'
+    http_status: ClassVar[int] = 503
+
+
 class ModelUnknown(Failure):
     """No upstream serves the model."""
 
--- a/libs/relay/src/gypsumrelay_relay/model_requests.py
+++ b/libs/relay/src/gypsumrelay_relay/model_requests.py
@@ -77,6 +77,7 @@
     """Yield events; resume at another upstream if that is allowed."""
     exchange = run.exchange
     run.has_started = True
+    run.version = opened.placement.version
     current: OpenStream | CompleteAnswer | Failure = opened
     try:
         while isinstance(current, OpenStream):
--- a/libs/relay/src/gypsumrelay_relay/pending_requests.py
+++ b/libs/relay/src/gypsumrelay_relay/pending_requests.py
@@ -57,14 +57,16 @@
     """
     if not isinstance(answer, Placement):
         return False
+    request = pending.request
     unusable = {
         name
         for name in answer.upstreams
         if must_not_use(coordination, name, answer.started_ms.get(name, 0))
     }
+    if request.version not in {'', answer.version}:
+        unusable.update(answer.upstreams)
     if not unusable:
         return False
-    request = pending.request
     pending.request = attrs.evolve(
         request, excluded=request.excluded | (unusable & pending.returned)
     )
--- a/libs/relay/src/gypsumrelay_relay/placement.py
+++ b/libs/relay/src/gypsumrelay_relay/placement.py
@@ -20,6 +20,7 @@
     PartQuarantined,
     RateExceeded,
     RequestQuarantined,
+    StreamNotResumable,
 )
 from gypsumrelay_wire import (
     PlaceGranted,
@@ -50,6 +51,7 @@
         PartQuarantined,
         RateExceeded,
         RequestQuarantined,
+        StreamNotResumable,
     )
 }
 
@@ -139,6 +141,7 @@
         reread=request.reread,
         resumed=request.resumed,
         parts=list(request.parts),
+        version=request.version,
     )
 
 
@@ -167,6 +170,7 @@
         excluded=frozenset(message.excluded),
         digest=message.digest,
         parts=tuple(message.parts),
+        version=message.version,
     )
 
 
--- a/libs/relay/src/gypsumrelay_relay/stream_runs.py
+++ b/libs/relay/src/gypsumrelay_relay/stream_runs.py
@@ -66,6 +66,8 @@
         substitution: Requests placements while an upstream is silent.
         has_started: Whether the caller has started to read the answer.
         was_prefilled: Whether a prefill of the prompt has succeeded.
+        version: Software version that began the stream, the only one that may
+            go on with it; empty before the first event and where unknown.
     """
 
     exchange: Exchange
@@ -78,6 +80,7 @@
     successor: OpenStream | None = None
     has_started: bool = False
     was_prefilled: bool = False
+    version: str = ''
 
     @property
     def may_resume(self) -> bool:
@@ -86,6 +89,7 @@
         route = exchange.admitted.route
         return (
             route.resumable
+            and not (self.has_started and not self.version)
             and exchange.cancellation.cause is None
             and exchange.runs < route.max_attempts
         )
--- a/libs/relay/src/gypsumrelay_relay/stream_start.py
+++ b/libs/relay/src/gypsumrelay_relay/stream_start.py
@@ -184,7 +184,9 @@
     With a KV cache it waits no longer than the cache can be fetched.
     """
     request = attrs.evolve(
-        run.exchange.next_placement_request(), resumed=run.has_started
+        run.exchange.next_placement_request(),
+        resumed=run.has_started,
+        version=run.version,
     )
     if run.cache is None:
         return attrs.evolve(request, reread=run.was_prefilled)
--- a/libs/wire/src/gypsumrelay_wire/placements.py
+++ b/libs/wire/src/gypsumrelay_wire/placements.py
@@ -43,6 +43,7 @@
         resumed: Whether the attempt resumes a stream whose first part the
             caller already has.
         parts: Digests of the shared parts of the prompt, in order.
+        version: Software version that the upstreams must have; empty for any.
     """
 
     tag: ClassVar[int] = 40
@@ -65,6 +66,7 @@
     reread: bool = False
     resumed: bool = False
     parts: list[bytes] = attrs.field(factory=list)
+    version: str = ''
 
 
 @attrs.frozen
