Bind streams that callers take up to the version that began them

Callers got streams whose first part one software version had written and the rest another, after the relay of the stream had ended: they take it up at another relay, which placed the request like a new one. Where all relays had been killed at once, nobody knew the version.

The relay that passes on a stream's first event reports to the coordinator which version began it, under a digest of service, account and request id. A request that names a stream is bound to its version. If the coordinator does not know it, it reads the saved starts and waits for the reports of the living relays, which tell a new coordinator of their streams of the last minute. A version that is still unknown is not guessed: the request is rejected at once with 503, without a time to come back unless the store could not be read. So is one whose version has no upstream left, or that names no stream. A request that took up a stream counts as a start, too, so that a caller may name either.

A route that is split by weight chooses its service by the request id, so that a stream is taken up at the service that began it. Resumed streams are served before new prompts of their priority.

--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -58,6 +58,9 @@
     plan_phase_change,
     record_phase_change,
 )
+from gypsumrelay_dispatch.resumptions import (
+    end_read,
+)
 from gypsumrelay_dispatch.retry_budget import (
     retry_count,
 )
@@ -77,8 +80,15 @@
     reject_failed,
     remove_instance,
     request_placement,
+    settle_resumptions,
     tick,
 )
+from gypsumrelay_dispatch.stream_starts import (
+    StreamStarts,
+    record_starts,
+    restore_starts,
+    take_unsaved,
+)
 
 __all__ = (
     'UNLISTED_SECONDS',
@@ -98,6 +108,7 @@
     'RejectionDetails',
     'SchedulerState',
     'ServiceLimits',
+    'StreamStarts',
     'Upstream',
     'apply_configuration',
     'apply_departure',
@@ -111,6 +122,7 @@
     'end_attempt',
     'end_prefill',
     'end_rate_limit',
+    'end_read',
     'expected_output_tokens',
     'is_completion',
     'is_leaving',
@@ -119,6 +131,7 @@
     'plan_phase_change',
     'queue_deadline',
     'record_phase_change',
+    'record_starts',
     'reject_failed',
     'remove_instance',
     'request_placement',
@@ -130,8 +143,11 @@
     'restore_rate_limit',
     'restore_retries',
     'restore_sends',
+    'restore_starts',
     'retry_count',
+    'settle_resumptions',
     'start_pause',
     'state_leaving',
+    'take_unsaved',
     'tick',
 )
--- a/libs/dispatch/src/gypsumrelay_dispatch/models.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/models.py
@@ -141,6 +141,8 @@
         parts: Digests of the prompt's shared parts, in order.
         version: Software version that the upstreams must have, since it began
             the stream; empty for any.
+        resumes: Digest of the start of the stream that the request goes on
+            with; empty for a new stream.
     """
 
     request_id: str
@@ -164,6 +166,7 @@
     digest: bytes = b''
     parts: tuple[bytes, ...] = ()
     version: str = ''
+    resumes: bytes = b''
 
     @property
     def key(self) -> tuple[str, int]:
--- a/libs/dispatch/src/gypsumrelay_dispatch/queueing.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/queueing.py
@@ -53,7 +53,7 @@
     settings: DispatchSettings, request: PlacementRequest, now: float
 ) -> Urgency:
     """Return the urgency of a request."""
-    if request.read or request.resumed:
+    if request.read or request.resumed or request.version:
         return Urgency.urgent
     if not request.prompt_tokens:
         return Urgency.late if request.objective_at <= now else Urgency.normal
@@ -172,6 +172,7 @@
 
 def withdraw(scheduler: SchedulerState, key: tuple[str, int]) -> bool:
     """Remove an attempt from the queue; return whether it was queued."""
+    scheduler.unbound.pop(key, None)
     kept = [
         waiting for waiting in scheduler.queue if waiting.request.key != key
     ]
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
@@ -33,6 +33,7 @@
     note_listed,
 )
 from gypsumrelay_dispatch.retry_budget import RetryBudget, RetryLimit
+from gypsumrelay_dispatch.stream_starts import StreamStarts
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -71,6 +72,21 @@
     delay: float = 0
 
 
+@attrs.define
+class HeldRequest:
+    """A request whose stream began at a version that is not known yet.
+
+    Attributes:
+        request: The placement request.
+        held_at: Instant at which it arrived.
+        until: Instant until which the version is waited for.
+    """
+
+    request: PlacementRequest
+    held_at: float
+    until: float
+
+
 @attrs.define
 class SchedulerState:
     """State that the coordinator schedules by.
@@ -99,6 +115,9 @@
         pauses: Pauses that upstreams asked instances for.
         placement_reports: Reports of active placements after a change of the
             coordinator.
+        stream_starts: Versions that began the recent streams.
+        unbound: Requests that go on with a stream whose version is not known
+            yet, by attempt.
         mean_cost: Moving average of the cost of a model request, in tokens
             squared; see `forecast.request_cost`.
     """
@@ -124,6 +143,8 @@
     departures: Departures = attrs.field(factory=dict)
     pauses: Pauses = attrs.field(factory=dict)
     placement_reports: PlacementReports = attrs.field(factory=PlacementReports)
+    stream_starts: StreamStarts = attrs.field(factory=StreamStarts)
+    unbound: dict[tuple[str, int], HeldRequest] = attrs.field(factory=dict)
     mean_cost: float = 0
 
     @property
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
@@ -13,6 +13,7 @@
     placement_reports,
     rate_limits,
     rebalancing,
+    resumptions,
 )
 from gypsumrelay_dispatch.admission import (
     DEFAULT_RETRY_SECONDS,
@@ -90,6 +91,24 @@
     """
     withdraw(scheduler, request.key)
     remove_placement(scheduler, request.key)
+    bound = resumptions.bind_to_version(scheduler, request)
+    if bound is None:
+        resumptions.hold(scheduler, request, now)
+        return []
+    return _request_bound(scheduler, bound, now)
+
+
+def settle_resumptions(scheduler: SchedulerState, now: float) -> list[Decision]:
+    """Place or reject the requests that wait for the start of their stream."""
+    decisions: list[Decision] = []
+    for request in resumptions.release_bound(scheduler):
+        decisions.extend(request_placement(scheduler, request, now))
+    return [*decisions, *resumptions.reject_unknown(scheduler, now)]
+
+
+def _request_bound(
+    scheduler: SchedulerState, request: PlacementRequest, now: float
+) -> list[Decision]:
     rejection = check_limits(scheduler, request, now)
     if rejection is not None:
         return [rejection]
@@ -242,6 +261,9 @@
     scheduler.queue = [
         waiting for waiting in scheduler.queue if waiting.request.entry != entry
     ]
+    for held in list(scheduler.unbound.values()):
+        if held.request.entry == entry:
+            scheduler.unbound.pop(held.request.key)
     for key, placement in list(scheduler.placements.items()):
         if placement.request.entry == entry:
             remove_placement(scheduler, key)
@@ -297,7 +319,11 @@
     remove_departed(scheduler, now)
     drop_ended(scheduler.pauses, now)
     expire_placements(scheduler, now)
-    return [*serve(scheduler, now), *reject_late(scheduler, now)]
+    return [
+        *settle_resumptions(scheduler, now),
+        *serve(scheduler, now),
+        *reject_late(scheduler, now),
+    ]
 
 
 def reject_late(scheduler: SchedulerState, now: float) -> list[Decision]:
--- a/libs/relay/src/gypsumrelay_relay/admission.py
+++ b/libs/relay/src/gypsumrelay_relay/admission.py
@@ -21,7 +21,12 @@
 
 from gypsumrelay_relay import request_events
 from gypsumrelay_relay.cancellation import Cancellation
-from gypsumrelay_relay.digests import content_digest, part_digests, short_digest
+from gypsumrelay_relay.digests import (
+    content_digest,
+    fraction_of,
+    part_digests,
+    short_digest,
+)
 from gypsumrelay_relay.exchange import (
     Admitted,
     Chunks,
@@ -147,7 +152,10 @@
     body = environ['wsgi.input'].read()
     if len(body) > configuration.limits.body_bytes:
         return BodyTooLarge('the body is larger than allowed')
-    service = choose_target(route, relay.random.random())
+    # A request that goes on with a stream gets the service that began it.
+    service = choose_target(
+        route, fraction_of(headers.resumes or headers.request_id)
+    )
     return Admitted(headers, configuration, route, service, account, body)
 
 
--- a/libs/relay/src/gypsumrelay_relay/building.py
+++ b/libs/relay/src/gypsumrelay_relay/building.py
@@ -27,6 +27,8 @@
 )
 from gypsumrelay_relay.metrics import RelayMetrics
 from gypsumrelay_relay.operator_records import OperatorRecords
+from gypsumrelay_relay.stream_log import StreamLog
+from gypsumrelay_relay.stream_messages import StartKeeper
 
 if TYPE_CHECKING:
     from gypsumrelay_settings import RelayInstance, RelaySettings
@@ -67,6 +69,7 @@
         adapter: The parts that the platform's adapter provides.
         heartbeats: Sends and receives heartbeats.
         follower: Follows the store; None before the start.
+        stream_log: Saves the starts of streams.
         phase_switcher: Sends phase changes to upstreams; None before the
             start.
         servers: The HTTP servers; the first one is for callers.
@@ -78,6 +81,7 @@
     relay: Relay
     adapter: PlatformAdapter
     heartbeats: Heartbeats
+    stream_log: StreamLog
     follower: StoreFollower | None = None
     phase_switcher: PhaseSwitcher | None = None
     servers: list[Any] = attrs.field(factory=list)
@@ -89,7 +93,8 @@
     """Build the parts of a relay without starting them."""
     instance = settings.instance
     output = set_up_output(settings.telemetry, instance.name)
-    coordination = _coordination(settings, OperatorRecords(adapter.reader))
+    stream_log = StreamLog(adapter.store)
+    coordination = _coordination(settings, adapter, stream_log)
     relay = Relay(
         settings,
         adapter.protocol,
@@ -110,19 +115,18 @@
         coordination.lock,
         open_socket(instance.host, instance.link_port),
     )
-    return Process(relay, adapter, heartbeats)
+    return Process(relay, adapter, heartbeats, stream_log)
 
 
 def _coordination(
-    settings: RelaySettings,
-    operator_records: OperatorRecords,
+    settings: RelaySettings, adapter: PlatformAdapter, stream_log: StreamLog
 ) -> Coordination:
     instance = settings.instance
     incarnation = secrets.token_hex(INCARNATION_BYTES)
     coordination = Coordination(
         instance.name,
         Members(_own_member(instance, incarnation)),
-        operator_records,
+        OperatorRecords(adapter.reader),
         instance.link_port,
         settings=settings.dispatch,
     )
@@ -130,7 +134,9 @@
         SchedulerState(settings.dispatch),
         coordination.deliver_answer,
         coordination.publish_crash,
+        StartKeeper(stream_log.save, stream_log.request_read),
     )
+    stream_log.tell = coordination.actor.tell
     coordination.endpoint = Endpoint(
         Identity(instance.name, incarnation, 'relay'),
         settings.shared_secret.encode(),
--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -59,6 +59,8 @@
 from gypsumrelay_relay.records_exchange import exchange_records
 from gypsumrelay_relay.state_reports import state_reports
 from gypsumrelay_relay.stated_limits import StatedLimits
+from gypsumrelay_relay.stream_history import StreamHistory
+from gypsumrelay_relay.stream_messages import StreamsReported
 from gypsumrelay_relay.usage_history import (
     UsageHistory,
     drop_old_uses,
@@ -102,6 +104,7 @@
         stated_limits: Rate limits of upstreams that this relay knows.
         departures: Upstreams that stated to this relay that they are leaving.
         pauses: Pauses that upstreams asked this relay for.
+        streams: Streams that began at this relay recently.
         settings: Policy of the coordinator, with the window of the retry
             budget.
         leader: Name of the current coordinator; empty if there is none.
@@ -130,6 +133,7 @@
     stated_limits: StatedLimits = attrs.field(factory=StatedLimits)
     departures: Departures = attrs.field(factory=dict)
     pauses: Pauses = attrs.field(factory=dict)
+    streams: StreamHistory = attrs.field(factory=StreamHistory)
     settings: DispatchSettings = attrs.field(factory=DispatchSettings)
     leader: str = ''
     leader_id: str = ''
@@ -197,6 +201,17 @@
                     )
                 )
 
+    def report_stream(self, digest: bytes, version: str) -> None:
+        """Report that an upstream of a software version began a stream.
+
+        Args:
+            digest: Digest of the start of the stream.
+            version: The version.
+        """
+        with self.lock:
+            self.streams.record(digest, version, monotonic())
+            self.tell(StreamsReported(version, (digest,)))
+
     def deliver_answer(self, decision: Decision) -> None:
         """Send an answer of the own coordinator to the requesting relay."""
         request = decision.request
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -21,6 +21,14 @@
 from gypsumrelay_relay.digests import short_digest
 from gypsumrelay_relay.state_events import PlacementRejected, report
 from gypsumrelay_relay.store_epoch import epoch_of, offset_of
+from gypsumrelay_relay.stream_messages import (
+    SavedStartsLost,
+    SavedStartsRead,
+    SavedStartsUnavailable,
+    StreamsReported,
+    apply_saved_starts,
+    apply_streams_report,
+)
 
 if TYPE_CHECKING:
     from gypsumrelay_dispatch import (
@@ -34,6 +42,7 @@
     )
     from gypsumrelay_settings import DispatchSettings
 
+    from gypsumrelay_relay.stream_messages import StartKeeper
     from gypsumrelay_relay.topics import OperatorState
 
 log = Logger('coordinator')
@@ -293,6 +302,7 @@
     RateLimitReported,
     LeavingReported,
     PauseReported,
+    StreamsReported,
 )
 
 
@@ -306,13 +316,15 @@
         scheduler: SchedulerState,
         deliver: Deliver,
         publish: Publish = publish_nothing,
+        start_keeper: StartKeeper | None = None,
     ) -> None:
-        """Set the state and the callbacks for answers and crash reports."""
+        """Set the state, the callbacks, and where starts are kept."""
         super().__init__()
         self.scheduler = scheduler
         self.deliver = deliver
         self.publish = publish
         self.logged_causes: dict[bytes, Cause] = {}
+        self.start_keeper = start_keeper
 
     def on_receive(self, message: Any) -> Any:
         """Handle one message."""
@@ -335,6 +347,7 @@
             decisions = [
                 dispatch.reject_failed(self.scheduler, message.request)
             ]
+        self._keep_starts()
         for decision in decisions:
             if isinstance(decision, Rejection):
                 report(log, _rejection_event(decision, now))
@@ -347,6 +360,17 @@
                 self.publish(crash, message.entry)
         return None
 
+    def _keep_starts(self) -> None:
+        """Save new starts of streams, and read those that requests need."""
+        keeper = self.start_keeper
+        if keeper is None:
+            return
+        unsaved = dispatch.take_unsaved(self.scheduler.stream_starts)
+        if unsaved:
+            keeper.save(unsaved)
+        if self.scheduler.unbound:
+            keeper.request_read()
+
     def _publish_crashes(self, now: float) -> None:
         """Report the crashes since the last tick to all relays."""
         history = self.scheduler.crash_history
@@ -409,10 +433,10 @@
             dispatch.restore_sends(scheduler, upstream, sent_at, now)
         case ChargesReported(client_account, charges):
             dispatch.restore_charges(scheduler, client_account, charges, now)
-        case QuarantineReported(digest, since):
-            dispatch.restore_quarantine(scheduler, digest, since, now)
-        case CrashReported() | CompletionsReported():
-            _apply_crash_report(scheduler, message)
+        case QuarantineReported() | CrashReported() | CompletionsReported():
+            _apply_crash_report(scheduler, message, now)
+        case StreamsReported():
+            apply_streams_report(scheduler, message)
         case RateLimitReported() | LeavingReported() | PauseReported():
             _apply_statement(scheduler, message, now)
 
@@ -439,17 +463,23 @@
 
 def _apply_crash_report(
     scheduler: SchedulerState,
-    message: CrashReported | CompletionsReported,
+    message: QuarantineReported | CrashReported | CompletionsReported,
+    now: float,
 ) -> None:
-    if isinstance(message, CrashReported):
-        dispatch.restore_crash(scheduler, message.crash)
-        return
-    for subject, started_at in message.started_at.items():
-        dispatch.restore_completed(scheduler, subject, started_at)
+    match message:
+        case QuarantineReported(digest, since):
+            dispatch.restore_quarantine(scheduler, digest, since, now)
+        case CrashReported(crash):
+            dispatch.restore_crash(scheduler, crash)
+        case CompletionsReported(started_at):
+            for subject, at in started_at.items():
+                dispatch.restore_completed(scheduler, subject, at)
 
 
 def _apply_update(scheduler: SchedulerState, message: Any, now: float) -> None:
     match message:
+        case SavedStartsRead() | SavedStartsUnavailable() | SavedStartsLost():
+            apply_saved_starts(scheduler, message, now)
         case ConfigurationChanged(state):
             _apply_operator_state(scheduler, state, now)
         case PhaseChangeSent(change):
@@ -506,6 +536,7 @@
         'quarantined': sorted(
             short_digest(subject) for subject in scheduler.crash_history.causes
         ),
+        'known_streams': len(scheduler.stream_starts.versions),
         'waiting': len(scheduler.queue),
         'places': len(scheduler.placements),
         'upstreams': {
--- a/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
@@ -17,6 +17,7 @@
     PromptRead,
     RepeatsUsed,
     SendsUsed,
+    StreamsBegan,
     SubjectsCompleted,
     TokensUsed,
     UpstreamCrashed,
@@ -36,6 +37,7 @@
     request_message,
     start_to_wire,
 )
+from gypsumrelay_relay.stream_messages import StreamsReported
 
 MS_PER_SECOND: Final = 1000
 
@@ -96,6 +98,8 @@
             return report_message(placement)
         case messages.RetriesReported(service, count, total):
             return RepeatsUsed(service, count, total)
+        case StreamsReported(version, digests):
+            return StreamsBegan(version, list(digests))
         case messages.RateLimitReported(upstream, per_second, is_new):
             return LimitStated(upstream, rate_to_wire(per_second), is_new)
         case messages.SendsReported(upstream, sent_at):
@@ -133,6 +137,8 @@
     match message:
         case RepeatsUsed(service, count, total):
             return messages.RetriesReported(service, count, total)
+        case StreamsBegan(version, digests):
+            return StreamsReported(version, tuple(digests))
         case LimitStated(upstream, rate, is_new):
             per_second = rate_from_wire(max(0, rate))
             return messages.RateLimitReported(upstream, per_second, is_new)
--- a/libs/relay/src/gypsumrelay_relay/digests.py
+++ b/libs/relay/src/gypsumrelay_relay/digests.py
@@ -6,6 +6,8 @@
 from typing import Final
 
 DIGEST_BYTES: Final = 12
+# Number of bits of a digest that a floating-point number holds exactly.
+FRACTION_BITS: Final = 48
 # Maximum number of parts of a prompt that crashes are attributed to.
 MAX_PARTS: Final = 32
 # Number of bytes of a digest that log lines show.
@@ -39,6 +41,26 @@
     )
 
 
+def stream_digest(service: str, account: str, request_id: str) -> bytes:
+    """Return the digest of the start of a stream.
+
+    A request that names a stream of another account or service has none of the
+    known digests.
+    """
+    text = '\0'.join((service, account, request_id))
+    return hashlib.blake2b(
+        text.encode('latin-1', 'replace'), digest_size=DIGEST_BYTES
+    ).digest()
+
+
+def fraction_of(text: str) -> float:
+    """Return a number in [0, 1) that is always the same for a text."""
+    digest = hashlib.blake2b(
+        text.encode('latin-1', 'replace'), digest_size=FRACTION_BITS // 8
+    ).digest()
+    return int.from_bytes(digest) / float(2**FRACTION_BITS)
+
+
 def short_digest(digest: bytes) -> str:
     """Return the start of a digest in hexadecimal, as log lines show it."""
     return digest[:SHOWN_BYTES].hex()
--- a/libs/relay/src/gypsumrelay_relay/exchange.py
+++ b/libs/relay/src/gypsumrelay_relay/exchange.py
@@ -20,7 +20,11 @@
 
 from gypsumrelay_relay import request_events
 from gypsumrelay_relay.cancellation import CancelCause, Cancellation
-from gypsumrelay_relay.digests import content_digest, part_digests
+from gypsumrelay_relay.digests import (
+    content_digest,
+    part_digests,
+    stream_digest,
+)
 
 if TYPE_CHECKING:
     from gypsumrelay_relay.context import Relay
@@ -172,6 +176,11 @@
             parts=part_digests(admitted.service, headers.parts),
         )
 
+    def stream_digest(self, request_id: str) -> bytes:
+        """Return the digest of a stream that a request of the caller began."""
+        service = self.admitted.service
+        return stream_digest(service, self.account_name, request_id)
+
     def log(self, decision: request_events.RequestEvent) -> None:
         """Log a decision on this request."""
         self.relay.output.decide(
--- a/libs/relay/src/gypsumrelay_relay/model_requests.py
+++ b/libs/relay/src/gypsumrelay_relay/model_requests.py
@@ -7,7 +7,7 @@
 
 from gypsumrelay_clock import monotonic
 from gypsumrelay_dispatch import Ending
-from gypsumrelay_errors import Failure
+from gypsumrelay_errors import Failure, StreamNotResumable
 
 from gypsumrelay_relay import request_events
 from gypsumrelay_relay.attempts import (
@@ -37,10 +37,15 @@
     from gypsumrelay_relay.exchange import Chunks, Exchange
 
 MS_PER_SECOND: Final = 1000
+# Reason of the rejection of a request that only states its last event.
+UNNAMED: Final = 'the request does not name the one that began the stream'
 
 
 def answer_model(exchange: Exchange) -> Chunks:
     """Run a model request and stream its answer."""
+    headers = exchange.admitted.headers
+    if headers.last_event and not headers.resumes:
+        return exchange.reject(StreamNotResumable(UNNAMED))
     run = start_run(exchange)
     opened = open_stream(run)
     if has_disconnected(exchange):
@@ -55,10 +60,9 @@
         return exchange.reject(final_failure(exchange, opened))
     if isinstance(opened, CompleteAnswer):
         return answer_complete(exchange, opened)
-    headers = opened.reply.headers.items()
     exchange.start_answer(
         opened.reply.status,
-        exchange.relay.protocol.caller_headers(headers),
+        exchange.relay.protocol.caller_headers(opened.reply.headers.items()),
     )
     exchange.log(
         request_events.FirstEvent(
@@ -78,6 +82,7 @@
     exchange = run.exchange
     run.has_started = True
     run.version = opened.placement.version
+    _report_start(run, opened)
     current: OpenStream | CompleteAnswer | Failure = opened
     try:
         while isinstance(current, OpenStream):
@@ -105,6 +110,20 @@
     raise ConnectionError('the stream ended early')
 
 
+def _report_start(run: StreamRun, opened: OpenStream) -> None:
+    """Report which version began a stream, before the caller gets an event.
+
+    A caller may name this request when it takes the stream up, also where the
+    request itself took up an earlier one.
+    """
+    exchange = run.exchange
+    if opened.first is None or not run.version:
+        return
+    if exchange.admitted.route.resumable:
+        digest = exchange.stream_digest(exchange.request_id)
+        exchange.relay.coordination.report_stream(digest, run.version)
+
+
 def _resume(
     run: StreamRun, lost: OpenStream, result: AttemptResult
 ) -> OpenStream | CompleteAnswer | Failure | None:
--- a/libs/relay/src/gypsumrelay_relay/pending_requests.py
+++ b/libs/relay/src/gypsumrelay_relay/pending_requests.py
@@ -63,7 +63,7 @@
         for name in answer.upstreams
         if must_not_use(coordination, name, answer.started_ms.get(name, 0))
     }
-    if request.version not in {'', answer.version}:
+    if not _has_version(request, answer):
         unusable.update(answer.upstreams)
     if not unusable:
         return False
@@ -78,3 +78,14 @@
     coordination.tell(messages.PlacementEnded(request.key, Ending.returned))
     coordination.tell(messages.PlacementRequested(pending.request))
     return True
+
+
+def _has_version(request: PlacementRequest, answer: Placement) -> bool:
+    """Return whether a grant is at the version that a stream is bound to.
+
+    A coordinator of an older version does not bind requests, nor does it state
+    the version.
+    """
+    if request.resumes and not answer.version:
+        return False
+    return request.version in {'', answer.version}
--- a/libs/relay/src/gypsumrelay_relay/placement.py
+++ b/libs/relay/src/gypsumrelay_relay/placement.py
@@ -142,6 +142,7 @@
         resumed=request.resumed,
         parts=list(request.parts),
         version=request.version,
+        resumes=request.resumes,
     )
 
 
@@ -171,6 +172,7 @@
         digest=message.digest,
         parts=tuple(message.parts),
         version=message.version,
+        resumes=message.resumes,
     )
 
 
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -137,12 +137,16 @@
     process.follower = follower
     coordination.on_elected = lambda: follower.read_now(monotonic())
     process.heartbeats.on_change = lambda: _after_heartbeats(process, follower)
-    coordination.start()
-    process.heartbeats.start()
-    relay.watcher.start()
-    follower.start()
     process.phase_switcher = PhaseSwitcher(relay, process.adapter.store)
-    process.phase_switcher.start()
+    for part in (
+        coordination,
+        process.heartbeats,
+        relay.watcher,
+        follower,
+        process.stream_log,
+        process.phase_switcher,
+    ):
+        part.start()
     for target in (register_and_discover, _tick, _send_link_heartbeats):
         threading.Thread(target=target, args=(process,), daemon=True).start()
 
--- a/libs/relay/src/gypsumrelay_relay/routes.py
+++ b/libs/relay/src/gypsumrelay_relay/routes.py
@@ -125,14 +125,14 @@
     return None
 
 
-def choose_target(route: Route, random_number: float) -> str:
-    """Return a random service of a route, by weight.
+def choose_target(route: Route, fraction: float) -> str:
+    """Return a service of a route, by weight.
 
     Args:
         route: The route.
-        random_number: A random number in [0, 1).
+        fraction: A number in [0, 1), distributed evenly over the requests.
     """
-    point = random_number * sum(target.weight for target in route.targets)
+    point = fraction * sum(target.weight for target in route.targets)
     for target in route.targets:
         point -= target.weight
         if point < 0:
--- a/libs/relay/src/gypsumrelay_relay/state_reports.py
+++ b/libs/relay/src/gypsumrelay_relay/state_reports.py
@@ -41,6 +41,7 @@
         yield messages.RateLimitReported(upstream, per_second, is_new=False)
     for placement in coordination.active.values():
         yield messages.PlacementReported(own_placement(placement, now))
+    yield from coordination.streams.reports(now)
     yield from _use_reports(coordination, now)
     yield from _crash_reports(coordination, now)
 
--- a/libs/relay/src/gypsumrelay_relay/stream_runs.py
+++ b/libs/relay/src/gypsumrelay_relay/stream_runs.py
@@ -68,6 +68,8 @@
         was_prefilled: Whether a prefill of the prompt has succeeded.
         version: Software version that began the stream, the only one that may
             go on with it; empty before the first event and where unknown.
+        resumes: Digest of the start of the stream that the caller takes up;
+            empty for a new stream.
     """
 
     exchange: Exchange
@@ -81,6 +83,7 @@
     has_started: bool = False
     was_prefilled: bool = False
     version: str = ''
+    resumes: bytes = b''
 
     @property
     def may_resume(self) -> bool:
--- a/libs/relay/src/gypsumrelay_relay/stream_start.py
+++ b/libs/relay/src/gypsumrelay_relay/stream_start.py
@@ -91,7 +91,10 @@
 
 def start_run(exchange: Exchange) -> StreamRun:
     """Return the state of a request that has not been placed yet."""
-    run = StreamRun(exchange, exchange.admitted.headers.last_event)
+    headers = exchange.admitted.headers
+    run = StreamRun(exchange, headers.last_event)
+    if headers.resumes:
+        run.resumes = exchange.stream_digest(headers.resumes)
     run.substitution = Substitution(
         exchange, partial(_next_placement_request, run)
     )
@@ -187,6 +190,7 @@
         run.exchange.next_placement_request(),
         resumed=run.has_started,
         version=run.version,
+        resumes=run.resumes,
     )
     if run.cache is None:
         return attrs.evolve(request, reread=run.was_prefilled)
@@ -201,6 +205,8 @@
 ) -> OpenStream | CompleteAnswer | AttemptResult:
     """Run the prefill if needed, then start the stream."""
     exchange = run.exchange
+    if run.resumes:
+        run.version = placement.version
     started_at = monotonic()
     if run.cache is None and placement.prefill:
         outcome = run_prefill(exchange, placement)
--- a/libs/relay/src/gypsumrelay_relay/topics.py
+++ b/libs/relay/src/gypsumrelay_relay/topics.py
@@ -25,6 +25,7 @@
     upstreams = 'upstreams'
     members = 'members'
     orders = 'orders'
+    streams = 'streams'
 
 
 @attrs.frozen
--- a/libs/wire/src/gypsumrelay_wire/codec.py
+++ b/libs/wire/src/gypsumrelay_wire/codec.py
@@ -11,7 +11,7 @@
 
 from gypsumrelay_wire import messages, placements
 
-VERSION: Final = 4
+VERSION: Final = 5
 HEADER_LENGTH: Final = 2
 
 _CLASSES: Final = {
--- a/libs/wire/src/gypsumrelay_wire/placements.py
+++ b/libs/wire/src/gypsumrelay_wire/placements.py
@@ -44,6 +44,8 @@
             caller already has.
         parts: Digests of the shared parts of the prompt, in order.
         version: Software version that the upstreams must have; empty for any.
+        resumes: Digest of the start of the stream that the request goes on
+            with; empty for a new stream.
     """
 
     tag: ClassVar[int] = 40
@@ -67,6 +69,7 @@
     resumed: bool = False
     parts: list[bytes] = attrs.field(factory=list)
     version: str = ''
+    resumes: bytes = b''
 
 
 @attrs.frozen
@@ -347,3 +350,17 @@
     upstream: str
     started_ms: int
     remaining_ms: int
+
+
+@attrs.frozen
+class StreamsBegan(Message):
+    """Reports streams that upstreams of a software version began.
+
+    Attributes:
+        version: The version.
+        digests: Digests of the starts of the streams.
+    """
+
+    tag: ClassVar[int] = 58
+    version: str
+    digests: list[bytes]
