Bound the unsaved starts of streams, and leave ambiguous ones unknown

Found by reading the change: starts that cannot be saved were kept without a limit while the store is away; now the newest 32,768. A caller that uses a request id again, whose streams begin at two versions, could have its stream joined, since the first version counted; such a start is now unknown, wherever the two are reported, saved or read.

--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -84,13 +84,17 @@
     tick,
 )
 from gypsumrelay_dispatch.stream_starts import (
+    AMBIGUOUS,
     StreamStarts,
+    drop_oldest,
+    merge_starts,
     record_starts,
     restore_starts,
     take_unsaved,
 )
 
 __all__ = (
+    'AMBIGUOUS',
     'UNLISTED_SECONDS',
     'AccountLimits',
     'ActivePlacement',
@@ -119,6 +123,7 @@
     'complete_report',
     'content_of',
     'drop_ended',
+    'drop_oldest',
     'end_attempt',
     'end_prefill',
     'end_rate_limit',
@@ -127,6 +132,7 @@
     'is_completion',
     'is_leaving',
     'is_paused',
+    'merge_starts',
     'note_listed',
     'plan_phase_change',
     'queue_deadline',
--- a/libs/dispatch/src/gypsumrelay_dispatch/stream_starts.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/stream_starts.py
@@ -15,6 +15,8 @@
 
 # Number of streams that are remembered; the oldest ones are forgotten first.
 MAX_STARTS: Final = 32_768
+# Version of a stream whose request id began another one elsewhere.
+AMBIGUOUS: Final = ''
 
 
 @attrs.define
@@ -26,7 +28,8 @@
     another account or service names none.
 
     Attributes:
-        versions: Version that began each stream, by digest, oldest first.
+        versions: Version that began each stream, by digest, oldest first;
+            `AMBIGUOUS` if there are several.
         unsaved: Those that have not been handed over to be saved.
         read_until: Instant before which all starts that had been saved are
             known.
@@ -39,15 +42,10 @@
 
 def record_starts(starts: StreamStarts, began: Mapping[bytes, str]) -> None:
     """Record starts that instances report."""
-    news = {
-        digest: version
-        for digest, version in began.items()
-        if digest not in starts.versions
-    }
-    starts.versions.update(news)
+    news = merge_starts(starts.versions, began)
     starts.unsaved.update(news)
-    _drop_oldest(starts.versions)
-    _drop_oldest(starts.unsaved)
+    drop_oldest(starts.versions)
+    drop_oldest(starts.unsaved)
 
 
 def restore_starts(
@@ -60,9 +58,27 @@
         saved: Versions by digest.
         read_until: Instant at which the read of them began.
     """
-    starts.versions.update(saved)
+    merge_starts(starts.versions, saved)
     starts.read_until = max(starts.read_until, read_until)
-    _drop_oldest(starts.versions)
+    drop_oldest(starts.versions)
+
+
+def merge_starts(
+    versions: dict[bytes, str], others: Mapping[bytes, str]
+) -> dict[bytes, str]:
+    """Add starts to others, and return those that changed.
+
+    The version of a request id that was used again at another version is
+    unknown, since its caller may mean either stream.
+    """
+    changed = {}
+    for digest, version in others.items():
+        known = versions.get(digest)
+        merged = version if known in {None, version} else AMBIGUOUS
+        if merged != known:
+            versions[digest] = merged
+            changed[digest] = merged
+    return changed
 
 
 def take_unsaved(starts: StreamStarts) -> dict[bytes, str]:
@@ -72,7 +88,8 @@
     return unsaved
 
 
-def _drop_oldest(versions: dict[bytes, str]) -> None:
+def drop_oldest(versions: dict[bytes, str]) -> None:
+    """Forget the oldest starts beyond `MAX_STARTS`."""
     excess = len(versions) - MAX_STARTS
     if excess > 0:
         for digest in list(versions)[:excess]:
--- a/libs/dispatch/tests/versions.feature
+++ b/libs/dispatch/tests/versions.feature
@@ -100,6 +100,14 @@
     And the saved starts are read, and the stream began at "v2"
     Then nothing runs
 
+  Scenario: A request id that began streams at two versions
+    Guards against a version that is guessed because an id was used again.
+    Given a stream has begun at "v2"
+    And a stream has begun at "v1"
+    When a prompt goes on with it
+    And the saved starts are read, and the stream began at "v1"
+    Then it is rejected at once, without a time to come back
+
   Scenario: Starts are saved once
     Given a stream has begun at "v2"
     Then it is handed over to be saved once
--- a/libs/relay/src/gypsumrelay_relay/stream_history.py
+++ b/libs/relay/src/gypsumrelay_relay/stream_history.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 import attrs
+from gypsumrelay_dispatch import AMBIGUOUS
 
 from gypsumrelay_relay.stream_messages import StreamsReported
 
@@ -42,6 +43,9 @@
 
     def record(self, digest: bytes, version: str, now: float) -> None:
         """Record a stream that begins now."""
+        known = self.starts.get(digest)
+        if known is not None and known.version != version:
+            version = AMBIGUOUS
         self.starts[digest] = StreamStart(version, now + KEPT_SECONDS)
         if len(self.starts) > MAX_STREAMS:
             self.starts.pop(next(iter(self.starts)))
--- a/libs/relay/src/gypsumrelay_relay/stream_log.py
+++ b/libs/relay/src/gypsumrelay_relay/stream_log.py
@@ -14,6 +14,7 @@
 import attrs
 import msgpack
 from gypsumrelay_clock import monotonic
+from gypsumrelay_dispatch import drop_oldest, merge_starts
 from gypsumrelay_errors import Failure
 
 from gypsumrelay_relay import stream_messages as messages
@@ -87,6 +88,7 @@
         """Save starts soon."""
         with self.lock:
             self.unsaved.update(starts)
+            drop_oldest(self.unsaved)
         self.save_wanted.set()
 
     def request_read(self) -> None:
@@ -106,8 +108,9 @@
         if batch and isinstance(self._append(encode(batch)), Failure):
             return RETRY_SECONDS
         with self.lock:
-            for digest in batch:
-                self.unsaved.pop(digest, None)
+            for digest, version in batch.items():
+                if self.unsaved.get(digest) == version:
+                    self.unsaved.pop(digest)
             if not self.unsaved:
                 self.save_wanted.clear()
         return SAVE_SECONDS
@@ -131,7 +134,7 @@
         starts: dict[bytes, str] = {}
         for slot, record in records.items():
             if self.restored.get(slot) != record:
-                starts.update(decode(record))
+                merge_starts(starts, decode(record))
         self.restored = records
         self.tell(messages.SavedStartsRead(starts, began_at))
         return READ_SECONDS
--- a/libs/relay/tests/steps/stream_logs.py
+++ b/libs/relay/tests/steps/stream_logs.py
@@ -163,6 +163,12 @@
     assert counts == [first, second], counts
 
 
+@then('it keeps the newest {count:d} of them')
+def check_kept(context: Any, count: int) -> None:
+    newest = list(context.starts.items())[-count:]
+    assert context.log.unsaved == dict(newest)
+
+
 @then('it is told that they cannot be read')
 def check_unavailable(context: Any) -> None:
     assert context.told == [SavedStartsUnavailable()], context.told
--- a/libs/relay/tests/stream_log.feature
+++ b/libs/relay/tests/stream_log.feature
@@ -49,6 +49,12 @@
     And another relay reads the saved starts
     Then it knows the version of all 30 streams
 
+  Scenario: A store that is away for long
+    Guards against memory that grows until the store is back.
+    Given a store that is away
+    And a relay that saves the starts of 40000 streams
+    Then it keeps the newest 32768 of them
+
   Scenario: Records that cannot be read
     Given records that are no msgpack, a list, and a map of other types
     And a relay that saves the starts of 30 streams
