--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -80,12 +80,10 @@
     reject_failed,
     remove_instance,
     request_placement,
-    settle_resumptions,
     tick,
 )
 from gypsumrelay_dispatch.stream_starts import (
     AMBIGUOUS,
-    StreamStarts,
     drop_oldest,
     merge_starts,
     record_starts,
@@ -112,7 +110,6 @@
     'RejectionDetails',
     'SchedulerState',
     'ServiceLimits',
-    'StreamStarts',
     'Upstream',
     'apply_configuration',
     'apply_departure',
@@ -151,7 +148,6 @@
     'restore_sends',
     'restore_starts',
     'retry_count',
-    'settle_resumptions',
     'start_pause',
     'state_leaving',
     'take_unsaved',
--- a/libs/dispatch/src/gypsumrelay_dispatch/selection.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/selection.py
@@ -116,8 +116,9 @@
 
 def _is_eligible(upstream: Upstream, request: PlacementRequest) -> bool:
     """Return whether a request may go to an upstream of its pool."""
-    has_version = request.version in {'', upstream.version}
-    return has_version and upstream.name not in request.excluded
+    is_any_version = not request.version
+    fits_version = is_any_version or request.version == upstream.version
+    return fits_version and upstream.name not in request.excluded
 
 
 def _within_limits(
--- a/libs/relay/src/gypsumrelay_relay/operator_check.py
+++ b/libs/relay/src/gypsumrelay_relay/operator_check.py
@@ -4,7 +4,7 @@
 
 import threading
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import attrs
 from gypsumrelay_clock import monotonic
@@ -19,7 +19,7 @@
     from gypsumrelay_relay.topics import Store
 
 # Source of the records in the log.
-SOURCE = 'check'
+SOURCE: Final = 'check'
 
 
 @attrs.define(eq=False)
