Split four long modules and add the switches of the new parts

Results of attempts, messages of the coordinator, its links and the events of placements and upstreams are modules of their own now; no behaviour changes.

--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -58,6 +58,15 @@
     plan_phase_change,
     record_phase_change,
 )
+from gypsumrelay_dispatch.results import (
+    apply_pause,
+    apply_rate_limit,
+    complete_report,
+    end_attempt,
+    end_prefill,
+    end_rate_limit,
+    remove_instance,
+)
 from gypsumrelay_dispatch.resumptions import (
     end_read,
 )
@@ -71,14 +80,7 @@
     apply_upstreams,
 )
 from gypsumrelay_dispatch.scheduling import (
-    apply_pause,
-    apply_rate_limit,
-    complete_report,
-    end_attempt,
-    end_prefill,
-    end_rate_limit,
     reject_failed,
-    remove_instance,
     request_placement,
     tick,
 )
--- a/libs/relay/src/gypsumrelay_relay/answer_statements.py
+++ b/libs/relay/src/gypsumrelay_relay/answer_statements.py
@@ -15,8 +15,8 @@
 )
 from logbook import Logger
 
-from gypsumrelay_relay import coordinator as messages
-from gypsumrelay_relay import state_events
+from gypsumrelay_relay import coordinator_events as messages
+from gypsumrelay_relay import state_events, upstream_events
 
 if TYPE_CHECKING:
     from gypsumrelay_relay.coordination import Coordination
@@ -39,7 +39,7 @@
         if not state_leaving(coordination.departures, upstream, started_ms):
             return
         coordination.tell(messages.LeavingReported(upstream, started_ms))
-    statement = state_events.UpstreamLeaving(upstream, started_ms)
+    statement = upstream_events.UpstreamLeaving(upstream, started_ms)
     state_events.report(log, statement)
 
 
@@ -71,7 +71,7 @@
             messages.PauseReported(own, upstream, started_ms, until)
         )
     if not was_paused:
-        paused = state_events.UpstreamPaused(upstream, seconds)
+        paused = upstream_events.UpstreamPaused(upstream, seconds)
         state_events.report(log, paused)
 
 
--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -4,7 +4,7 @@
 
 import threading
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any
 
 import attrs
 from gypsumrelay_clock import monotonic
@@ -28,18 +28,21 @@
     RecordsCopy,
     RecordsRequest,
     UpstreamCrashed,
-    dial,
 )
 from logbook import Logger
 
-from gypsumrelay_relay import coordinator as messages
+from gypsumrelay_relay import coordinator_events as messages
 from gypsumrelay_relay import state_events
+from gypsumrelay_relay.coordinator_links import (
+    complete_report,
+    link_heartbeat,
+    open_link,
+)
 from gypsumrelay_relay.coordinator_messages import from_wire, to_wire
 from gypsumrelay_relay.crash_reports import crash_to_wire
 from gypsumrelay_relay.known_crashes import KnownCrashes
 from gypsumrelay_relay.membership import (
     Members,
-    alive,
     coordinator,
     mark_unreachable,
 )
@@ -73,10 +76,6 @@
 
 log = Logger('coordination')
 
-# Time limit in seconds for each step of opening a link; a running relay answers
-# at once.
-DIAL_SECONDS: Final = 0.6
-
 
 def do_nothing() -> None:
     """Do nothing; the default callback until the parts are started."""
@@ -277,7 +276,7 @@
                 with self.lock:
                     self.known_crashes.merge(message, now)
             case Heartbeat(places_told=1):
-                _complete_report(self, sender, now)
+                complete_report(self, sender, now)
             case RecordsRequest() | RecordsCopy():
                 exchange_records(self.operator_records, link, message)
             case _:
@@ -316,7 +315,7 @@
         with self.lock:
             links = [*self.incoming.values(), *filter(None, (self.link,))]
         for link in links:
-            link.send(_heartbeat(self))
+            link.send(link_heartbeat(self))
 
     def switch_coordinator(self) -> bool:
         """Switch to the current coordinator.
@@ -362,9 +361,9 @@
         for message in state_reports(self, now):
             self.tell(message)
         if self.link is None:
-            _complete_report(self, self.name, now)
+            complete_report(self, self.name, now)
         else:
-            self.link.send(_heartbeat(self, places_told=1))
+            self.link.send(link_heartbeat(self, places_told=1))
         for pending in list(self.pending.values()):
             self.tell(messages.PlacementRequested(pending.request))
 
@@ -412,44 +411,3 @@
                 drop_old_uses(self.uses, self.settings, now)
                 record_use(self.uses, answer, self.leader_id, now)
         pending.answers.put(answer)
-
-
-def open_link(
-    coordination: Coordination,
-    host: str,
-    name: str,
-) -> Link | None:
-    """Return a link to a relay, or None if it is unreachable."""
-    address = (host, coordination.link_port)
-    link = dial(address, coordination.endpoint, DIAL_SECONDS)
-    if isinstance(link, Failure):
-        log.warning(
-            'Cannot open a link to coordinator {}: {}.', name, link.sentence
-        )
-        with coordination.lock:
-            mark_unreachable(coordination.members, name, monotonic())
-        return None
-    link.start()
-    return link
-
-
-def _complete_report(
-    coordination: Coordination,
-    entry: str,
-    now: float,
-) -> None:
-    """Report to this relay's coordinator that a relay's report is complete."""
-    with coordination.lock:
-        live = [member.name for member in alive(coordination.members, now)]
-    completed = messages.ReportCompleted(
-        entry, frozenset((*live, coordination.name))
-    )
-    coordination.actor.tell(completed)
-
-
-def _heartbeat(
-    coordination: Coordination,
-    places_told: int = 0,
-) -> Heartbeat:
-    position = max(0, coordination.operator_records.position)
-    return Heartbeat(position, 0, 0, places_told)
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, Any, Final
 
-import attrs
 import gypsumrelay_dispatch as dispatch
 import pykka
 from gypsumrelay_attribution import Cause, Crash, refresh_causes, take_changed
@@ -14,12 +13,13 @@
 from gypsumrelay_wire import to_retry_ms
 from logbook import Logger
 
+from gypsumrelay_relay import coordinator_events as messages
 from gypsumrelay_relay.crash_reports import (
     crash_event,
     report_causes,
 )
 from gypsumrelay_relay.digests import short_digest
-from gypsumrelay_relay.state_events import PlacementRejected, report
+from gypsumrelay_relay.state_events import report
 from gypsumrelay_relay.store_epoch import epoch_of, offset_of
 from gypsumrelay_relay.stream_messages import (
     SavedStartsLost,
@@ -29,18 +29,13 @@
     apply_saved_starts,
     apply_streams_report,
 )
+from gypsumrelay_relay.upstream_events import PlacementRejected
 
 if TYPE_CHECKING:
     from gypsumrelay_dispatch import (
-        ActivePlacement,
         Decision,
-        Ending,
-        PhaseChange,
-        PlacementRequest,
         SchedulerState,
-        Upstream,
     )
-    from gypsumrelay_settings import DispatchSettings
 
     from gypsumrelay_relay.stream_messages import StartKeeper
     from gypsumrelay_relay.topics import OperatorState
@@ -58,254 +53,6 @@
     """Report nothing; the default without other relays."""
 
 
-@attrs.frozen
-class PlacementRequested:
-    """A relay requests a placement."""
-
-    request: PlacementRequest
-
-
-@attrs.frozen
-class PrefillEnded:
-    """The prefill of an attempt ended."""
-
-    key: tuple[str, int]
-    ending: Ending
-
-
-@attrs.frozen
-class PlacementEnded:
-    """A placement is no longer used or no longer requested.
-
-    Attributes:
-        key: Request id and number of the attempt.
-        ending: How the attempt ended.
-        began: Whether the upstream had sent an event of the answer.
-    """
-
-    key: tuple[str, int]
-    ending: Ending
-    began: bool = False
-
-
-@attrs.frozen
-class PlacementReported:
-    """A placement that an earlier coordinator granted and that is in use."""
-
-    placement: ActivePlacement
-
-
-@attrs.frozen
-class RetriesReported:
-    """Retries that an earlier coordinator granted to a service.
-
-    Attributes:
-        service: The service.
-        count: Retries that the reporting relay was granted.
-        total: Retries of all relays, as far as that relay knows.
-    """
-
-    service: str
-    count: int
-    total: int
-
-
-@attrs.frozen
-class SendsReported:
-    """Sends to an upstream that an earlier coordinator granted."""
-
-    upstream: str
-    sent_at: tuple[float, ...]
-
-
-@attrs.frozen
-class ChargesReported:
-    """Tokens that an earlier coordinator charged, by instant."""
-
-    client_account: str
-    charges: Mapping[float, int]
-
-
-@attrs.frozen
-class QuarantineReported:
-    """A content that an earlier coordinator rejected for its crashes."""
-
-    digest: bytes
-    since: float
-
-
-@attrs.frozen
-class CrashReported:
-    """A crash of an upstream that a relay knows of."""
-
-    crash: Crash
-
-
-@attrs.frozen
-class CompletionsReported:
-    """Contents and parts that upstreams completed.
-
-    Attributes:
-        started_at: Start of the newest completed run, by digest.
-    """
-
-    started_at: Mapping[bytes, float]
-
-
-@attrs.frozen
-class RateLimitReported:
-    """An upstream states a rate limit.
-
-    Attributes:
-        upstream: Name of the upstream.
-        per_second: Requests per second that it accepts from all relays.
-        is_new: Whether an answer stated it just now; else a relay learned it
-            under an earlier coordinator.
-    """
-
-    upstream: str
-    per_second: float
-    is_new: bool
-
-
-@attrs.frozen
-class RateLimitEndReported:
-    """The answer to an attempt states no rate limit of its upstream."""
-
-    upstream: str
-    key: tuple[str, int]
-
-
-@attrs.frozen
-class LeavingReported:
-    """An upstream states in an answer that it is leaving.
-
-    Attributes:
-        upstream: Name of the upstream.
-        started_ms: Start of the incarnation that states it, Unix milliseconds;
-            0 where unknown.
-    """
-
-    upstream: str
-    started_ms: int
-
-
-@attrs.frozen
-class PauseReported:
-    """An upstream asked a relay to send it nothing for a time.
-
-    Attributes:
-        entry: Name of the relay.
-        upstream: Name of the upstream.
-        started_ms: Start of the incarnation that asked for it, Unix
-            milliseconds; 0 where unknown.
-        until: Instant at which the pause ends.
-    """
-
-    entry: str
-    upstream: str
-    started_ms: int
-    until: float
-
-
-@attrs.frozen
-class ReportCompleted:
-    """A relay has reported all of its active placements.
-
-    Attributes:
-        entry: Name of the relay.
-        live: Names of all live relays, as seen by this one.
-    """
-
-    entry: str
-    live: frozenset[str]
-
-
-@attrs.frozen
-class RelayUnreachable:
-    """A relay is unreachable; its placements are free."""
-
-    entry: str
-
-
-@attrs.frozen
-class ConfigurationChanged:
-    """The operator configuration changed."""
-
-    state: OperatorState
-
-
-@attrs.frozen
-class UpstreamsChanged:
-    """The list of upstreams changed.
-
-    Attributes:
-        upstreams: All listed upstreams.
-        position: Position of the list in the store.
-        store_recovered: Whether the store was unavailable shortly before.
-    """
-
-    upstreams: tuple[Upstream, ...]
-    position: int
-    store_recovered: bool
-
-
-@attrs.frozen
-class ListRead:
-    """The list of upstreams was read, or the store is unavailable.
-
-    Attributes:
-        usable_until: Instant until which placements are granted from the list.
-    """
-
-    usable_until: float
-
-
-@attrs.frozen
-class SettingsChanged:
-    """The coordinator's policy settings were reloaded."""
-
-    settings: DispatchSettings
-
-
-@attrs.frozen
-class Tick:
-    """A periodic tick, on which queued requests are checked."""
-
-
-@attrs.frozen
-class PlanPhaseChange:
-    """Requests the next change of a phase, if one is due."""
-
-
-@attrs.frozen
-class PhaseChangeSent:
-    """An upstream accepted a change of its phase, or may have."""
-
-    change: PhaseChange
-
-
-@attrs.frozen
-class GetFigures:
-    """Requests the figures of the state for the status page and metrics."""
-
-
-# What relays report of earlier coordinators and of upstreams' answers.
-REPORTS: Final = (
-    PlacementReported,
-    RetriesReported,
-    SendsReported,
-    ChargesReported,
-    QuarantineReported,
-    CrashReported,
-    CompletionsReported,
-    RateLimitReported,
-    LeavingReported,
-    PauseReported,
-    StreamsReported,
-)
-
-
 class Coordinator(pykka.ThreadingActor):
     """Applies messages to the coordinator's state and delivers the answers."""
 
@@ -329,9 +76,9 @@
     def on_receive(self, message: Any) -> Any:
         """Handle one message."""
         now = monotonic()
-        if isinstance(message, GetFigures):
+        if isinstance(message, messages.GetFigures):
             return _figures(self.scheduler)
-        if isinstance(message, PlanPhaseChange):
+        if isinstance(message, messages.PlanPhaseChange):
             return dispatch.plan_phase_change(self.scheduler, now)
         try:
             decisions = list(self._apply(message, now))
@@ -342,7 +89,7 @@
                 'Handling of coordinator message {} failed.',
                 type(message).__name__,
             )
-            if not isinstance(message, PlacementRequested):
+            if not isinstance(message, messages.PlacementRequested):
                 return None
             decisions = [
                 dispatch.reject_failed(self.scheduler, message.request)
@@ -352,9 +99,9 @@
             if isinstance(decision, Rejection):
                 report(log, _rejection_event(decision, now))
             self.deliver(decision)
-        if isinstance(message, Tick):
+        if isinstance(message, messages.Tick):
             self._publish_crashes(now)
-        if isinstance(message, ReportCompleted):
+        if isinstance(message, messages.ReportCompleted):
             # A relay that started later knows no earlier crash.
             for crash in self.scheduler.crash_history.crashes:
                 self.publish(crash, message.entry)
@@ -386,15 +133,19 @@
     def _apply(self, message: Any, now: float) -> Iterable[Decision]:
         scheduler = self.scheduler
         match message:
-            case PlacementRequested(request):
+            case messages.PlacementRequested(request):
                 return dispatch.request_placement(scheduler, request, now)
-            case PrefillEnded() | PlacementEnded() | RateLimitEndReported():
+            case (
+                messages.PrefillEnded()
+                | messages.PlacementEnded()
+                | messages.RateLimitEndReported()
+            ):
                 return _apply_result(scheduler, message, now)
-            case ReportCompleted(entry, live):
+            case messages.ReportCompleted(entry, live):
                 return dispatch.complete_report(scheduler, entry, live, now)
-            case RelayUnreachable(entry):
+            case messages.RelayUnreachable(entry):
                 return dispatch.remove_instance(scheduler, entry, now)
-            case _ if isinstance(message, REPORTS):
+            case _ if isinstance(message, messages.REPORTS):
                 # A report frees no capacity, so that the queue is not served.
                 _apply_report(scheduler, message, now)
                 return []
@@ -405,17 +156,19 @@
 
 def _apply_result(
     scheduler: SchedulerState,
-    message: PrefillEnded | PlacementEnded | RateLimitEndReported,
+    message: messages.PrefillEnded
+    | messages.PlacementEnded
+    | messages.RateLimitEndReported,
     now: float,
 ) -> list[Decision]:
     match message:
-        case PrefillEnded(key, ending):
+        case messages.PrefillEnded(key, ending):
             return dispatch.end_prefill(scheduler, key, ending, now)
-        case PlacementEnded(key, ending, began):
+        case messages.PlacementEnded(key, ending, began):
             return dispatch.end_attempt(
                 scheduler, key, ending, now, began=began
             )
-        case RateLimitEndReported(upstream, key):
+        case messages.RateLimitEndReported(upstream, key):
             return dispatch.end_rate_limit(scheduler, upstream, key, now)
 
 
@@ -425,34 +178,44 @@
     now: float,
 ) -> None:
     match message:
-        case PlacementReported(placement):
+        case messages.PlacementReported(placement):
             dispatch.restore_placement(scheduler, placement)
-        case RetriesReported(service, count, total):
+        case messages.RetriesReported(service, count, total):
             dispatch.restore_retries(scheduler, service, count, total, now)
-        case SendsReported(upstream, sent_at):
+        case messages.SendsReported(upstream, sent_at):
             dispatch.restore_sends(scheduler, upstream, sent_at, now)
-        case ChargesReported(client_account, charges):
+        case messages.ChargesReported(client_account, charges):
             dispatch.restore_charges(scheduler, client_account, charges, now)
-        case QuarantineReported() | CrashReported() | CompletionsReported():
+        case (
+            messages.QuarantineReported()
+            | messages.CrashReported()
+            | messages.CompletionsReported()
+        ):
             _apply_crash_report(scheduler, message, now)
         case StreamsReported():
             apply_streams_report(scheduler, message)
-        case RateLimitReported() | LeavingReported() | PauseReported():
+        case (
+            messages.RateLimitReported()
+            | messages.LeavingReported()
+            | messages.PauseReported()
+        ):
             _apply_statement(scheduler, message, now)
 
 
 def _apply_statement(
     scheduler: SchedulerState,
-    message: RateLimitReported | LeavingReported | PauseReported,
+    message: messages.RateLimitReported
+    | messages.LeavingReported
+    | messages.PauseReported,
     now: float,
 ) -> None:
     match message:
-        case LeavingReported(upstream, started_ms):
+        case messages.LeavingReported(upstream, started_ms):
             dispatch.apply_departure(scheduler, upstream, started_ms)
-        case PauseReported(entry, upstream, started_ms, until):
+        case messages.PauseReported(entry, upstream, started_ms, until):
             pause = dispatch.Pause(until, started_ms)
             dispatch.apply_pause(scheduler, entry, upstream, pause)
-        case RateLimitReported(upstream, per_second, is_new):
+        case messages.RateLimitReported(upstream, per_second, is_new):
             apply_limit = (
                 dispatch.apply_rate_limit
                 if is_new
@@ -463,15 +226,17 @@
 
 def _apply_crash_report(
     scheduler: SchedulerState,
-    message: QuarantineReported | CrashReported | CompletionsReported,
+    message: messages.QuarantineReported
+    | messages.CrashReported
+    | messages.CompletionsReported,
     now: float,
 ) -> None:
     match message:
-        case QuarantineReported(digest, since):
+        case messages.QuarantineReported(digest, since):
             dispatch.restore_quarantine(scheduler, digest, since, now)
-        case CrashReported(crash):
+        case messages.CrashReported(crash):
             dispatch.restore_crash(scheduler, crash)
-        case CompletionsReported(started_at):
+        case messages.CompletionsReported(started_at):
             for subject, at in started_at.items():
                 dispatch.restore_completed(scheduler, subject, at)
 
@@ -480,15 +245,15 @@
     match message:
         case SavedStartsRead() | SavedStartsUnavailable() | SavedStartsLost():
             apply_saved_starts(scheduler, message, now)
-        case ConfigurationChanged(state):
+        case messages.ConfigurationChanged(state):
             _apply_operator_state(scheduler, state, now)
-        case PhaseChangeSent(change):
+        case messages.PhaseChangeSent(change):
             dispatch.record_phase_change(scheduler, change, now)
-        case SettingsChanged(settings):
+        case messages.SettingsChanged(settings):
             scheduler.settings = settings
-        case ListRead(usable_until):
+        case messages.ListRead(usable_until):
             scheduler.list_expires_at = usable_until
-        case UpstreamsChanged(upstreams, position, store_recovered):
+        case messages.UpstreamsChanged(upstreams, position, store_recovered):
             scheduler.list_position = position
             dispatch.apply_upstreams(
                 scheduler, upstreams, now, store_recovered=store_recovered
--- a/libs/relay/src/gypsumrelay_relay/crash_reports.py
+++ b/libs/relay/src/gypsumrelay_relay/crash_reports.py
@@ -9,11 +9,11 @@
 from gypsumrelay_wire import UpstreamCrashed
 
 from gypsumrelay_relay.digests import short_digest
-from gypsumrelay_relay.state_events import (
+from gypsumrelay_relay.state_events import report
+from gypsumrelay_relay.upstream_events import (
     CauseCleared,
     CauseFound,
     CrashConfirmed,
-    report,
 )
 
 if TYPE_CHECKING:
--- a/libs/relay/src/gypsumrelay_relay/known_crashes.py
+++ b/libs/relay/src/gypsumrelay_relay/known_crashes.py
@@ -21,7 +21,10 @@
     is_completion,
 )
 
-from gypsumrelay_relay.coordinator import CompletionsReported, CrashReported
+from gypsumrelay_relay.coordinator_events import (
+    CompletionsReported,
+    CrashReported,
+)
 from gypsumrelay_relay.crash_reports import crash_from_wire
 
 if TYPE_CHECKING:
--- a/libs/relay/src/gypsumrelay_relay/pending_requests.py
+++ b/libs/relay/src/gypsumrelay_relay/pending_requests.py
@@ -10,8 +10,8 @@
 from gypsumrelay_errors import Failure
 from logbook import Logger
 
-from gypsumrelay_relay import coordinator as messages
-from gypsumrelay_relay import state_events
+from gypsumrelay_relay import coordinator_events as messages
+from gypsumrelay_relay import state_events, upstream_events
 from gypsumrelay_relay.answer_statements import must_not_use
 from gypsumrelay_relay.placement import Placement
 
@@ -71,7 +71,7 @@
         request, excluded=request.excluded | (unusable & pending.returned)
     )
     pending.returned |= unusable
-    returned = state_events.PlacementReturned(
+    returned = upstream_events.PlacementReturned(
         request.request_id, request.attempt, ','.join(sorted(unusable))
     )
     state_events.report(log, returned)
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -14,7 +14,7 @@
 from gypsumrelay_wire import listen
 from logbook import Logger
 
-from gypsumrelay_relay import coordinator as messages
+from gypsumrelay_relay import coordinator_events as messages
 from gypsumrelay_relay import state_events
 from gypsumrelay_relay.building import PlatformAdapter, Process, build
 from gypsumrelay_relay.caller_server import (
--- a/libs/relay/src/gypsumrelay_relay/state_reports.py
+++ b/libs/relay/src/gypsumrelay_relay/state_reports.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from gypsumrelay_relay import coordinator as messages
+from gypsumrelay_relay import coordinator_events as messages
 from gypsumrelay_relay.placement import own_placement
 from gypsumrelay_relay.quarantine import drop_expired
 from gypsumrelay_relay.usage_history import (
--- a/libs/relay/src/gypsumrelay_relay/stated_limits.py
+++ b/libs/relay/src/gypsumrelay_relay/stated_limits.py
@@ -9,7 +9,7 @@
 from gypsumrelay_dispatch import UNLISTED_SECONDS
 from logbook import Logger
 
-from gypsumrelay_relay import state_events
+from gypsumrelay_relay import state_events, upstream_events
 
 if TYPE_CHECKING:
     from collections.abc import Set as AbstractSet
@@ -91,11 +91,11 @@
     upstream: str, previous: float | None, per_second: float | None
 ) -> None:
     if per_second is None:
-        change: state_events.StateChange = state_events.RateLimitEnded(
+        change: state_events.StateChange = upstream_events.RateLimitEnded(
             upstream, previous or 0
         )
     else:
-        change = state_events.RateLimitStated(
+        change = upstream_events.RateLimitStated(
             upstream, per_second, previous or 0
         )
     state_events.report(log, change)
--- a/libs/relay/tests/steps/changes.py
+++ b/libs/relay/tests/steps/changes.py
@@ -17,10 +17,11 @@
     restore_retries,
 )
 from gypsumrelay_errors import Overloaded, PlatformUnavailable
-from gypsumrelay_relay import coordination as module
 from gypsumrelay_relay import coordinator as coordinator_module
+from gypsumrelay_relay import coordinator_links as module
 from gypsumrelay_relay.coordination import Coordination
-from gypsumrelay_relay.coordinator import Coordinator, RetriesReported
+from gypsumrelay_relay.coordinator import Coordinator
+from gypsumrelay_relay.coordinator_events import RetriesReported
 from gypsumrelay_relay.heartbeats import (
     Heartbeats,
     open_socket,
--- a/libs/relay/tests/steps/crash_reports.py
+++ b/libs/relay/tests/steps/crash_reports.py
@@ -13,7 +13,7 @@
 from gypsumrelay_attribution import Content, Crash
 from gypsumrelay_clock import monotonic
 from gypsumrelay_dispatch import Ending, SchedulerState, restore_crash
-from gypsumrelay_relay import coordinator as messages
+from gypsumrelay_relay import coordinator_events as messages
 from gypsumrelay_relay.coordinator import Coordinator
 from gypsumrelay_relay.crash_reports import crash_from_wire, crash_to_wire
 from gypsumrelay_relay.placement import Placement
--- a/libs/relay/tests/steps/statements.py
+++ b/libs/relay/tests/steps/statements.py
@@ -17,7 +17,7 @@
     send_request,
 )
 from gypsumrelay_relay.coordination import Coordination
-from gypsumrelay_relay.coordinator import LeavingReported, PauseReported
+from gypsumrelay_relay.coordinator_events import LeavingReported, PauseReported
 from gypsumrelay_relay.coordinator_messages import from_wire, to_wire
 from gypsumrelay_relay.membership import Member, Members
 from gypsumrelay_relay.operator_records import OperatorRecords
--- a/libs/settings/src/gypsumrelay_settings/models.py
+++ b/libs/settings/src/gypsumrelay_settings/models.py
@@ -205,6 +205,12 @@
             rate and burst while capacity is free.
         lapse_seconds: Time for which an upstream that left the list during
             an outage of the store is still used after the outage.
+        learn_performance: Whether measurements of each upstream determine
+            its limit on concurrent work and the choice between upstreams.
+        learn_transfers: Whether measured transfer times of KV caches
+            determine the choice of decode upstreams.
+        queue_policy: Order of the queue: `strict` by rank and urgency, or
+            `weighted` by what waiting costs each caller.
     """
 
     prefill_backlog_ms: float = bounded(1, 60_000, default=200)
@@ -228,6 +234,43 @@
     blame_seconds: float = bounded(1, 86_400, default=120)
     overdraft_tokens: float = bounded(0, 1_000_000_000, default=0)
     lapse_seconds: float = bounded(0, 60, default=2.5)
+    learn_performance: bool = False
+    learn_transfers: bool = False
+    queue_policy: str = one_of('strict', 'weighted')
+
+
+@attrs.frozen
+class RolloutSettings:
+    """Bounds of a roll-out of a new software version.
+
+    Attributes:
+        expose_share: Maximum share of a service's requests, from the order to
+            its deadline, that a bad version may get.
+        expose_slack: Requests that it may get in addition.
+        rollback_seconds: Time after its 50th bad answer from which a bad
+            version gets no request.
+    """
+
+    expose_share: float = bounded(0, 1, default=0.1)
+    expose_slack: float = bounded(0, 1_000_000, default=0)
+    rollback_seconds: float = bounded(0.1, 600, default=5)
+
+
+@attrs.frozen
+class CapacitySettings:
+    """Protection of an instance against more load than it can serve.
+
+    Attributes:
+        ready_by_load: Whether an instance near its limits fails readiness
+            probes, so that it gets fewer new connections.
+        memory_mb: Memory of the instance in MB; 0 if unknown.
+        buffer_share: Maximum part of this memory for requests and answers
+            that wait for slow readers; 0 for no limit.
+    """
+
+    ready_by_load: bool = False
+    memory_mb: float = bounded(0, 100_000_000, default=0)
+    buffer_share: float = bounded(0, 1, default=0)
 
 
 @attrs.frozen
@@ -308,6 +351,8 @@
     shutdown: ShutdownSettings = ShutdownSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
     max_open_requests: int = bounded(1, MAX_THREADS, default=128)
+    rollouts: RolloutSettings = RolloutSettings()
+    capacity: CapacitySettings = CapacitySettings()
 
 
 @attrs.frozen
