--- a/libs/relay/tests/steps/changes.py
+++ b/libs/relay/tests/steps/changes.py
@@ -18,6 +18,7 @@
 )
 from gypsumrelay_errors import Overloaded, PlatformUnavailable
 from gypsumrelay_relay import coordinator as coordinator_module
+from gypsumrelay_relay import coordinator_events as messages
 from gypsumrelay_relay import coordinator_links as module
 from gypsumrelay_relay.coordination import Coordination
 from gypsumrelay_relay.coordinator import Coordinator
@@ -347,10 +348,10 @@
     )
     context.add_cleanup(setattr, coordinator_module.dispatch, 'tick', usual)
     for message in (
-        coordinator_module.SendsReported('up', (1.0,)),
-        coordinator_module.ChargesReported('account', {}),
+        messages.SendsReported('up', (1.0,)),
+        messages.ChargesReported('account', {}),
         RetriesReported('service', 1, 1),
-        coordinator_module.RateLimitReported('up', 2, is_new=False),
+        messages.RateLimitReported('up', 2, is_new=False),
     ):
         actor.tell(message)
     context.figures = actor.ask(coordinator_module.GetFigures())
