--- a/libs/relay/tests/steps/changes.py
+++ b/libs/relay/tests/steps/changes.py
@@ -18,11 +18,14 @@
 )
 from gypsumrelay_errors import Overloaded, PlatformUnavailable
 from gypsumrelay_relay import coordinator as coordinator_module
-from gypsumrelay_relay import coordinator_events as messages
 from gypsumrelay_relay import coordinator_links as module
 from gypsumrelay_relay.coordination import Coordination
 from gypsumrelay_relay.coordinator import Coordinator
-from gypsumrelay_relay.coordinator_events import RetriesReported
+from gypsumrelay_relay.coordinator_events import (
+    ChargesReported,
+    RetriesReported,
+    SendsReported,
+)
 from gypsumrelay_relay.heartbeats import (
     Heartbeats,
     open_socket,
@@ -348,8 +351,8 @@
     )
     context.add_cleanup(setattr, coordinator_module.dispatch, 'tick', usual)
     for message in (
-        messages.SendsReported('up', (1.0,)),
-        messages.ChargesReported('account', {}),
+        SendsReported('up', (1.0,)),
+        ChargesReported('account', {}),
         RetriesReported('service', 1, 1),
         messages.RateLimitReported('up', 2, is_new=False),
     ):
