--- a/libs/relay/tests/steps/changes.py
+++ b/libs/relay/tests/steps/changes.py
@@ -23,6 +23,8 @@
 from gypsumrelay_relay.coordinator import Coordinator
 from gypsumrelay_relay.coordinator_events import (
     ChargesReported,
+    GetFigures,
+    RateLimitReported,
     RetriesReported,
     SendsReported,
 )
@@ -354,10 +356,10 @@
         SendsReported('up', (1.0,)),
         ChargesReported('account', {}),
         RetriesReported('service', 1, 1),
-        messages.RateLimitReported('up', 2, is_new=False),
+        RateLimitReported('up', 2, is_new=False),
     ):
         actor.tell(message)
-    context.figures = actor.ask(coordinator_module.GetFigures())
+    context.figures = actor.ask(GetFigures())
 
 
 @then('it made no pass over its queue')
