--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -44,6 +44,7 @@
 from gypsumrelay_relay.membership import (
     Members,
     coordinator,
+    is_heard,
     mark_unreachable,
 )
 from gypsumrelay_relay.operator_records import OperatorRecords
@@ -307,7 +308,12 @@
             if self.link is not link:
                 return
             self.leader = ''
-            mark_unreachable(self.members, link.peer.name, monotonic())
+            now = monotonic()
+            # If the link cannot be opened again, the coordinator counts as
+            # unreachable then. Another coordinator beside a sound one would
+            # overfill upstreams.
+            if not is_heard(self.members, link.peer.name, now):
+                mark_unreachable(self.members, link.peer.name, now)
         self.changed.set()
 
     def send_heartbeats(self) -> None:
--- a/libs/relay/src/gypsumrelay_relay/membership.py
+++ b/libs/relay/src/gypsumrelay_relay/membership.py
@@ -50,6 +50,9 @@
 # Time in seconds for which an unreachable member is not chosen as the
 # coordinator.
 EXCLUSION_SECONDS: Final = 1.0
+# Time in seconds after a heartbeat of the coordinator within which a closed
+# link is opened again to it: two intervals, as one heartbeat may be lost.
+HEARD_SECONDS: Final = 0.45
 # Maximum number of addresses to which heartbeats are sent; far above the size
 # of a fleet.
 MAX_HOSTS: Final = 4096
@@ -161,6 +164,15 @@
     ]
 
 
+def is_heard(members: Members, name: str, now: float) -> bool:
+    """Return whether a member's last heartbeat is as recent as expected.
+
+    Its links may have gone silent while the member itself is sound.
+    """
+    received_at = members.received_at.get(name, float('-inf'))
+    return now - received_at < HEARD_SECONDS
+
+
 def mark_unreachable(members: Members, name: str, now: float) -> None:
     """Mark a member as unreachable, and as dead until its next heartbeat.
 
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -56,8 +56,9 @@
 # Interval in seconds of the coordinator's ticks and of the checks in the main
 # loop.
 TICK_SECONDS: Final = 0.05
-# Interval in seconds between heartbeats on a link.
-LINK_HEARTBEAT_SECONDS: Final = 1.0
+# Interval in seconds between heartbeats on a link. They bound the time until a
+# silent link breaks, together with the time for an acknowledgement.
+LINK_HEARTBEAT_SECONDS: Final = 0.5
 # Time in seconds for reading requests that had arrived when the listener
 # closed.
 LATE_READ_SECONDS: Final = 0.3
--- a/libs/wire/src/gypsumrelay_wire/link.py
+++ b/libs/wire/src/gypsumrelay_wire/link.py
@@ -45,6 +45,17 @@
 # Time-out in seconds for receiving and sending: three heartbeats of one second
 # and a margin for a busy machine.
 LINK_TIMEOUT_SECONDS: Final = 3.5
+# Time in milliseconds after which unacknowledged bytes break a link. The kernel
+# of the peer acknowledges also while its process is busy, so that this detects
+# a connection that went silent, and no slow peer.
+UNACKNOWLEDGED_MS: Final = 1000
+# Options that break a silent link; the probes find one without traffic.
+LIVENESS_OPTIONS: Final = (
+    (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+    (socket.TCP_KEEPIDLE, 1),
+    (socket.TCP_KEEPINTVL, 1),
+    (socket.TCP_KEEPCNT, 2),
+)
 MICROSECONDS_PER_SECOND: Final = 1_000_000
 RECEIVE_BYTES: Final = 65536
 LISTEN_BACKLOG: Final = 512
@@ -320,6 +331,9 @@
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, timeout)
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeout)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, setting in LIVENESS_OPTIONS:
+        connection.setsockopt(socket.IPPROTO_TCP, option, setting)
 
 
 def _close_socket(connection: socket.socket) -> None:
