--- a/libs/relay/tests/membership.feature
+++ b/libs/relay/tests/membership.feature
@@ -127,6 +127,21 @@
     When it switches to a coordinator on another relay
     Then it reports its placement, then the end of its report, and then requests
 
+  Scenario: A relay opens a silent link to a sound coordinator again
+    Guards against relays that choose another coordinator because their link
+    broke, while the coordinator itself is sound.
+    Given a relay that has a placement and waits for another
+    And its link to a coordinator that sends heartbeats
+    When the link breaks
+    Then it opens a new link to the same coordinator
+
+  Scenario: A relay turns from a coordinator that is not heard any more
+    Guards against a second attempt to reach a dead coordinator.
+    Given a relay that has a placement and waits for another
+    And its link to a coordinator that sends heartbeats
+    When the link breaks 0.5 seconds after the last heartbeat
+    Then it coordinates itself
+
   Scenario: A restarted coordinator counts retries that it granted before
     Guards against a second full retry budget from a coordinator that restarts
     under its name and coordinates again.
--- a/libs/relay/tests/steps/changes.py
+++ b/libs/relay/tests/steps/changes.py
@@ -16,7 +16,7 @@
     SchedulerState,
     restore_retries,
 )
-from gypsumrelay_errors import Overloaded, PlatformUnavailable
+from gypsumrelay_errors import LinkClosed, Overloaded, PlatformUnavailable
 from gypsumrelay_relay import coordinator as coordinator_module
 from gypsumrelay_relay import coordinator_links as module
 from gypsumrelay_relay.coordination import Coordination
@@ -270,6 +270,48 @@
     coordination.switch_coordinator()
 
 
+@given('its link to a coordinator that sends heartbeats')
+def link_to_coordinator(context: Any) -> None:
+    switch_to_other(context)
+    link = context.coordination.link
+    link.peer = SimpleNamespace(name='first')
+    link.closed = threading.Event()
+    link.closed.set()
+    context.first_link = link
+
+
+@when('the link breaks')
+def break_link(context: Any) -> None:
+    coordination = context.coordination
+    renewed = SimpleNamespace(send=context.sent.append, start=lambda: None)
+    module.dial = lambda *_: renewed
+    reason = LinkClosed('receiving on the link failed')
+    coordination.on_close(context.first_link, reason)
+    coordination.switch_coordinator()
+    context.renewed = renewed
+
+
+@when('the link breaks {seconds:g} seconds after the last heartbeat')
+def break_later(context: Any, seconds: float) -> None:
+    coordination = context.coordination
+    received_at = coordination.members.received_at
+    received_at['first'] = monotonic() - seconds
+    break_link(context)
+
+
+@then('it opens a new link to the same coordinator')
+def check_opened_again(context: Any) -> None:
+    coordination = context.coordination
+    assert coordination.leader == 'first'
+    assert coordination.link is context.renewed
+
+
+@then('it coordinates itself')
+def check_own_coordinator(context: Any) -> None:
+    assert context.coordination.leader == 'own'
+    assert context.coordination.link is None
+
+
 @then('it reports its placement, then the end of its report, and then requests')
 def check_order(context: Any) -> None:
     kinds = [type(message) for message in context.sent]
--- a/libs/wire/tests/links.feature
+++ b/libs/wire/tests/links.feature
@@ -62,3 +62,11 @@
     Given a build with version 3 that knows no tag above 55
     Then it ignores the statements of upstreams
     And it reads the heartbeats of this build
+
+  Scenario: Both ends of a link break it when sent bytes are not acknowledged
+    Guards against a link that goes silent without a reset and carries neither
+    requests nor answers until its receive time-out.
+    Given a listener with the secret "s3cret"
+    When a process with the secret "s3cret" dials it and sends a heartbeat
+    Then the listener receives the same heartbeat
+    And unacknowledged bytes break the link at both ends within 1 second
--- a/libs/wire/tests/steps/links.py
+++ b/libs/wire/tests/steps/links.py
@@ -5,6 +5,7 @@
 import gc
 import queue
 import random
+import socket
 from typing import Any
 
 import attrs
@@ -70,6 +71,7 @@
     link = dial(context.address, new_endpoint(secret, queue.SimpleQueue()))
     assert isinstance(link, Link), link
     assert link.send(HEARTBEAT) is None
+    context.dialed = link
 
 
 @then('the listener receives the same heartbeat')
@@ -77,6 +79,16 @@
     assert context.inbox.get(timeout=5) == HEARTBEAT
 
 
+@then(
+    'unacknowledged bytes break the link at both ends within {seconds:g} second'
+)
+def check_break_options(context: Any, seconds: float) -> None:
+    for link in (context.dialed, context.links[0]):
+        option = socket.TCP_USER_TIMEOUT
+        timeout_ms = link.connection.getsockopt(socket.IPPROTO_TCP, option)
+        assert 0 < timeout_ms <= seconds * 1000, timeout_ms
+
+
 @when('a process with the secret "{secret}" dials it')
 def dial_only(context: Any, secret: str) -> None:
     context.result = dial(
