Listen for callers before the slow imports

Cause: after all relays ended, each one refused connections until its imports had run, which take nine tenths of the processor time of a start; on 0.292 cores that is over half a second, and a caller has one retry.

A signal to stop that arrives during the imports takes effect once the relay is complete. The readiness address is still opened last: a probe that would wait for the imports is refused as before. Faults of the settings are left to their validation.

--- a/libs/relay/src/gypsumrelay_relay/caller_server.py
+++ b/libs/relay/src/gypsumrelay_relay/caller_server.py
@@ -82,13 +82,20 @@
         return bool(super().readable())
 
 
-def serve_callers(relay: Relay) -> Any:
-    """Start the HTTP server for callers and return it."""
+def serve_callers(relay: Relay, bound: socket.socket | None = None) -> Any:
+    """Start the HTTP server for callers and return it.
+
+    Args:
+        relay: The relay.
+        bound: Socket that listens for callers already; None to listen on the
+            address in the settings.
+    """
     settings = relay.settings
     server = start_server(
         application(relay),
         split_address(settings.instance.caller_address),
         CallerChannel,
+        bound,
         threads=settings.max_open_requests,
         backlog=BACKLOG,
         connection_limit=CONNECTION_LIMIT,
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -4,7 +4,6 @@
 
 import json
 import logging
-import signal
 import threading
 import time
 from typing import TYPE_CHECKING, Any, Final
@@ -41,6 +40,7 @@
     register_and_discover,
     update_own_member,
 )
+from gypsumrelay_relay.startup import Startup, handle_signals
 from gypsumrelay_relay.store_epoch import epoch_of, offset_of
 from gypsumrelay_relay.store_follower import StoreFollower
 
@@ -65,16 +65,26 @@
 FLUSH_SECONDS: Final = 0.2
 
 
-def run(settings: RelaySettings, adapter: PlatformAdapter) -> None:
-    """Run a relay until SIGTERM or SIGINT, then shut down gracefully."""
+def run(
+    settings: RelaySettings,
+    adapter: PlatformAdapter,
+    startup: Startup | None = None,
+) -> None:
+    """Run a relay until SIGTERM or SIGINT, then shut down gracefully.
+
+    Args:
+        settings: The settings.
+        adapter: The parts that the platform's adapter provides.
+        startup: What the process did before the relay was imported.
+    """
+    startup = startup or Startup()
     # The relay itself logs aborted answers.
     logging.getLogger('waitress').setLevel(logging.CRITICAL)
     stopping = threading.Event()
     reloading = threading.Event()
-    stopped_at = _handle_stop_signals(stopping)
-    signal.signal(signal.SIGHUP, lambda *_: reloading.set())
+    handle_signals(stopping, reloading, startup.stop_signals)
     process = build(settings, adapter)
-    start(process)
+    start(process, startup)
     process.checked_at = monotonic()
     state_events.report(log, state_events.Started(settings.instance.name))
     while not stopping.wait(TICK_SECONDS):
@@ -82,28 +92,10 @@
         if reloading.is_set():
             reloading.clear()
             reload_settings(process)
-    stop(process, stopped_at[0])
-
-
-def _handle_stop_signals(stopping: threading.Event) -> list[float]:
-    """Set an event on SIGTERM or SIGINT.
-
-    Returns:
-        The instants of the signals. The time limit of a shutdown counts from
-        the first one, which may arrive while the relay is still starting.
-    """
-    instants: list[float] = []
-
-    def handle(*_: object) -> None:
-        instants.append(monotonic())
-        stopping.set()
-
-    signal.signal(signal.SIGTERM, handle)
-    signal.signal(signal.SIGINT, handle)
-    return instants
+    stop(process, startup.stop_signals[0])
 
 
-def start(process: Process) -> None:
+def start(process: Process, startup: Startup) -> None:
     """Start all parts of a relay."""
     relay = process.relay
     instance = relay.settings.instance
@@ -114,7 +106,7 @@
         coordination.on_link,
     )
     listener.start()
-    callers = serve_callers(relay)
+    callers = serve_callers(relay, startup.callers)
     process.servers = [
         callers,
         *serve_probes(
