--- a/libs/relay/src/gypsumrelay_relay/building.py
+++ b/libs/relay/src/gypsumrelay_relay/building.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib
 import random
 import secrets
 import threading
@@ -25,14 +26,15 @@
     Member,
     Members,
 )
-from gypsumrelay_relay.metrics import RelayMetrics
 from gypsumrelay_relay.operator_records import OperatorRecords
+from gypsumrelay_relay.startup import defer
 from gypsumrelay_relay.stream_log import StreamLog
 from gypsumrelay_relay.stream_messages import StartKeeper
 
 if TYPE_CHECKING:
     from gypsumrelay_settings import RelayInstance, RelaySettings
 
+    from gypsumrelay_relay.metrics import RelayMetrics
     from gypsumrelay_relay.phase_switching import PhaseSwitcher
     from gypsumrelay_relay.protocol import HttpProtocol
     from gypsumrelay_relay.store_follower import StoreFollower
@@ -103,7 +105,7 @@
         Connections(),
         RequestWatcher(),
         output,
-        RelayMetrics(new_metrics(settings.telemetry)),
+        defer(lambda: _new_metrics(settings)),
         # Only distributes load; needs no cryptographic randomness.
         random.Random(secrets.randbits(SEED_BITS)),  # noqa: S311
     )
@@ -118,6 +120,12 @@
     return Process(relay, adapter, heartbeats, stream_log)
 
 
+def _new_metrics(settings: RelaySettings) -> RelayMetrics:
+    module = importlib.import_module('gypsumrelay_relay.metrics')
+    metrics: RelayMetrics = module.RelayMetrics(new_metrics(settings.telemetry))
+    return metrics
+
+
 def _coordination(
     settings: RelaySettings, adapter: PlatformAdapter, stream_log: StreamLog
 ) -> Coordination:
--- a/libs/relay/src/gypsumrelay_relay/context.py
+++ b/libs/relay/src/gypsumrelay_relay/context.py
@@ -10,6 +10,7 @@
 from gypsumrelay_relay.draining import Shutdown
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from gypsumrelay_settings import RelaySettings
@@ -28,6 +29,8 @@
     """Shared parts of a relay, as requests need them.
 
     Attributes:
+        metrics_provider: Returns the metrics, whose library takes 7 ms of
+            processor time to import; the first call does it.
         shutdown: The instants of the shutdown.
         draining: Set when the shutdown starts.
     """
@@ -39,7 +42,12 @@
     connections: Connections
     watcher: RequestWatcher
     output: Output
-    metrics: RelayMetrics
+    metrics_provider: Callable[[], RelayMetrics]
     random: Random
     shutdown: Shutdown = attrs.field(factory=Shutdown)
     draining: threading.Event = attrs.field(factory=threading.Event)
+
+    @property
+    def metrics(self) -> RelayMetrics:
+        """Return the counters and histograms."""
+        return self.metrics_provider()
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -40,7 +40,11 @@
     register_and_discover,
     update_own_member,
 )
-from gypsumrelay_relay.startup import Startup, handle_signals
+from gypsumrelay_relay.startup import (
+    Startup,
+    handle_signals,
+    resume_collection,
+)
 from gypsumrelay_relay.store_epoch import epoch_of, offset_of
 from gypsumrelay_relay.store_follower import StoreFollower
 
@@ -85,6 +89,7 @@
     handle_signals(stopping, reloading, startup.stop_signals)
     process = build(settings, adapter)
     start(process, startup)
+    resume_collection()
     process.checked_at = monotonic()
     state_events.report(log, state_events.Started(settings.instance.name))
     while not stopping.wait(TICK_SECONDS):
--- a/libs/relay/src/gypsumrelay_relay/request_events.py
+++ b/libs/relay/src/gypsumrelay_relay/request_events.py
@@ -1,4 +1,8 @@
-"""Log events of the decisions on a request, one class for each event."""
+"""Log events of the decisions on a request, one class for each event.
+
+The events are never compared; generating comparisons would take half of the
+time of their definition at each start.
+"""
 
 from __future__ import annotations
 
@@ -7,7 +11,7 @@
 import attrs
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class RequestEvent:
     """Base of all decisions on a request.
 
@@ -23,7 +27,7 @@
     request_id: str
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class Accepted(RequestEvent):
     """A request was matched to a route and a client account.
 
@@ -63,7 +67,7 @@
     resumes: str
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class PlacementGranted(RequestEvent):
     """The coordinator granted an attempt its upstreams.
 
@@ -97,7 +101,7 @@
     version: str
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class UpstreamWorkEnded(RequestEvent):
     """Base of the results of one upstream's work on a request.
 
@@ -120,14 +124,14 @@
     reason: str
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class PrefillWorkEnded(UpstreamWorkEnded):
     """A prefill ended or failed."""
 
     event: ClassVar[str] = 'prompt'
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class AttemptEnded(UpstreamWorkEnded):
     """An attempt ended: a plain answer, or the decode of a stream.
 
@@ -140,7 +144,7 @@
     began: bool
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class FirstEvent(RequestEvent):
     """The first event of a stream is sent to the caller.
 
@@ -156,7 +160,7 @@
     elapsed_ms: int
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class RequestRejected(RequestEvent):
     """The request was rejected or failed.
 
@@ -183,7 +187,7 @@
     reason: str
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class RequestAnswered(RequestEvent):
     """The request was answered in full.
 
@@ -201,7 +205,7 @@
     attempts: int
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class RequestAborted(RequestEvent):
     """The answer was aborted after its start, or the caller disconnected.
 
--- a/libs/relay/src/gypsumrelay_relay/startup/__init__.py
+++ b/libs/relay/src/gypsumrelay_relay/startup/__init__.py
@@ -1,5 +1,9 @@
 """The start of a relay process."""
 
+from .deferring import (
+    defer,
+    resume_collection,
+)
 from .early import (
     Startup,
 )
@@ -7,4 +11,9 @@
     handle_signals,
 )
 
-__all__ = ('Startup', 'handle_signals')
+__all__ = (
+    'Startup',
+    'defer',
+    'handle_signals',
+    'resume_collection',
+)
--- a/libs/relay/src/gypsumrelay_relay/state_events.py
+++ b/libs/relay/src/gypsumrelay_relay/state_events.py
@@ -1,4 +1,8 @@
-"""Log events of changes of a relay's state or of its view of the fleet."""
+"""Log events of changes of a relay's state or of its view of the fleet.
+
+The events are never compared; generating comparisons would take half of the
+time of their definition at each start.
+"""
 
 from __future__ import annotations
 
@@ -10,7 +14,7 @@
     from logbook import Logger
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class StateChange:
     """Base of all state changes.
 
@@ -25,7 +29,7 @@
     template: ClassVar[str] = ''
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class Started(StateChange):
     """The relay started."""
 
@@ -35,7 +39,7 @@
     relay: str
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class Draining(StateChange):
     """The relay accepts no new connections.
 
@@ -51,7 +55,7 @@
     open_requests: int
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class Stopped(StateChange):
     """The relay stops; requests that are still open are aborted.
 
@@ -65,7 +69,7 @@
     open_requests: int
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class SettingsReloaded(StateChange):
     """The settings were reloaded."""
 
@@ -73,7 +77,7 @@
     template: ClassVar[str] = 'Settings reloaded.'
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class SettingsRejected(StateChange):
     """The settings could not be reloaded because they are invalid."""
 
@@ -84,7 +88,7 @@
     )
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class Registered(StateChange):
     """The relay registered in the store, which gave it a seniority.
 
@@ -100,7 +104,7 @@
     seniority: int
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class RegistrationRestored(StateChange):
     """The relay wrote its registration again, which a restore had lost.
 
@@ -116,7 +120,7 @@
     seniority: int
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class StoreUnavailable(StateChange):
     """The store stopped answering.
 
@@ -137,7 +141,7 @@
     elapsed_ms: int
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class StoreAvailable(StateChange):
     """The store answers again.
 
@@ -151,7 +155,7 @@
     topic: str
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class StoreRestored(StateChange):
     """The store came back from a copy, which may be some seconds old.
 
@@ -166,7 +170,7 @@
     epoch: int
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class ListAgeChanged(StateChange):
     """The list of upstreams became stale, or fresh again.
 
@@ -180,7 +184,7 @@
     age: str
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class ConfigurationApplied(StateChange):
     """A version of the configuration came into force at this relay.
 
@@ -206,7 +210,7 @@
     evacuated: str
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class ConfigurationKept(StateChange):
     """Later operator records contain an older version of the configuration.
 
@@ -233,7 +237,7 @@
     position: int
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class CoordinatorChanged(StateChange):
     """This relay switched to another coordinator.
 
@@ -256,7 +260,7 @@
     requests: int
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class PeerDiscovered(StateChange):
     """The first heartbeat of a relay arrived, or the first after its restart.
 
@@ -276,7 +280,7 @@
     seniority: int
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class LinkClosed(StateChange):
     """The link with another relay is closed.
 
--- a/libs/relay/src/gypsumrelay_relay/upstream_events.py
+++ b/libs/relay/src/gypsumrelay_relay/upstream_events.py
@@ -1,4 +1,8 @@
-"""Log events of placements and upstreams."""
+"""Log events of placements and upstreams.
+
+The events are never compared; generating comparisons would take half of the
+time of their definition at each start.
+"""
 
 from __future__ import annotations
 
@@ -9,7 +13,7 @@
 from gypsumrelay_relay.state_events import StateChange
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class PlacementRejected(StateChange):
     """The coordinator rejected a placement request.
 
@@ -50,7 +54,7 @@
     list_position: int
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class PlacementReturned(StateChange):
     """The relay returned a placement without a send and requests another.
 
@@ -70,7 +74,7 @@
     upstream: str
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class UpstreamLeaving(StateChange):
     """An upstream's answer to this relay states that it is leaving.
 
@@ -86,7 +90,7 @@
     started_ms: int
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class UpstreamPaused(StateChange):
     """An upstream turned a request away and asked this relay for a pause.
 
@@ -104,7 +108,7 @@
     seconds: float
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class CrashConfirmed(StateChange):
     """The coordinator knows for certain that an upstream crashed.
 
@@ -130,7 +134,7 @@
     delay_ms: int
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class CauseFound(StateChange):
     """Crashes are attributed to a content or part, which is rejected now.
 
@@ -151,7 +155,7 @@
     crashes: int
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class CauseCleared(StateChange):
     """Crashes are no longer attributed to a content or part."""
 
@@ -161,7 +165,7 @@
     digest: str
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class PhaseSwitchOrdered(StateChange):
     """An upstream was ordered to switch between prefill and decode.
 
@@ -191,7 +195,7 @@
     answer: str
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class RateLimitStated(StateChange):
     """An upstream's answer to this relay states a new or changed rate limit.
 
@@ -212,7 +216,7 @@
     previous: float
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class RateLimitEnded(StateChange):
     """An upstream's answer to this relay states its rate limit no longer.
 
--- a/libs/settings/src/gypsumrelay_settings/loader.py
+++ b/libs/settings/src/gypsumrelay_settings/loader.py
@@ -16,7 +16,6 @@
 )
 
 import attrs
-import cattrs
 
 from gypsumrelay_settings.models import Range
 
@@ -25,7 +24,6 @@
 
 Settings = TypeVar('Settings')
 
-_CONVERTER: Final = cattrs.Converter(forbid_extra_keys=True)
 _TYPE_NAMES: Final = types.MappingProxyType(
     {str: 'a string', int: 'an integer', float: 'a number', bool: 'a boolean'},
 )
@@ -91,7 +89,25 @@
     faults = check(raw, kind, '$')
     if faults:
         return SettingsFaults(tuple(faults))
-    return _CONVERTER.structure(raw, kind)
+    settings: Settings = _build(raw, kind)
+    return settings
+
+
+def _build(raw: Any, hint: Any) -> Any:
+    """Return checked JSON data as the type that a hint names.
+
+    A converter library takes about 10 ms of processor time at each
+    start.
+    """
+    if attrs.has(hint):
+        hints = get_type_hints(hint)
+        return hint(
+            **{name: _build(part, hints[name]) for name, part in raw.items()}
+        )
+    if get_origin(hint) is tuple:
+        element_hint = get_args(hint)[0]
+        return tuple(_build(element, element_hint) for element in raw)
+    return float(raw) if hint is float else raw
 
 
 def check(raw: object, kind: Any, path: str) -> list[SettingsFault]:
--- a/libs/wire/src/gypsumrelay_wire/__init__.py
+++ b/libs/wire/src/gypsumrelay_wire/__init__.py
@@ -1,5 +1,14 @@
 """Messages and authenticated links between processes."""
 
+from __future__ import annotations
+
+import importlib
+from typing import TYPE_CHECKING, Any
+
+from gypsumrelay_wire.base import (
+    Heartbeat,
+    Message,
+)
 from gypsumrelay_wire.codec import (
     decode,
     encode,
@@ -29,35 +38,6 @@
     dial,
     listen,
 )
-from gypsumrelay_wire.messages import (
-    AnswerBody,
-    AnswerStart,
-    Call,
-    Cancel,
-    Claim,
-    Claimed,
-    ClaimTaken,
-    ConfigurationCopy,
-    ConfigurationRequest,
-    CrashReport,
-    Decode,
-    Failed,
-    Finished,
-    Heartbeat,
-    LoadReport,
-    Message,
-    Prefill,
-    Prefilled,
-    ReleaseClaim,
-    Reserve,
-    Reserved,
-    Resume,
-    Settle,
-    TokenGrant,
-    TokenRefusal,
-    TokenRequest,
-    Tokens,
-)
 from gypsumrelay_wire.placements import (
     ContentQuarantined,
     LimitEnded,
@@ -80,6 +60,35 @@
     UpstreamPaused,
 )
 
+if TYPE_CHECKING:
+    from gypsumrelay_wire.messages import (
+        AnswerBody,
+        AnswerStart,
+        Call,
+        Cancel,
+        Claim,
+        Claimed,
+        ClaimTaken,
+        ConfigurationCopy,
+        ConfigurationRequest,
+        CrashReport,
+        Decode,
+        Failed,
+        Finished,
+        LoadReport,
+        Prefill,
+        Prefilled,
+        ReleaseClaim,
+        Reserve,
+        Reserved,
+        Resume,
+        Settle,
+        TokenGrant,
+        TokenRefusal,
+        TokenRequest,
+        Tokens,
+    )
+
 __all__ = (
     'FRAME_LIMIT_BYTES',
     'Address',
@@ -147,3 +156,12 @@
     'to_retry_at',
     'to_retry_ms',
 )
+
+if not TYPE_CHECKING:
+
+    def __getattr__(name: str) -> Any:
+        """Import a message of entries and agents when it is first used."""
+        if name in __all__:
+            module = importlib.import_module('gypsumrelay_wire.messages')
+            return getattr(module, name)
+        raise AttributeError(name)
--- a/libs/wire/src/gypsumrelay_wire/codec.py
+++ b/libs/wire/src/gypsumrelay_wire/codec.py
@@ -2,23 +2,37 @@
 
 from __future__ import annotations
 
+import importlib
 import inspect
-from typing import Any, Final
+from functools import cache
+from typing import TYPE_CHECKING, Any, Final
 
 import attrs
 import msgpack
 from gypsumrelay_errors import FrameMalformed
 
-from gypsumrelay_wire import messages, placements
+from gypsumrelay_wire import placements
+from gypsumrelay_wire.base import Heartbeat, Message
+
+if TYPE_CHECKING:
+    from types import ModuleType
 
 VERSION: Final = 5
 HEADER_LENGTH: Final = 2
 
-_CLASSES: Final = {
-    message_class.tag: message_class
-    for module in (messages, placements)
-    for _, message_class in inspect.getmembers(module, inspect.isclass)
-    if issubclass(message_class, messages.Message) and message_class.tag
+
+def _classes_in(module: ModuleType) -> dict[int, type[Message]]:
+    """Return the message classes of a module, by tag."""
+    return {
+        message_class.tag: message_class
+        for _, message_class in inspect.getmembers(module, inspect.isclass)
+        if issubclass(message_class, Message) and message_class.tag
+    }
+
+
+_CLASSES: Final[dict[int, type[Message]]] = {
+    Heartbeat.tag: Heartbeat,
+    **_classes_in(placements),
 }
 _FIELD_TYPES: Final[dict[str, type]] = {
     'str': str,
@@ -36,20 +50,17 @@
     'list[str]': str,
     'list[list[str]]': list,
 }
-_FIELDS: Final = {
-    tag: attrs.fields(message_class) for tag, message_class in _CLASSES.items()
-}
 
 
-def encode(message: messages.Message) -> bytes:
+def encode(message: Message) -> bytes:
     """Return a message encoded as one msgpack array."""
-    names = [field.name for field in _FIELDS[message.tag]]
+    names = [field.name for field in attrs.fields(type(message))]
     fields = [getattr(message, name) for name in names]
     packed: bytes = msgpack.packb([VERSION, message.tag, *fields])
     return packed
 
 
-def decode(payload: bytes) -> messages.Message | FrameMalformed | None:
+def decode(payload: bytes) -> Message | FrameMalformed | None:
     """Return the message in a payload.
 
     Args:
@@ -68,19 +79,26 @@
     version, tag = frame[:HEADER_LENGTH]
     if not isinstance(version, int) or not isinstance(tag, int):
         return FrameMalformed('the version or the tag is not a number')
-    if tag not in _CLASSES:
+    message_class = _CLASSES.get(tag) or _other_classes().get(tag)
+    if message_class is None:
         if version > VERSION:
             return None
         return FrameMalformed(f'tag {tag} is unknown in version {version}')
-    return _build_message(tag, frame[HEADER_LENGTH:])
+    return _build_message(message_class, frame[HEADER_LENGTH:])
+
+
+@cache
+def _other_classes() -> dict[int, type[Message]]:
+    """Return the messages of entries and agents, which no relay sends."""
+    return _classes_in(importlib.import_module('gypsumrelay_wire.messages'))
 
 
 def _build_message(
-    tag: int, received_fields: list[Any]
-) -> messages.Message | FrameMalformed:
-    fields = _FIELDS[tag]
+    message_class: type[Message], received_fields: list[Any]
+) -> Message | FrameMalformed:
+    fields = attrs.fields(message_class)
     required_count = sum(field.default is attrs.NOTHING for field in fields)
-    name = _CLASSES[tag].__name__
+    name = message_class.__name__
     if len(received_fields) < required_count:
         return FrameMalformed(
             f'{name} has {len(received_fields)} of {required_count} fields'
@@ -88,7 +106,7 @@
     for field, received_field in zip(fields, received_fields, strict=False):
         if not _has_type(str(field.type), received_field):
             return FrameMalformed(f'{name}.{field.name} has the wrong type')
-    return _CLASSES[tag](*received_fields[: len(fields)])
+    return message_class(*received_fields[: len(fields)])
 
 
 def _has_type(annotation: str, received_field: object) -> bool:
--- a/libs/wire/src/gypsumrelay_wire/link.py
+++ b/libs/wire/src/gypsumrelay_wire/link.py
@@ -19,6 +19,7 @@
 )
 from logbook import Logger
 
+from gypsumrelay_wire.base import Message
 from gypsumrelay_wire.codec import decode, encode
 from gypsumrelay_wire.frames import (
     FRAME_LIMIT_BYTES,
@@ -37,7 +38,6 @@
     proof,
     session_keys,
 )
-from gypsumrelay_wire.messages import Message
 
 log = Logger('link')
 
--- a/libs/wire/src/gypsumrelay_wire/messages.py
+++ b/libs/wire/src/gypsumrelay_wire/messages.py
@@ -1,4 +1,4 @@
-"""Messages between the processes of a deployment.
+"""Messages of entries and agents.
 
 The order of fields is the wire format: new fields are added at the end with a
 default, and tags are never reused.
@@ -10,35 +10,7 @@
 
 import attrs
 
-
-@attrs.frozen
-class Message:
-    """Base class of all messages on a link.
-
-    Attributes:
-        tag: Number of the message class on the wire; 0 for base classes.
-    """
-
-    tag: ClassVar[int] = 0
-
-
-@attrs.frozen
-class Heartbeat(Message):
-    """Reports that the sender is alive.
-
-    Attributes:
-        offset: Position in the log up to which the sender has applied it.
-        clock_ms: Wall-clock part of the sender's hybrid clock.
-        clock_counter: Counter of the sender's hybrid clock.
-        places_told: 1 if the sender has reported all its active placements
-            to a new coordinator, else 0.
-    """
-
-    tag: ClassVar[int] = 1
-    offset: int
-    clock_ms: int
-    clock_counter: int
-    places_told: int = 0
+from gypsumrelay_wire.base import Message
 
 
 @attrs.frozen
--- a/libs/wire/src/gypsumrelay_wire/placements.py
+++ b/libs/wire/src/gypsumrelay_wire/placements.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from gypsumrelay_wire.messages import Message
+from gypsumrelay_wire.base import Message
 
 # Maximum queue time in milliseconds of a request from a sender whose version
 # does not set it; shorter than the time-out of any caller.
--- a/libs/wire/tests/steps/links.py
+++ b/libs/wire/tests/steps/links.py
@@ -20,6 +20,7 @@
     Identity,
     Link,
     Message,
+    base,
     decode,
     dial,
     encode,
@@ -159,7 +160,11 @@
         message = message_class(*fields)
         assert decode(encode(message)) == message
         checked += 1
-    module_members = [*vars(messages).values(), *vars(placements).values()]
+    module_members = [
+        member
+        for module in (base, messages, placements)
+        for member in vars(module).values()
+    ]
     message_classes = {
         member
         for member in module_members
