Measure the pace of a stream and report it with its end

The relay counts the events after the first ones and the time in which they arrived. PlacementEnded and PlaceEnded carry both as events and stream_ms, appended with defaults.

Suites of libs/relay (195 scenarios), libs/dispatch (138) and libs/wire (12) pass.

--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -29,6 +29,7 @@
     Load,
 )
 from gypsumrelay_dispatch.models import (
+    UNMEASURED,
     AccountLimits,
     Decision,
     Ending,
@@ -38,6 +39,7 @@
     Rejection,
     RejectionDetails,
     ServiceLimits,
+    StreamPace,
     Upstream,
 )
 from gypsumrelay_dispatch.pauses import (
@@ -96,6 +98,7 @@
 __all__ = (
     'AMBIGUOUS',
     'UNLISTED_SECONDS',
+    'UNMEASURED',
     'AccountLimits',
     'ActivePlacement',
     'Decision',
@@ -112,6 +115,7 @@
     'RejectionDetails',
     'SchedulerState',
     'ServiceLimits',
+    'StreamPace',
     'Upstream',
     'apply_configuration',
     'apply_departure',
--- a/libs/dispatch/src/gypsumrelay_dispatch/models.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/models.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import attrs
 
@@ -48,6 +48,23 @@
     returned = 'returned'
 
 
+@attrs.frozen
+class StreamPace:
+    """Measured pace of a stream.
+
+    Attributes:
+        events: Events after the first ones, whose time includes the prefill
+            and the transfer of the KV cache; 0 if not measured.
+        stream_ms: Time in milliseconds in which these events arrived.
+    """
+
+    events: int = 0
+    stream_ms: int = 0
+
+
+UNMEASURED: Final = StreamPace()
+
+
 @attrs.frozen
 class Upstream:
     """One live upstream in the platform's list.
--- a/libs/dispatch/src/gypsumrelay_dispatch/results.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/results.py
@@ -14,7 +14,12 @@
     observe_kv_fetch,
     observe_prefill,
 )
-from gypsumrelay_dispatch.models import Decision, Ending
+from gypsumrelay_dispatch.models import (
+    UNMEASURED,
+    Decision,
+    Ending,
+    StreamPace,
+)
 from gypsumrelay_dispatch.pauses import Pause, start_pause
 from gypsumrelay_dispatch.queueing import MS_PER_SECOND, withdraw
 from gypsumrelay_dispatch.scheduler_state import (
@@ -107,6 +112,7 @@
     now: float,
     *,
     began: bool = False,
+    pace: StreamPace = UNMEASURED,
 ) -> list[Decision]:
     """Record the result of an attempt and remove its placement.
 
@@ -116,6 +122,7 @@
         ending: How the attempt ended.
         now: The present instant.
         began: Whether the upstream had sent an event of the answer.
+        pace: Events of the stream after the first ones and their time.
     """
     withdraw(scheduler, key)
     placement = remove_placement(scheduler, key)
--- a/libs/relay/src/gypsumrelay_relay/attempts.py
+++ b/libs/relay/src/gypsumrelay_relay/attempts.py
@@ -7,7 +7,7 @@
 
 import attrs
 from gypsumrelay_clock import monotonic
-from gypsumrelay_dispatch import Ending
+from gypsumrelay_dispatch import UNMEASURED, Ending, StreamPace
 from gypsumrelay_errors import (
     DeadlinePassed,
     Draining,
@@ -67,11 +67,13 @@
         ending: The ending.
         reason: The error; empty if there is none.
         began: Whether the upstream had sent an event of the answer.
+        pace: Events after the first ones, and the time they took.
     """
 
     ending: Ending
     reason: str = ''
     began: bool = False
+    pace: StreamPace = UNMEASURED
 
 
 def wait_for_placement(
@@ -254,7 +256,9 @@
     """Release the placement of an attempt and log how it ended."""
     request = placement.request
     ending = ending_at(exchange, result, placement.address)
-    exchange.relay.coordination.report_end(request, ending, began=result.began)
+    exchange.relay.coordination.report_end(
+        request, ending, began=result.began, pace=result.pace
+    )
     exchange.relay.metrics.count_attempt(ending.value)
     exchange.log(
         request_events.AttemptEnded(
--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -9,12 +9,14 @@
 import attrs
 from gypsumrelay_clock import monotonic
 from gypsumrelay_dispatch import (
+    UNMEASURED,
     Decision,
     Departures,
     Ending,
     Pauses,
     PlacementRequest,
     Rejection,
+    StreamPace,
 )
 from gypsumrelay_errors import Failure, LinkClosed, RequestQuarantined
 from gypsumrelay_settings import DispatchSettings
@@ -158,7 +160,12 @@
             self.tell(messages.PrefillEnded(key, ending))
 
     def report_end(
-        self, request: PlacementRequest, ending: Ending, *, began: bool = False
+        self,
+        request: PlacementRequest,
+        ending: Ending,
+        *,
+        began: bool = False,
+        pace: StreamPace = UNMEASURED,
     ) -> None:
         """Report that a placement is free, or that its request is cancelled.
 
@@ -166,6 +173,7 @@
             request: The placement request.
             ending: How the attempt ended.
             began: Whether the upstream had sent an event of the answer.
+            pace: Events after the first ones, and the time they took.
         """
         with self.lock:
             self.pending.pop(request.key, None)
@@ -174,7 +182,11 @@
                 self.known_crashes.record_end(
                     placement, ending, monotonic(), began=began
                 )
-            self.tell(messages.PlacementEnded(request.key, ending, began))
+            self.tell(
+                messages.PlacementEnded(
+                    request.key, ending, began, pace.events, pace.stream_ms
+                )
+            )
 
     def report_rate_limit(
         self, upstream: str, per_second: float | None, key: tuple[str, int]
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -164,9 +164,14 @@
     match message:
         case messages.PrefillEnded(key, ending):
             return dispatch.end_prefill(scheduler, key, ending, now)
-        case messages.PlacementEnded(key, ending, began):
+        case messages.PlacementEnded(key, ending, began, events, stream_ms):
             return dispatch.end_attempt(
-                scheduler, key, ending, now, began=began
+                scheduler,
+                key,
+                ending,
+                now,
+                began=began,
+                pace=dispatch.StreamPace(events, stream_ms),
             )
         case messages.RateLimitEndReported(upstream, key):
             return dispatch.end_rate_limit(scheduler, upstream, key, now)
--- a/libs/relay/src/gypsumrelay_relay/coordinator_events.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator_events.py
@@ -46,11 +46,15 @@
         key: Request id and number of the attempt.
         ending: How the attempt ended.
         began: Whether the upstream had sent an event of the answer.
+        events: Events of the stream after the first ones; 0 if not measured.
+        stream_ms: Time in milliseconds in which these events arrived.
     """
 
     key: tuple[str, int]
     ending: Ending
     began: bool = False
+    events: int = 0
+    stream_ms: int = 0
 
 
 @attrs.frozen
--- a/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
@@ -57,8 +57,8 @@
             return request_message(request, now)
         case messages.PrefillEnded(key, ending):
             return PromptRead(*key, ending.value)
-        case messages.PlacementEnded(key, ending, began):
-            return PlaceEnded(*key, ending.value, began)
+        case messages.PlacementEnded(key, ending, began, events, stream_ms):
+            return PlaceEnded(*key, ending.value, began, events, stream_ms)
         case messages.RateLimitEndReported(upstream, key):
             return LimitEnded(upstream, *key)
     return _report_to_wire(message, now)
@@ -184,6 +184,12 @@
         case PromptRead(ending=ending):
             return messages.PrefillEnded(key, parse_ending(ending))
         case PlaceEnded(ending=ending, began=began):
-            return messages.PlacementEnded(key, parse_ending(ending), began)
+            return messages.PlacementEnded(
+                key,
+                parse_ending(ending),
+                began,
+                max(0, message.events),
+                max(0, message.stream_ms),
+            )
         case LimitEnded(upstream=upstream):
             return messages.RateLimitEndReported(upstream, key)
--- a/libs/relay/src/gypsumrelay_relay/eventstream.py
+++ b/libs/relay/src/gypsumrelay_relay/eventstream.py
@@ -18,10 +18,12 @@
     Attributes:
         raw: The unchanged bytes.
         last_id: The last event id among them; empty for none.
+        count: Number of events.
     """
 
     raw: bytes
     last_id: str
+    count: int = 1
 
 
 @attrs.define
@@ -37,12 +39,12 @@
     def feed(self, piece: bytes) -> EventBlock | None:
         """Append bytes; return the events that are complete now, or None."""
         self.buffer += piece
-        end = 0
-        for found in _END.finditer(self.buffer):
-            end = found.end()
-        if not end:
+        ends = [found.end() for found in _END.finditer(self.buffer)]
+        if not ends:
             return None
+        end = ends[-1]
         raw = self.buffer[:end]
         self.buffer = self.buffer[end:]
         ids = _ID.findall(raw)
-        return EventBlock(raw, ids[-1].decode('latin-1') if ids else '')
+        last_id = ids[-1].decode('latin-1') if ids else ''
+        return EventBlock(raw, last_id, len(ends))
--- a/libs/relay/src/gypsumrelay_relay/model_requests.py
+++ b/libs/relay/src/gypsumrelay_relay/model_requests.py
@@ -18,6 +18,7 @@
 )
 from gypsumrelay_relay.cancellation import CancelCause
 from gypsumrelay_relay.exchange import CompleteAnswer, answer_complete
+from gypsumrelay_relay.performance.stream_meter import StreamMeter
 from gypsumrelay_relay.sending import IO_ERRORS
 from gypsumrelay_relay.stream_runs import (
     OpenStream,
@@ -170,10 +171,13 @@
 ) -> Generator[bytes, None, AttemptResult]:
     """Yield the complete events of an answer; return how it ended."""
     began = opened.first is not None
+    meter = StreamMeter()
     try:
         for found in _complete_events(opened):
             run.last_event = found.last_id or run.last_event
+            meter.count(found.count, monotonic())
             yield found.raw
+            meter.resume(monotonic())
             run.substitution.renew(opened.placement.upstream)
             limit_next_event(run, opened.placement, opened.reply)
     except IO_ERRORS as error:
@@ -182,7 +186,7 @@
     if opened.splitter.buffer:
         reason = 'the stream ended inside an event'
         return AttemptResult(Ending.lost, reason, began)
-    return AttemptResult(Ending.answered, began=began)
+    return AttemptResult(Ending.answered, began=began, pace=meter.pace())
 
 
 def _complete_events(opened: OpenStream) -> Iterator[EventBlock]:
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/performance/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of upstreams by this relay."""
--- a/libs/relay/tests/steps/streams.py
+++ b/libs/relay/tests/steps/streams.py
@@ -6,7 +6,9 @@
 from typing import Any
 
 from behave import given, then, when
+from gypsumrelay_dispatch import UNMEASURED
 from gypsumrelay_relay.eventstream import EventBlock, EventSplitter
+from gypsumrelay_relay.performance.stream_meter import StreamMeter
 
 
 @then(
@@ -85,3 +87,39 @@
 @then('its id is the text before the carriage return')
 def check_clean_id(context: Any) -> None:
     assert context.found.last_id == '7', context.found
+
+
+@given('a stream whose first events come after {seconds:g} seconds')
+def give_first(context: Any, seconds: float) -> None:
+    context.now = 100 + seconds
+    context.meter = StreamMeter()
+    context.meter.count(3, context.now)
+    context.meter.resume(context.now)
+
+
+@when(
+    '{count:d} events follow in blocks of {size:d}, each block after '
+    '{seconds:g} seconds'
+)
+def count_events(context: Any, count: int, size: int, seconds: float) -> None:
+    for _ in range(count // size):
+        context.now += seconds
+        context.meter.count(size, context.now)
+        context.meter.resume(context.now)
+
+
+@when('the caller takes {seconds:g} seconds to read')
+def block(context: Any, seconds: float) -> None:
+    context.meter.resume(context.now + seconds)
+
+
+@then('its pace is {events:d} events in {stream_ms:d} ms')
+def check_pace(context: Any, events: int, stream_ms: int) -> None:
+    measured = context.meter.pace()
+    assert measured.events == events
+    assert abs(measured.stream_ms - stream_ms) <= 1, measured
+
+
+@then('its pace is unmeasured')
+def check_unmeasured(context: Any) -> None:
+    assert context.meter.pace() == UNMEASURED
--- a/libs/wire/src/gypsumrelay_wire/placements.py
+++ b/libs/wire/src/gypsumrelay_wire/placements.py
@@ -144,6 +144,8 @@
         attempt: Number of the attempt.
         ending: The outcome.
         began: Whether the upstream had sent an event of the answer.
+        events: Events of the stream after the first ones; 0 if not measured.
+        stream_ms: Time in milliseconds in which these events arrived.
     """
 
     tag: ClassVar[int] = 44
@@ -151,6 +153,8 @@
     attempt: int
     ending: str
     began: bool = False
+    events: int = 0
+    stream_ms: int = 0
 
 
 @attrs.frozen
