Schedule by the measured performance of upstreams

Upstreams of one service differ in speed and some slow down before they are full; the coordinator used one decode time for all engines and filled plain upstreams to their stated slots.

With dispatch.learn_performance, plain requests and streams are limited by the measured limit of an upstream, plain upstreams are chosen by expected service time, decode upstreams by forecast memory times relative pace, with memory forecast by their own pace, and prefill upstreams by expected finishing time. Estimates of the wait and the split between prefill and decode use the pool's measured values. Without the setting nothing changes.

--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -49,6 +49,11 @@
     is_paused,
     start_pause,
 )
+from gypsumrelay_dispatch.performance_results import (
+    limits_in_force,
+    restore_performance,
+    take_limit_changes,
+)
 from gypsumrelay_dispatch.queueing import (
     queue_deadline,
 )
@@ -135,6 +140,7 @@
     'is_completion',
     'is_leaving',
     'is_paused',
+    'limits_in_force',
     'merge_starts',
     'note_listed',
     'plan_phase_change',
@@ -147,6 +153,7 @@
     'restore_charges',
     'restore_completed',
     'restore_crash',
+    'restore_performance',
     'restore_placement',
     'restore_quarantine',
     'restore_rate_limit',
@@ -156,6 +163,7 @@
     'retry_count',
     'start_pause',
     'state_leaving',
+    'take_limit_changes',
     'take_unsaved',
     'tick',
 )
--- a/libs/dispatch/src/gypsumrelay_dispatch/granting.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/granting.py
@@ -76,6 +76,7 @@
         choice.prefill_ms,
         now,
     )
+    placement.running_at_grant = len(choice.upstream.running) + 1
     if choice.prefill is None:
         placement.started_at = now
     return placement
--- a/libs/dispatch/src/gypsumrelay_dispatch/loads.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/loads.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
+from gypsumrelay_performance import Performance
 
 from gypsumrelay_dispatch.forecast import MemoryForecast, forecast_memory
 from gypsumrelay_dispatch.models import (
@@ -59,6 +60,7 @@
         started_at: Estimated start of decode; infinite during prefill.
         is_restored: Whether an earlier coordinator granted it, so that the
             instant of the grant is unknown.
+        running_at_grant: Requests at the upstream after the grant.
     """
 
     request: PlacementRequest
@@ -69,6 +71,7 @@
     started_at: float = float('inf')
     prefilled_by: str = ''
     is_restored: bool = False
+    running_at_grant: int = 1
 
 
 @attrs.define
@@ -95,6 +98,9 @@
         changing_until: Instant at which the change times out.
         usable_until: Instant until which an upstream that is no longer
             listed may get requests; infinite for listed ones.
+        performance: Measured performance and the limit on concurrent
+            requests.
+        prefill_ended_at: End of the newest prefill here.
     """
 
     upstream: Upstream
@@ -111,6 +117,8 @@
     changing_to: Phase | None = None
     changing_until: float = 0
     usable_until: float = float('inf')
+    performance: Performance = attrs.field(factory=Performance)
+    prefill_ended_at: float = 0
 
     def is_changing(self, now: float) -> bool:
         """Return whether a change of phase is in progress."""
@@ -197,12 +205,18 @@
     )
 
 
-def plain_score(load: Load, availability_zone: str) -> float:
-    """Return the score of an upstream for a plain request; lowest is best."""
+def plain_score(load: Load, availability_zone: str, seconds: float) -> float:
+    """Return the score of an upstream for a plain request; lowest is best.
+
+    Args:
+        load: The upstream.
+        availability_zone: Availability zone of the requesting instance.
+        seconds: Expected time of the request.
+    """
     utilization = (len(load.running) + 1) / max(1, load.upstream.slots)
     is_remote = load.upstream.availability_zone != availability_zone
     success = max(SMOOTHING, load.success)
-    return utilization * load.latency / success * (1 + SMOOTHING * is_remote)
+    return utilization * seconds / success * (1 + SMOOTHING * is_remote)
 
 
 def is_in_pool(load: Load, service: str, phase: Phase) -> bool:
--- a/libs/dispatch/src/gypsumrelay_dispatch/queueing.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/queueing.py
@@ -9,7 +9,12 @@
 from gypsumrelay_dispatch.grant_rate import observe_queue, seconds_per_grant
 from gypsumrelay_dispatch.loads import Load, is_in_pool
 from gypsumrelay_dispatch.models import Phase, PlacementRequest
-from gypsumrelay_dispatch.selection import is_held, prefill_estimate_ms
+from gypsumrelay_dispatch.selection import is_held
+from gypsumrelay_dispatch.upstream_performance import (
+    allowed_slots,
+    expected_service_seconds,
+    pool_prefill_ms,
+)
 
 if TYPE_CHECKING:
     from gypsumrelay_settings import DispatchSettings
@@ -130,12 +135,16 @@
     if wait is not None:
         return wait
     if request.prompt_tokens:
-        work = sum(prefill_estimate_ms(scheduler, other) for other in earlier)
+        tokens = sum(other.prompt_tokens for other in earlier)
+        work = pool_prefill_ms(scheduler, request.service, tokens)
         pool = _pool(scheduler, request.service, Phase.prefill)
         return work / max(1, len(pool)) / MS_PER_SECOND
     pool = _pool(scheduler, request.service, Phase.plain)
-    slots = sum(load.upstream.slots for load in pool)
-    slowest = max((load.latency for load in pool), default=0)
+    slots = sum(allowed_slots(scheduler, load) for load in pool)
+    times = [
+        expected_service_seconds(scheduler, load, load.latency) for load in pool
+    ]
+    slowest = max(times, default=0)
     return len(earlier) * slowest / max(1, slots)
 
 
--- a/libs/dispatch/src/gypsumrelay_dispatch/rebalancing.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/rebalancing.py
@@ -9,6 +9,10 @@
 from gypsumrelay_dispatch.loads import Load
 from gypsumrelay_dispatch.models import Phase, PlacementRequest
 from gypsumrelay_dispatch.scheduler_state import SchedulerState, is_usable
+from gypsumrelay_dispatch.upstream_performance import (
+    pool_pace_ms,
+    pool_prefill_ms,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -87,7 +91,7 @@
 def _observe_tokens(
     scheduler: SchedulerState, service: str, prompt: int, output: int
 ) -> None:
-    prefill_ms = prompt / scheduler.settings.prefill_tokens_per_ms
+    prefill_ms = pool_prefill_ms(scheduler, service, prompt)
     decode_ms = _decode_ms(scheduler, service, prompt, output)
     workload = scheduler.workloads.get(service)
     if workload is None:
@@ -190,7 +194,7 @@
     if not memory:
         return 0
     # Placement is by peak memory, so that the whole output counts.
-    time_ms = output * scheduler.pace_ms
+    time_ms = output * pool_pace_ms(scheduler, service)
     usable_memory = memory * scheduler.settings.memory_share
     return (prompt + output) * time_ms / usable_memory
 
--- a/libs/dispatch/src/gypsumrelay_dispatch/results.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/results.py
@@ -21,6 +21,10 @@
     StreamPace,
 )
 from gypsumrelay_dispatch.pauses import Pause, start_pause
+from gypsumrelay_dispatch.performance_results import (
+    observe_end,
+    observe_prefill_end,
+)
 from gypsumrelay_dispatch.queueing import MS_PER_SECOND, withdraw
 from gypsumrelay_dispatch.scheduler_state import (
     SchedulerState,
@@ -96,6 +100,7 @@
     if ending is not Ending.answered:
         attribute(scheduler, placement, load, ending, now, began=False)
     seconds = now - placement.granted_at
+    observe_prefill_end(scheduler, load, placement, ending, now)
     if ending is Ending.answered:
         observe_prefill(load, placement.prefill_ms, seconds)
     observe_ending(load, ending, seconds, scheduler.settings, now)
@@ -139,6 +144,7 @@
         attribute(scheduler, placement, load, ending, now, began=began)
         if ending is Ending.answered:
             _observe_pace(scheduler, placement, now)
+            observe_end(scheduler, load, placement, pace, now)
     prefill_load = scheduler.loads.get(placement.prefilled_by)
     if prefill_load is not None:
         observe_kv_fetch(prefill_load, ending, scheduler.settings, now)
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
@@ -6,9 +6,11 @@
 
 import attrs
 from gypsumrelay_attribution import CrashHistory, PendingLosses
+from gypsumrelay_performance import LimitChange
 
 from gypsumrelay_dispatch.accounts import Accounts, set_accounts
 from gypsumrelay_dispatch.crashes import confirm
+from gypsumrelay_dispatch.event_size import EventSize
 from gypsumrelay_dispatch.grant_rate import GrantRate
 from gypsumrelay_dispatch.leaving import (
     Departures,
@@ -120,6 +122,8 @@
             yet, by attempt.
         mean_cost: Moving average of the cost of a model request, in tokens
             squared; see `forecast.request_cost`.
+        event_sizes: Mean size of the events of streams, by service.
+        limit_changes: Changes of limits that are not logged yet.
     """
 
     settings: DispatchSettings
@@ -146,6 +150,8 @@
     stream_starts: StreamStarts = attrs.field(factory=StreamStarts)
     unbound: dict[tuple[str, int], HeldRequest] = attrs.field(factory=dict)
     mean_cost: float = 0
+    event_sizes: dict[str, EventSize] = attrs.field(factory=dict)
+    limit_changes: list[LimitChange] = attrs.field(factory=list)
 
     @property
     def retry_limit(self) -> RetryLimit:
@@ -165,6 +171,10 @@
         """Return the grant rate of a service; create it if missing."""
         return self.grant_rates.setdefault(service, GrantRate())
 
+    def event_size(self, service: str) -> EventSize:
+        """Return the event size of a service; create it if missing."""
+        return self.event_sizes.setdefault(service, EventSize())
+
 
 def apply_configuration(
     scheduler: SchedulerState,
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
@@ -30,6 +30,7 @@
     Rejection,
 )
 from gypsumrelay_dispatch.pauses import drop_ended
+from gypsumrelay_dispatch.performance_results import adjust_limits
 from gypsumrelay_dispatch.queueing import (
     Urgency,
     cost_delay,
@@ -176,6 +177,7 @@
     remove_departed(scheduler, now)
     drop_ended(scheduler.pauses, now)
     expire_placements(scheduler, now)
+    adjust_limits(scheduler, now)
     return [
         *settle_resumptions(scheduler, now),
         *serve(scheduler, now),
--- a/libs/dispatch/src/gypsumrelay_dispatch/selection.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/selection.py
@@ -18,6 +18,15 @@
 from gypsumrelay_dispatch.pauses import admitted_at
 from gypsumrelay_dispatch.rate_limits import accepted_at, allows_request
 from gypsumrelay_dispatch.scheduler_state import SchedulerState, is_usable
+from gypsumrelay_dispatch.upstream_performance import (
+    allowed_slots,
+    candidates_pace_ms,
+    decode_score,
+    expected_service_seconds,
+    pace_ms,
+    prefill_finish_ms,
+    prefill_score,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -243,11 +252,14 @@
     free = [
         load
         for load in candidates(scheduler, request, Phase.plain, now)
-        if len(load.running) < load.upstream.slots
+        if len(load.running) < allowed_slots(scheduler, load)
     ]
-    best = _lowest(
-        free, lambda load: plain_score(load, request.availability_zone)
-    )
+
+    def score(load: Load) -> float:
+        seconds = expected_service_seconds(scheduler, load, load.latency)
+        return plain_score(load, request.availability_zone, seconds)
+
+    best = _lowest(free, score)
     return Choice(best) if best else None
 
 
@@ -292,9 +304,12 @@
     free = [
         load
         for load in _within_limits(scheduler, request, prefill_loads, now)
-        if not load.prefill_work_ms or load.backlog_ms + estimate <= limit
+        if not load.prefill_work_ms
+        or prefill_finish_ms(scheduler, load, estimate) <= limit
     ]
-    prefill = _lowest(free, lambda load: load.backlog_ms * load.slowness)
+    prefill = _lowest(
+        free, lambda load: prefill_score(scheduler, load, estimate)
+    )
     if prefill is None:
         return _choose_spare_memory(scheduler, request, now)
     zone = prefill.upstream.availability_zone
@@ -333,7 +348,7 @@
     peaks = {
         load.upstream.name: forecast_peak(scheduler, load, request, now)
         for load in candidates(scheduler, request, Phase.decode, now)
-        if len(load.running) < load.upstream.slots
+        if len(load.running) < allowed_slots(scheduler, load)
     }
     free = [
         scheduler.loads[name]
@@ -341,11 +356,13 @@
         if tokens <= limit or not scheduler.loads[name].running
     ]
 
+    pool_ms = candidates_pace_ms(scheduler, free)
+
     def score(load: Load) -> float:
         is_remote = bool(zone) and load.upstream.availability_zone != zone
-        return (
-            peaks[load.upstream.name] / memory + CROSS_ZONE_PENALTY * is_remote
-        )
+        share = peaks[load.upstream.name] / memory
+        own = decode_score(scheduler, load, share, pool_ms)
+        return own + CROSS_ZONE_PENALTY * is_remote
 
     return _lowest(free, score)
 
@@ -354,8 +371,9 @@
     scheduler: SchedulerState, load: Load, request: PlacementRequest, now: float
 ) -> float:
     """Return the forecast peak memory in tokens with one more request."""
+    upstream_ms = pace_ms(scheduler, load)
     forecasts = [
-        placement_memory(placement, scheduler.pace_ms, now)
+        placement_memory(placement, upstream_ms, now)
         for placement in load.running.values()
     ]
     forecasts.append(
--- a/libs/performance/src/gypsumrelay_performance/curves.py
+++ b/libs/performance/src/gypsumrelay_performance/curves.py
@@ -62,6 +62,7 @@
     """Effect of a number of concurrent requests.
 
     Attributes:
+        running: Number of concurrent requests that it stands for.
         initial: Shape before the first comparison.
         log_shape: Mean logarithm of the time relative to that at fewer
             concurrent requests, over spans of time.
@@ -72,6 +73,7 @@
         newest: Mean logarithm of the newest samples relative to the shape.
     """
 
+    running: float
     initial: float
     log_shape: float = 0
     variance: float = 0
@@ -161,7 +163,7 @@
     group = group_of(running)
     point = curve.points.get(group)
     if point is None:
-        point = Point(shape_at(curve, running))
+        point = Point(running_of(group), shape_at(curve, running))
         curve.points[group] = point
     reference = _log_reference(curve, group, now)
     if reference is not None:
@@ -218,19 +220,21 @@
     It is interpolated between the known ones, and that of the nearest one
     beyond them.
     """
-    known = sorted(
-        (running_of(group), point.shape)
-        for group, point in curve.points.items()
-    )
-    if not known:
-        return 1
-    below = [one for one in known if one[0] <= running]
-    above = [one for one in known if one[0] > running]
-    if not below or not above:
-        return below[-1][1] if below else above[0][1]
-    low, high = below[-1], above[0]
-    part = (running - low[0]) / (high[0] - low[0])
-    return low[1] + part * (high[1] - low[1])
+    known = curve.points.values()
+    below = [point for point in known if point.running <= running]
+    above = [point for point in known if point.running > running]
+    low = max(below, key=_running, default=None)
+    high = min(above, key=_running, default=low)
+    if low is None or high is None:
+        return high.shape if high else 1
+    if low is high:
+        return low.shape
+    part = (running - low.running) / (high.running - low.running)
+    return low.shape + part * (high.shape - low.shape)
+
+
+def _running(point: Point) -> float:
+    return point.running
 
 
 def window_samples(curve: Curve, now: float) -> int:
--- a/libs/performance/src/gypsumrelay_performance/limits.py
+++ b/libs/performance/src/gypsumrelay_performance/limits.py
@@ -16,7 +16,6 @@
 from gypsumrelay_performance.curves import (
     Curve,
     Point,
-    running_of,
     settle,
     window_samples,
 )
@@ -39,7 +38,7 @@
 # requests have to bring.
 MIN_GAIN: Final = 0.25
 # Ratio of the numbers of concurrent requests whose throughput is compared.
-# With neighbouring numbers, an error of 15 in 100 in a measured time would decide.
+# With neighbouring numbers, an error of 15 in 100 in a time would decide.
 MIN_DISTANCE: Final = 1.5
 # Standard errors by which a measured time has to be too long.
 CERTAINTY: Final = 2.0
@@ -178,31 +177,27 @@
 
 def _useful_running(curve: Curve) -> float:
     """Return the concurrent requests beyond which throughput hardly rises."""
-    known = [
-        (running_of(group), curve.points[group])
-        for group in sorted(curve.points)
-    ]
+    known = [curve.points[group] for group in sorted(curve.points)]
     useful: float = 0
-    for running, point in known:
-        if useful and point.is_mature and _is_useless(known, running, point):
+    for point in known:
+        if useful and point.is_mature and _is_useless(known, point):
             return useful
-        useful = running
+        useful = point.running
     return math.inf
 
 
-def _is_useless(
-    known: list[tuple[float, Point]], running: float, point: Point
-) -> bool:
+def _is_useless(known: list[Point], point: Point) -> bool:
     """Return whether further requests up to a number bring no throughput.
 
     The errors of the measured times count in favour of further requests.
     """
+    running = point.running
     fastest = point.shape / math.exp(CERTAINTY * point.log_error)
     return any(
-        running / fastest - fewer / _slowest(other)
-        < MIN_GAIN * (running - fewer) / _slowest(other)
-        for fewer, other in known
-        if fewer * MIN_DISTANCE <= running
+        running / fastest - other.running / _slowest(other)
+        < MIN_GAIN * (running - other.running) / _slowest(other)
+        for other in known
+        if other.running * MIN_DISTANCE <= running
     )
 
 
@@ -213,6 +208,6 @@
 def _forget_tried(curve: Curve, limit: int, now: float) -> None:
     """Forget times above the limit after a while, so that it rises again."""
     for group, point in list(curve.points.items()):
-        is_above = running_of(group) > limit
+        is_above = point.running > limit
         if is_above and now - point.seen_at > RETRY_SECONDS:
             curve.points.pop(group)
