Report the measured performance to a new coordinator, and log limits

A new coordinator knew nothing of the upstreams' speeds, and changes of limits were invisible.

Relays keep the recent event, request and prefill times of up to 256 upstreams for 30 s and send them as PerformanceReported (tag 65, wire version 6) before their first request. The coordinator logs each change of a limit as concurrency_limit and shows the limits as the gauge gypsumrelay_upstream_limit.

--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -54,6 +54,7 @@
     PendingRequest,
     return_unusable,
 )
+from gypsumrelay_relay.performance.history import PerformanceHistory
 from gypsumrelay_relay.placement import (
     Placement,
     answer_from_message,
@@ -65,7 +66,6 @@
 from gypsumrelay_relay.state_reports import state_reports
 from gypsumrelay_relay.stated_limits import StatedLimits
 from gypsumrelay_relay.stream_history import StreamHistory
-from gypsumrelay_relay.stream_messages import StreamsReported
 from gypsumrelay_relay.usage_history import (
     UsageHistory,
     drop_old_uses,
@@ -106,6 +106,7 @@
         departures: Upstreams that stated to this relay that they are leaving.
         pauses: Pauses that upstreams asked this relay for.
         streams: Streams that began at this relay recently.
+        measured: Performance of upstreams that this relay measured.
         settings: Policy of the coordinator, with the window of the retry
             budget.
         leader: Name of the current coordinator; empty if there is none.
@@ -135,6 +136,7 @@
     departures: Departures = attrs.field(factory=dict)
     pauses: Pauses = attrs.field(factory=dict)
     streams: StreamHistory = attrs.field(factory=StreamHistory)
+    measured: PerformanceHistory = attrs.field(factory=PerformanceHistory)
     settings: DispatchSettings = attrs.field(factory=DispatchSettings)
     leader: str = ''
     leader_id: str = ''
@@ -157,6 +159,7 @@
         """Report to the coordinator that a prefill ended or failed."""
         key = placement.request.key
         with self.lock:
+            self.measured.record_prefill(placement, ending, monotonic())
             self.tell(messages.PrefillEnded(key, ending))
 
     def report_end(
@@ -179,9 +182,11 @@
             self.pending.pop(request.key, None)
             placement = self.active.pop(request.key, None)
             if placement is not None:
+                now = monotonic()
                 self.known_crashes.record_end(
-                    placement, ending, monotonic(), began=began
+                    placement, ending, now, began=began
                 )
+                self.measured.record_end(placement, ending, pace, now)
             self.tell(
                 messages.PlacementEnded(
                     request.key, ending, began, pace.events, pace.stream_ms
@@ -220,8 +225,7 @@
             version: The version.
         """
         with self.lock:
-            self.streams.record(digest, version, monotonic())
-            self.tell(StreamsReported(version, (digest,)))
+            self.tell(self.streams.record(digest, version, monotonic()))
 
     def deliver_answer(self, decision: Decision) -> None:
         """Send an answer of the own coordinator to the requesting relay."""
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -19,6 +19,11 @@
     report_causes,
 )
 from gypsumrelay_relay.digests import short_digest
+from gypsumrelay_relay.performance.events import report_limits
+from gypsumrelay_relay.performance.messages import (
+    MeasurementsReported,
+    apply_measurements,
+)
 from gypsumrelay_relay.state_events import report
 from gypsumrelay_relay.store_epoch import epoch_of, offset_of
 from gypsumrelay_relay.stream_messages import (
@@ -78,6 +83,8 @@
         now = monotonic()
         if isinstance(message, messages.GetFigures):
             return _figures(self.scheduler)
+        if isinstance(message, messages.GetLimits):
+            return dispatch.limits_in_force(self.scheduler)
         if isinstance(message, messages.PlanPhaseChange):
             return dispatch.plan_phase_change(self.scheduler, now)
         try:
@@ -101,6 +108,7 @@
             self.deliver(decision)
         if isinstance(message, messages.Tick):
             self._publish_crashes(now)
+            report_limits(log, dispatch.take_limit_changes(self.scheduler))
         if isinstance(message, messages.ReportCompleted):
             # A relay that started later knows no earlier crash.
             for crash in self.scheduler.crash_history.crashes:
@@ -197,8 +205,8 @@
             | messages.CompletionsReported()
         ):
             _apply_crash_report(scheduler, message, now)
-        case StreamsReported():
-            apply_streams_report(scheduler, message)
+        case StreamsReported() | MeasurementsReported():
+            _apply_learned(scheduler, message)
         case (
             messages.RateLimitReported()
             | messages.LeavingReported()
@@ -207,6 +215,16 @@
             _apply_statement(scheduler, message, now)
 
 
+def _apply_learned(
+    scheduler: SchedulerState, message: StreamsReported | MeasurementsReported
+) -> None:
+    match message:
+        case StreamsReported():
+            apply_streams_report(scheduler, message)
+        case MeasurementsReported():
+            apply_measurements(scheduler, message)
+
+
 def _apply_statement(
     scheduler: SchedulerState,
     message: messages.RateLimitReported
@@ -307,6 +325,7 @@
             short_digest(subject) for subject in scheduler.crash_history.causes
         ),
         'known_streams': len(scheduler.stream_starts.versions),
+        'limits': dispatch.limits_in_force(scheduler),
         'waiting': len(scheduler.queue),
         'places': len(scheduler.placements),
         'upstreams': {
--- a/libs/relay/src/gypsumrelay_relay/coordinator_events.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator_events.py
@@ -8,6 +8,7 @@
 import attrs
 from gypsumrelay_attribution import Crash
 
+from gypsumrelay_relay.performance.messages import MeasurementsReported
 from gypsumrelay_relay.stream_messages import StreamsReported
 
 if TYPE_CHECKING:
@@ -259,6 +260,11 @@
     """Requests the figures of the state for the status page and metrics."""
 
 
+@attrs.frozen
+class GetLimits:
+    """Requests the limits on concurrent requests, by upstream."""
+
+
 # What relays report of earlier coordinators and of upstreams' answers.
 REPORTS: Final = (
     PlacementReported,
@@ -272,4 +278,5 @@
     LeavingReported,
     PauseReported,
     StreamsReported,
+    MeasurementsReported,
 )
--- a/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
@@ -11,6 +11,7 @@
     LimitEnded,
     LimitStated,
     Message,
+    PerformanceReported,
     PlaceEnded,
     PlaceHeld,
     PlaceRequest,
@@ -27,6 +28,11 @@
 
 from gypsumrelay_relay import coordinator_events as messages
 from gypsumrelay_relay.crash_reports import crash_from_wire, crash_to_wire
+from gypsumrelay_relay.performance.messages import (
+    MeasurementsReported,
+    measurements_from_wire,
+    measurements_to_wire,
+)
 from gypsumrelay_relay.placement import (
     parse_ending,
     rate_from_wire,
@@ -112,6 +118,8 @@
 
 def _statement_to_wire(message: Any, now: float) -> Message:
     match message:
+        case MeasurementsReported():
+            return measurements_to_wire(message)
         case messages.LeavingReported(upstream, started_ms):
             return UpstreamLeaving(upstream, start_to_wire(started_ms))
         case messages.PauseReported(_, upstream, started_ms, until):
@@ -142,8 +150,6 @@
         case LimitStated(upstream, rate, is_new):
             per_second = rate_from_wire(max(0, rate))
             return messages.RateLimitReported(upstream, per_second, is_new)
-        case UpstreamLeaving(upstream, started_ms):
-            return messages.LeavingReported(upstream, max(0, started_ms))
         case SendsUsed(upstream, ages):
             sent_at = tuple(_instant(age, now) for age in ages)
             return messages.SendsReported(upstream, sent_at)
@@ -152,6 +158,15 @@
             for age, charged in zip(ages, tokens, strict=False):
                 charges[_instant(age, now)] += max(0, charged)
             return messages.ChargesReported(client_account, charges)
+    return _statement_from_wire(message, now)
+
+
+def _statement_from_wire(message: Message, now: float) -> Any:
+    match message:
+        case UpstreamLeaving(upstream, started_ms):
+            return messages.LeavingReported(upstream, max(0, started_ms))
+        case PerformanceReported():
+            return measurements_from_wire(message)
     return _crash_report_from_wire(message, now)
 
 
--- a/libs/relay/src/gypsumrelay_relay/metrics.py
+++ b/libs/relay/src/gypsumrelay_relay/metrics.py
@@ -14,6 +14,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from gypsumrelay_telemetry import Metrics
 
 # Histogram buckets in seconds, from a fast plain answer to the longest stream.
@@ -31,6 +33,7 @@
     refused: Counter = attrs.field(init=False)
     attempts: Counter = attrs.field(init=False)
     gauges: Gauge = attrs.field(init=False)
+    limits: Gauge = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Register the metrics."""
@@ -65,6 +68,19 @@
             ['figure'],
             registry=self.registry,
         )
+        self.limits = Gauge(
+            'gypsumrelay_upstream_limit',
+            'Limit on the concurrent requests of an upstream, at the '
+            'coordinator.',
+            ['upstream'],
+            registry=self.registry,
+        )
+
+    def show_limits(self, limits: Mapping[str, int]) -> None:
+        """Set the limits of upstreams; those that have left get none."""
+        self.limits.clear()
+        for upstream, limit in limits.items():
+            self.limits.labels(upstream).set(limit)
 
     def observe_answer(self, kind: str, seconds: float) -> None:
         """Record the latency of a request that was answered in full."""
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -324,6 +324,9 @@
     while not process.stopped.wait(LINK_HEARTBEAT_SECONDS):
         coordination.send_heartbeats()
         end_holds(coordination.operator_records, monotonic())
+        if coordination.settings.learn_performance:
+            limits: Any = coordination.actor.ask(messages.GetLimits())
+            process.relay.metrics.show_limits(limits)
         gauges = process.relay.metrics.gauges
         gauges.labels('open_requests').set(process.relay.watcher.count())
         gauges.labels('limited_upstreams').set(
--- a/libs/relay/src/gypsumrelay_relay/state_reports.py
+++ b/libs/relay/src/gypsumrelay_relay/state_reports.py
@@ -42,6 +42,8 @@
     for placement in coordination.active.values():
         yield messages.PlacementReported(own_placement(placement, now))
     yield from coordination.streams.reports(now)
+    if coordination.settings.learn_performance:
+        yield from coordination.measured.reports(now)
     yield from _use_reports(coordination, now)
     yield from _crash_reports(coordination, now)
 
--- a/libs/relay/src/gypsumrelay_relay/stream_history.py
+++ b/libs/relay/src/gypsumrelay_relay/stream_history.py
@@ -41,14 +41,18 @@
 
     starts: dict[bytes, StreamStart] = attrs.field(factory=dict)
 
-    def record(self, digest: bytes, version: str, now: float) -> None:
-        """Record a stream that begins now."""
+    def record(
+        self, digest: bytes, version: str, now: float
+    ) -> StreamsReported:
+        """Record a stream that begins now; return its report."""
+        report = StreamsReported(version, (digest,))
         known = self.starts.get(digest)
         if known is not None and known.version != version:
             version = AMBIGUOUS
         self.starts[digest] = StreamStart(version, now + KEPT_SECONDS)
         if len(self.starts) > MAX_STREAMS:
             self.starts.pop(next(iter(self.starts)))
+        return report
 
     def reports(self, now: float) -> Iterator[StreamsReported]:
         """Yield one report for each version, without old streams."""
--- a/libs/wire/src/gypsumrelay_wire/__init__.py
+++ b/libs/wire/src/gypsumrelay_wire/__init__.py
@@ -58,6 +58,9 @@
     TokenRequest,
     Tokens,
 )
+from gypsumrelay_wire.performance_reports import (
+    PerformanceReported,
+)
 from gypsumrelay_wire.placements import (
     ContentQuarantined,
     LimitEnded,
@@ -110,6 +113,7 @@
     'Message',
     'OnClose',
     'OnMessage',
+    'PerformanceReported',
     'PlaceEnded',
     'PlaceGranted',
     'PlaceHeld',
--- a/libs/wire/src/gypsumrelay_wire/codec.py
+++ b/libs/wire/src/gypsumrelay_wire/codec.py
@@ -9,14 +9,14 @@
 import msgpack
 from gypsumrelay_errors import FrameMalformed
 
-from gypsumrelay_wire import messages, placements
+from gypsumrelay_wire import messages, performance_reports, placements
 
-VERSION: Final = 5
+VERSION: Final = 6
 HEADER_LENGTH: Final = 2
 
 _CLASSES: Final = {
     message_class.tag: message_class
-    for module in (messages, placements)
+    for module in (messages, placements, performance_reports)
     for _, message_class in inspect.getmembers(module, inspect.isclass)
     if issubclass(message_class, messages.Message) and message_class.tag
 }
--- a/libs/wire/tests/steps/links.py
+++ b/libs/wire/tests/steps/links.py
@@ -26,6 +26,7 @@
     listen,
     messages,
     new_unpacker,
+    performance_reports,
     placements,
 )
 
@@ -159,7 +160,10 @@
         message = message_class(*fields)
         assert decode(encode(message)) == message
         checked += 1
-    module_members = [*vars(messages).values(), *vars(placements).values()]
+    modules = (messages, placements, performance_reports)
+    module_members = [
+        one for module in modules for one in vars(module).values()
+    ]
     message_classes = {
         member
         for member in module_members
