--- a/libs/dispatch/src/gypsumrelay_dispatch/loads.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/loads.py
@@ -205,15 +205,20 @@
     )
 
 
-def plain_score(load: Load, availability_zone: str, seconds: float) -> float:
+def plain_score(
+    load: Load, availability_zone: str, seconds: float, idle_weight: float = 0
+) -> float:
     """Return the score of an upstream for a plain request; lowest is best.
 
     Args:
         load: The upstream.
         availability_zone: Availability zone of the requesting instance.
         seconds: Expected time of the request.
+        idle_weight: Weight of an idle upstream's time relative to the
+            additional weight of a full one's.
     """
     utilization = (len(load.running) + 1) / max(1, load.upstream.slots)
+    utilization += idle_weight
     is_remote = load.upstream.availability_zone != availability_zone
     success = max(SMOOTHING, load.success)
     return utilization * seconds / success * (1 + SMOOTHING * is_remote)
--- a/libs/dispatch/src/gypsumrelay_dispatch/selection.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/selection.py
@@ -23,6 +23,7 @@
     candidates_pace_ms,
     decode_score,
     expected_service_seconds,
+    idle_weight,
     pace_ms,
     prefill_finish_ms,
     prefill_score,
@@ -257,7 +258,8 @@
 
     def score(load: Load) -> float:
         seconds = expected_service_seconds(scheduler, load, load.latency)
-        return plain_score(load, request.availability_zone, seconds)
+        weight = idle_weight(scheduler)
+        return plain_score(load, request.availability_zone, seconds, weight)
 
     best = _lowest(free, score)
     return Choice(best) if best else None
--- a/libs/dispatch/src/gypsumrelay_dispatch/upstream_performance.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/upstream_performance.py
@@ -48,6 +48,15 @@
     return performance.service_seconds(load.performance, running) or default
 
 
+def idle_weight(scheduler: SchedulerState) -> float:
+    """Return the weight of an idle upstream's time in the plain choice.
+
+    The measured time already depends on the load, which therefore decides only
+    between upstreams whose times differ by less than a factor of two.
+    """
+    return 1 if scheduler.settings.learn_performance else 0
+
+
 def pace_ms(scheduler: SchedulerState, load: Load, more: int = 0) -> float:
     """Return the decode time of an upstream in milliseconds for a token.
 
--- a/libs/performance/src/gypsumrelay_performance/curves.py
+++ b/libs/performance/src/gypsumrelay_performance/curves.py
@@ -113,6 +113,7 @@
         level: Present level; 0 without a measurement.
         usual: Level of the recent past.
         usual_at: Instant of the last update of the usual level.
+        first_at: Instant of the first sample.
         sampled_at: Instant of the newest sample.
         peak: Recent maximum of concurrent requests.
         restored: Samples behind a level that other instances measured.
@@ -123,6 +124,7 @@
     level: float = 0
     usual: float = 0
     usual_at: float = 0
+    first_at: float = 0
     sampled_at: float = float('-inf')
     peak: float = 0
     restored: float = 0
@@ -301,9 +303,14 @@
 def _follow(curve: Curve, now: float) -> None:
     if curve.usual <= 0:
         curve.usual = curve.level
+        curve.first_at = now
     step = min(MAX_STEP_SECONDS, max(0, now - curve.usual_at))
     is_slower = curve.level > curve.usual
-    constant = RISE_SECONDS if is_slower else FALL_SECONDS
+    constant = FALL_SECONDS
+    if is_slower:
+        # The first samples are too few for a past to compare with.
+        age = now - curve.first_at
+        constant = min(RISE_SECONDS, max(FALL_SECONDS / 4, age / 2))
     part = 1 - math.exp(-step / constant)
     curve.usual += part * (curve.level - curve.usual)
     curve.usual_at = now
--- a/libs/performance/src/gypsumrelay_performance/limits.py
+++ b/libs/performance/src/gypsumrelay_performance/limits.py
@@ -14,6 +14,7 @@
 import attrs
 
 from gypsumrelay_performance.curves import (
+    MATURE_SPANS,
     Curve,
     Point,
     settle,
@@ -141,7 +142,7 @@
     performance, stated = candidate.performance, candidate.stated
     before = concurrency_limit(performance, stated)
     curve = active_curve(performance)
-    _forget_tried(curve, before, now)
+    _doubt_tried(curve, before, now)
     slowdown = _slowdown(curve, now) / pool_slowdown
     wanted = _wanted_limit(performance, curve, stated, slowdown)
     current = min(performance.limit, stated)
@@ -196,18 +197,26 @@
     return any(
         running / fastest - other.running / _slowest(other)
         < MIN_GAIN * (running - other.running) / _slowest(other)
-        for other in known
+        for other in (*known[:1], *filter(_is_mature, known[1:]))
         if other.running * MIN_DISTANCE <= running
     )
 
 
+def _is_mature(point: Point) -> bool:
+    return point.is_mature
+
+
 def _slowest(point: Point) -> float:
     return point.shape * math.exp(point.log_error)
 
 
-def _forget_tried(curve: Curve, limit: int, now: float) -> None:
-    """Forget times above the limit after a while, so that it rises again."""
-    for group, point in list(curve.points.items()):
+def _doubt_tried(curve: Curve, limit: int, now: float) -> None:
+    """Doubt times above the limit after a while, so that it rises again.
+
+    Two spans then confirm or refute them.
+    """
+    for point in curve.points.values():
         is_above = point.running > limit
         if is_above and now - point.seen_at > RETRY_SECONDS:
-            curve.points.pop(group)
+            point.spans = min(point.spans, MATURE_SPANS - 2)
+            point.span = None
