--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -29,6 +29,7 @@
     Load,
 )
 from gypsumrelay_dispatch.models import (
+    UNMEASURED,
     AccountLimits,
     Decision,
     Ending,
@@ -38,6 +39,7 @@
     Rejection,
     RejectionDetails,
     ServiceLimits,
+    StreamPace,
     Upstream,
 )
 from gypsumrelay_dispatch.pauses import (
@@ -47,6 +49,11 @@
     is_paused,
     start_pause,
 )
+from gypsumrelay_dispatch.performance_results import (
+    limits_in_force,
+    restore_performance,
+    take_limit_changes,
+)
 from gypsumrelay_dispatch.queueing import (
     queue_deadline,
 )
@@ -96,6 +103,7 @@
 __all__ = (
     'AMBIGUOUS',
     'UNLISTED_SECONDS',
+    'UNMEASURED',
     'AccountLimits',
     'ActivePlacement',
     'Decision',
@@ -112,6 +120,7 @@
     'RejectionDetails',
     'SchedulerState',
     'ServiceLimits',
+    'StreamPace',
     'Upstream',
     'apply_configuration',
     'apply_departure',
@@ -131,6 +140,7 @@
     'is_completion',
     'is_leaving',
     'is_paused',
+    'limits_in_force',
     'merge_starts',
     'note_listed',
     'plan_phase_change',
@@ -143,6 +153,7 @@
     'restore_charges',
     'restore_completed',
     'restore_crash',
+    'restore_performance',
     'restore_placement',
     'restore_quarantine',
     'restore_rate_limit',
@@ -152,6 +163,7 @@
     'retry_count',
     'start_pause',
     'state_leaving',
+    'take_limit_changes',
     'take_unsaved',
     'tick',
 )
--- a/libs/dispatch/src/gypsumrelay_dispatch/results.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/results.py
@@ -14,8 +14,17 @@
     observe_kv_fetch,
     observe_prefill,
 )
-from gypsumrelay_dispatch.models import Decision, Ending
+from gypsumrelay_dispatch.models import (
+    UNMEASURED,
+    Decision,
+    Ending,
+    StreamPace,
+)
 from gypsumrelay_dispatch.pauses import Pause, start_pause
+from gypsumrelay_dispatch.performance_results import (
+    observe_end,
+    observe_prefill_end,
+)
 from gypsumrelay_dispatch.queueing import MS_PER_SECOND, withdraw
 from gypsumrelay_dispatch.scheduler_state import (
     SchedulerState,
@@ -91,6 +100,7 @@
     if ending is not Ending.answered:
         attribute(scheduler, placement, load, ending, now, began=False)
     seconds = now - placement.granted_at
+    observe_prefill_end(scheduler, load, placement, ending, now)
     if ending is Ending.answered:
         observe_prefill(load, placement.prefill_ms, seconds)
     observe_ending(load, ending, seconds, scheduler.settings, now)
@@ -107,6 +117,7 @@
     now: float,
     *,
     began: bool = False,
+    pace: StreamPace = UNMEASURED,
 ) -> list[Decision]:
     """Record the result of an attempt and remove its placement.
 
@@ -116,6 +127,7 @@
         ending: How the attempt ended.
         now: The present instant.
         began: Whether the upstream had sent an event of the answer.
+        pace: Events of the stream after the first ones and their time.
     """
     withdraw(scheduler, key)
     placement = remove_placement(scheduler, key)
@@ -132,6 +144,7 @@
         attribute(scheduler, placement, load, ending, now, began=began)
         if ending is Ending.answered:
             _observe_pace(scheduler, placement, now)
+            observe_end(scheduler, load, placement, pace, now)
     prefill_load = scheduler.loads.get(placement.prefilled_by)
     if prefill_load is not None:
         observe_kv_fetch(prefill_load, ending, scheduler.settings, now)
--- a/libs/relay/src/gypsumrelay_relay/coordinator_events.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator_events.py
@@ -8,6 +8,7 @@
 import attrs
 from gypsumrelay_attribution import Crash
 
+from gypsumrelay_relay.performance.messages import MeasurementsReported
 from gypsumrelay_relay.stream_messages import StreamsReported
 
 if TYPE_CHECKING:
@@ -46,11 +47,15 @@
         key: Request id and number of the attempt.
         ending: How the attempt ended.
         began: Whether the upstream had sent an event of the answer.
+        events: Events of the stream after the first ones; 0 if not measured.
+        stream_ms: Time in milliseconds in which these events arrived.
     """
 
     key: tuple[str, int]
     ending: Ending
     began: bool = False
+    events: int = 0
+    stream_ms: int = 0
 
 
 @attrs.frozen
@@ -255,6 +260,11 @@
     """Requests the figures of the state for the status page and metrics."""
 
 
+@attrs.frozen
+class GetLimits:
+    """Requests the limits on concurrent requests, by upstream."""
+
+
 # What relays report of earlier coordinators and of upstreams' answers.
 REPORTS: Final = (
     PlacementReported,
@@ -268,4 +278,5 @@
     LeavingReported,
     PauseReported,
     StreamsReported,
+    MeasurementsReported,
 )
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -329,6 +329,9 @@
         coordination.send_heartbeats()
         report_start(process)
         end_holds(coordination.operator_records, monotonic())
+        if coordination.settings.learn_performance:
+            limits: Any = coordination.actor.ask(messages.GetLimits())
+            process.relay.metrics.show_limits(limits)
         gauges = process.relay.metrics.gauges
         gauges.labels('open_requests').set(process.relay.watcher.count())
         gauges.labels('limited_upstreams').set(
--- a/libs/wire/src/gypsumrelay_wire/__init__.py
+++ b/libs/wire/src/gypsumrelay_wire/__init__.py
@@ -38,6 +38,9 @@
     dial,
     listen,
 )
+from gypsumrelay_wire.performance_reports import (
+    PerformanceReported,
+)
 from gypsumrelay_wire.placements import (
     ContentQuarantined,
     LimitEnded,
@@ -119,6 +122,7 @@
     'Message',
     'OnClose',
     'OnMessage',
+    'PerformanceReported',
     'PlaceEnded',
     'PlaceGranted',
     'PlaceHeld',
--- a/libs/wire/src/gypsumrelay_wire/codec.py
+++ b/libs/wire/src/gypsumrelay_wire/codec.py
@@ -11,13 +11,13 @@
 import msgpack
 from gypsumrelay_errors import FrameMalformed
 
-from gypsumrelay_wire import placements
+from gypsumrelay_wire import performance_reports, placements
 from gypsumrelay_wire.base import Heartbeat, Message
 
 if TYPE_CHECKING:
     from types import ModuleType
 
-VERSION: Final = 5
+VERSION: Final = 6
 HEADER_LENGTH: Final = 2
 
 
@@ -33,6 +33,7 @@
 _CLASSES: Final[dict[int, type[Message]]] = {
     Heartbeat.tag: Heartbeat,
     **_classes_in(placements),
+    **_classes_in(performance_reports),
 }
 _FIELD_TYPES: Final[dict[str, type]] = {
     'str': str,
--- a/libs/wire/tests/steps/links.py
+++ b/libs/wire/tests/steps/links.py
@@ -28,6 +28,7 @@
     listen,
     messages,
     new_unpacker,
+    performance_reports,
     placements,
 )
 
@@ -172,10 +173,9 @@
         message = message_class(*fields)
         assert decode(encode(message)) == message
         checked += 1
+    modules = (base, messages, placements, performance_reports)
     module_members = [
-        member
-        for module in (base, messages, placements)
-        for member in vars(module).values()
+        one for module in modules for one in vars(module).values()
     ]
     message_classes = {
         member
