Order the queue by what waiting costs if the settings demand it

Cause: the queue policy 'weighted' was a setting without effect. Change: rank, early rejection, retry times and capacity reservation ask gypsumrelay_fairness with 'weighted'; 'strict' leaves them as they were. The log line of a rejection states how often its caller was rejected; counts of retry times and shares of accounts are on the metrics and status pages.

--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -5,6 +5,10 @@
     content_of,
     is_completion,
 )
+from gypsumrelay_dispatch.fair_queueing import (
+    fairness_figures,
+    is_weighted,
+)
 from gypsumrelay_dispatch.forecast import (
     expected_output_tokens,
 )
@@ -128,9 +132,11 @@
     'end_rate_limit',
     'end_read',
     'expected_output_tokens',
+    'fairness_figures',
     'is_completion',
     'is_leaving',
     'is_paused',
+    'is_weighted',
     'merge_starts',
     'note_listed',
     'plan_phase_change',
--- a/libs/dispatch/src/gypsumrelay_dispatch/admission.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/admission.py
@@ -6,7 +6,7 @@
 
 from gypsumrelay_errors import Overloaded, RateExceeded
 
-from gypsumrelay_dispatch import accounts, retry_budget
+from gypsumrelay_dispatch import accounts, fair_queueing, retry_budget
 from gypsumrelay_dispatch.crashes import quarantine_failure
 from gypsumrelay_dispatch.grant_rate import seconds_per_grant
 from gypsumrelay_dispatch.models import (
@@ -58,13 +58,17 @@
             retry_at=now + DEFAULT_RETRY_SECONDS,
         )
         return build_rejection(scheduler, request, exhausted)
+    reserved = fair_queueing.reserved_tokens(scheduler, request, now)
     retry_at = accounts.retry_after(
         scheduler.accounts,
         request.client_account,
-        _overdraft(settings, request.cost_tokens),
+        _overdraft(settings, request.cost_tokens) - reserved,
         now,
     )
     if retry_at is not None:
+        retry_at = fair_queueing.promise_tokens(
+            scheduler, request, retry_at, now
+        )
         sentence = 'the rate is used up for now'
         return build_rejection(
             scheduler, request, RateExceeded(sentence, retry_at=retry_at)
@@ -90,6 +94,7 @@
         seconds_per_grant(scheduler.grant_rate(request.service)) or 0,
         accounts.level(scheduler.accounts, request.client_account),
         scheduler.list_position,
+        fair_queueing.rejection_count(scheduler, request),
     )
     return Rejection(request, failure, details)
 
@@ -112,7 +117,12 @@
         now: The present instant.
     """
     refund_charge(scheduler, request)
-    retry_at = now + min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait))
+    if fair_queueing.is_weighted(scheduler):
+        retry_at = fair_queueing.promise_retry(
+            scheduler, request, max(now + wait, limited_until), now
+        )
+    else:
+        retry_at = now + min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait))
     sentence = 'no place comes free in time'
     if limited_until > retry_at:
         sentence = 'the upstreams take no more requests for now'
--- a/libs/dispatch/src/gypsumrelay_dispatch/granting.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/granting.py
@@ -4,7 +4,12 @@
 
 from typing import TYPE_CHECKING, Final
 
-from gypsumrelay_dispatch import pauses, rate_limits, retry_budget
+from gypsumrelay_dispatch import (
+    fair_queueing,
+    pauses,
+    rate_limits,
+    retry_budget,
+)
 from gypsumrelay_dispatch.crashes import note_placed
 from gypsumrelay_dispatch.grant_rate import count_grant
 from gypsumrelay_dispatch.loads import ActivePlacement, drop_old_sends
@@ -54,6 +59,7 @@
         scheduler.list_position,
         _limits_in_force(scheduler, load.upstream, prefill),
         len(scheduler.retry_budget(request.service).retries),
+        fair_queueing.note_granted(scheduler, waiting, now),
     )
 
 
--- a/libs/dispatch/src/gypsumrelay_dispatch/models.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/models.py
@@ -188,6 +188,8 @@
         rate_limits: Rate limits in force at these upstreams in requests per
             second, by upstream.
         retries_used: Retries of the service that are counted in the window.
+        urgency: Urgency that engines admit and preempt the request by, 0 to 9;
+            -1 for none.
     """
 
     request: PlacementRequest
@@ -198,6 +200,7 @@
     list_position: int
     rate_limits: Mapping[str, float] = attrs.field(factory=dict)
     retries_used: int = 0
+    urgency: int = -1
 
 
 @attrs.frozen
@@ -210,12 +213,14 @@
             are queued; 0 where unknown.
         tokens_left: Tokens in the account's bucket; below 0 if overdrawn.
         list_position: Position of the list of upstreams.
+        rejections: How often its caller is rejected, as far as known.
     """
 
     waiting: int
     grant_interval_seconds: float
     tokens_left: float
     list_position: int
+    rejections: int = 1
 
 
 @attrs.frozen
--- a/libs/dispatch/src/gypsumrelay_dispatch/queueing.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/queueing.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 import enum
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from gypsumrelay_dispatch import forecast
+from gypsumrelay_dispatch.fair_queueing import (
+    FIRST_TOKEN_SECONDS,
+    is_weighted,
+    weighted_key,
+)
 from gypsumrelay_dispatch.grant_rate import observe_queue, seconds_per_grant
 from gypsumrelay_dispatch.loads import Load, is_in_pool
 from gypsumrelay_dispatch.models import Phase, PlacementRequest
 from gypsumrelay_dispatch.selection import is_held, prefill_estimate_ms
 
 if TYPE_CHECKING:
+    from gypsumrelay_fairness import OrderKey
     from gypsumrelay_settings import DispatchSettings
 
     from gypsumrelay_dispatch.scheduler_state import (
@@ -20,9 +26,6 @@
     )
 
 MS_PER_SECOND: Final = 1000
-# Seconds from placement to first token; a request that is not placed this
-# long before its latency objective is late.
-FIRST_TOKEN_SECONDS: Final = 0.2
 # Weight of the newest request in the moving average of the cost.
 COST_SMOOTHING: Final = 0.05
 # Bound of the delay by cost, as a multiple of the average cost.
@@ -38,13 +41,18 @@
 
 
 def rank(
-    settings: DispatchSettings,
+    scheduler: SchedulerState,
     now: float,
     waiting: QueuedRequest,
-) -> tuple[bool, int, int, float]:
-    """Return the sort key of a queued request; the lowest is served first."""
+) -> tuple[bool, int, int, float] | OrderKey:
+    """Return the sort key of a queued request; the lowest is served first.
+
+    Keys of one queue policy are comparable.
+    """
+    if is_weighted(scheduler):
+        return weighted_key(scheduler, waiting, now)
     request = waiting.request
-    urgency = urgency_of(settings, request, now)
+    urgency = urgency_of(scheduler.settings, request, now)
     due = request.objective_at + waiting.delay
     return (waiting.overdrawn, request.priority, urgency.value, due)
 
@@ -90,13 +98,13 @@
     scheduler: SchedulerState, waiting: QueuedRequest, now: float
 ) -> list[PlacementRequest]:
     """Return the queued requests that are served before another one."""
-    own = rank(scheduler.settings, now, waiting)
+    own: Any = rank(scheduler, now, waiting)
     service = waiting.request.service
     ahead = [
         other.request
         for other in scheduler.queue
         if other.request.service == service
-        and rank(scheduler.settings, now, other) <= own
+        and rank(scheduler, now, other) <= own
     ]
     if not scheduler.pauses:
         return ahead
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
@@ -6,6 +6,7 @@
 
 import attrs
 from gypsumrelay_attribution import CrashHistory, PendingLosses
+from gypsumrelay_fairness import Fairness, Group
 
 from gypsumrelay_dispatch.accounts import Accounts, set_accounts
 from gypsumrelay_dispatch.crashes import confirm
@@ -64,12 +65,20 @@
             are served after all others.
         delay: Seconds added to its latency objective in the queue order
             because of its cost.
+        cost_ratio: Its cost relative to the mean; 0 without a prompt. This and
+            the following are set for the queue policy `weighted` only.
+        has_returned: Whether its caller was rejected with a retry time.
+        groups: Groups of requests that it belongs to and that must not be
+            starved.
     """
 
     request: PlacementRequest
     requested_at: float
     overdrawn: bool = False
     delay: float = 0
+    cost_ratio: float = 0
+    has_returned: bool = False
+    groups: tuple[Group, ...] = ()
 
 
 @attrs.define
@@ -120,6 +129,8 @@
             yet, by attempt.
         mean_cost: Moving average of the cost of a model request, in tokens
             squared; see `forecast.request_cost`.
+        fairness: What is known of competing callers; empty with the queue
+            policy `strict`.
     """
 
     settings: DispatchSettings
@@ -146,6 +157,7 @@
     stream_starts: StreamStarts = attrs.field(factory=StreamStarts)
     unbound: dict[tuple[str, int], HeldRequest] = attrs.field(factory=dict)
     mean_cost: float = 0
+    fairness: Fairness = attrs.field(factory=Fairness)
 
     @property
     def retry_limit(self) -> RetryLimit:
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
@@ -10,6 +10,7 @@
 
 from gypsumrelay_dispatch import (
     accounts,
+    fair_queueing,
     rebalancing,
     resumptions,
 )
@@ -76,7 +77,8 @@
     if bound is None:
         resumptions.hold(scheduler, request, now)
         return []
-    return _request_bound(scheduler, bound, now)
+    recognised = fair_queueing.recognise_return(scheduler, bound, now)
+    return _request_bound(scheduler, recognised, now)
 
 
 def settle_resumptions(scheduler: SchedulerState, now: float) -> list[Decision]:
@@ -99,9 +101,12 @@
     delay = cost_delay(scheduler, request)
     if request.prompt_tokens and request.attempt == 1:
         rebalancing.observe_request(scheduler, request)
-    waiting = QueuedRequest(request, now, overdrawn, delay)
+    waiting = fair_queueing.describe(
+        scheduler, QueuedRequest(request, now, overdrawn, delay)
+    )
     earlier = earlier_requests(scheduler, waiting, now)
     wait = expected_wait(scheduler, request, earlier)
+    wait += fair_queueing.wait_for_returning(scheduler, request, wait, now)
     limit_ends_at = limited_until(scheduler, request, len(earlier), now)
     scheduler.queue.append(waiting)
     decisions = serve(scheduler, now, request.service)
@@ -141,7 +146,7 @@
     decisions: list[Decision] = []
     remaining = []
     observe_queues(scheduler, now)
-    scheduler.queue.sort(key=partial(rank, scheduler.settings, now))
+    scheduler.queue.sort(key=partial(rank, scheduler, now))
     # Services whose capacity is reserved for an urgent request in the queue.
     blocked: set[str] = set()
     # Requests that could not be placed in this pass; those of an instance
@@ -164,7 +169,7 @@
         remaining.append(waiting)
         if is_attempted:
             alike.append(request)
-        if _reserves_capacity(scheduler, request, now):
+        if _reserves_capacity(scheduler, waiting, now):
             blocked.add(request.service)
     scheduler.queue = remaining
     observe_queues(scheduler, now)
@@ -176,6 +181,7 @@
     remove_departed(scheduler, now)
     drop_ended(scheduler.pauses, now)
     expire_placements(scheduler, now)
+    fair_queueing.expire_promises(scheduler, now)
     return [
         *settle_resumptions(scheduler, now),
         *serve(scheduler, now),
@@ -214,16 +220,21 @@
 
 
 def _reserves_capacity(
-    scheduler: SchedulerState, request: PlacementRequest, now: float
+    scheduler: SchedulerState, waiting: QueuedRequest, now: float
 ) -> bool:
     """Return whether later prompts wait for an urgent one.
 
     One that only a pause of its instance keeps waiting needs no capacity yet.
     One that is bound to a version needs capacity that others may lack.
     """
+    request = waiting.request
     if request.version:
         return False
-    is_urgent = urgency_of(scheduler.settings, request, now) is Urgency.urgent
+    if fair_queueing.is_weighted(scheduler):
+        is_urgent = fair_queueing.reserves_capacity(scheduler, waiting, now)
+    else:
+        urgency = urgency_of(scheduler.settings, request, now)
+        is_urgent = urgency is Urgency.urgent
     return is_urgent and not is_held(scheduler, request, now)
 
 
@@ -296,6 +307,10 @@
         limited_until(scheduler, request, 0, now),
     )
     if _has_upstream(scheduler, request, now):
+        if fair_queueing.is_weighted(scheduler):
+            retry_at = fair_queueing.promise_retry(
+                scheduler, request, retry_at, now
+            )
         late = Overloaded('no place came free in time', retry_at=retry_at)
         return build_rejection(scheduler, request, late)
     sentence = 'no upstream takes this request'
--- a/libs/relay/src/gypsumrelay_relay/building.py
+++ b/libs/relay/src/gypsumrelay_relay/building.py
@@ -18,6 +18,7 @@
 from gypsumrelay_relay.context import Relay
 from gypsumrelay_relay.coordination import Coordination, do_nothing
 from gypsumrelay_relay.coordinator import Coordinator
+from gypsumrelay_relay.fairness import fairness_gauges
 from gypsumrelay_relay.heartbeats import Heartbeats, open_socket
 from gypsumrelay_relay.membership import (
     MIN_COORDINATOR_CORES,
@@ -94,7 +95,8 @@
     instance = settings.instance
     output = set_up_output(settings.telemetry, instance.name)
     stream_log = StreamLog(adapter.store)
-    coordination = _coordination(settings, adapter, stream_log)
+    metrics = RelayMetrics(new_metrics(settings.telemetry))
+    coordination = _coordination(settings, adapter, stream_log, metrics)
     relay = Relay(
         settings,
         adapter.protocol,
@@ -103,7 +105,7 @@
         Connections(),
         RequestWatcher(),
         output,
-        RelayMetrics(new_metrics(settings.telemetry)),
+        metrics,
         # Only distributes load; needs no cryptographic randomness.
         random.Random(secrets.randbits(SEED_BITS)),  # noqa: S311
     )
@@ -119,7 +121,10 @@
 
 
 def _coordination(
-    settings: RelaySettings, adapter: PlatformAdapter, stream_log: StreamLog
+    settings: RelaySettings,
+    adapter: PlatformAdapter,
+    stream_log: StreamLog,
+    metrics: RelayMetrics,
 ) -> Coordination:
     instance = settings.instance
     incarnation = secrets.token_hex(INCARNATION_BYTES)
@@ -135,6 +140,7 @@
         coordination.deliver_answer,
         coordination.publish_crash,
         StartKeeper(stream_log.save, stream_log.request_read),
+        fairness_gauges(metrics.gauges),
     )
     stream_log.tell = coordination.actor.tell
     coordination.endpoint = Endpoint(
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -49,10 +49,18 @@
 Publish = Callable[[Crash, str], None]
 
 
+# Observes the coordinator's state at an instant, for metrics.
+Observe = Callable[['SchedulerState', float], None]
+
+
 def publish_nothing(crash: Crash, relay: str) -> None:
     """Report nothing; the default without other relays."""
 
 
+def observe_nothing(scheduler: SchedulerState, now: float) -> None:
+    """Set no metrics."""
+
+
 class Coordinator(pykka.ThreadingActor):
     """Applies messages to the coordinator's state and delivers the answers."""
 
@@ -64,6 +72,7 @@
         deliver: Deliver,
         publish: Publish = publish_nothing,
         start_keeper: StartKeeper | None = None,
+        observe: Observe = observe_nothing,
     ) -> None:
         """Set the state, the callbacks, and where starts are kept."""
         super().__init__()
@@ -72,12 +81,13 @@
         self.publish = publish
         self.logged_causes: dict[bytes, Cause] = {}
         self.start_keeper = start_keeper
+        self.observe = observe
 
     def on_receive(self, message: Any) -> Any:
         """Handle one message."""
         now = monotonic()
         if isinstance(message, messages.GetFigures):
-            return _figures(self.scheduler)
+            return _figures(self.scheduler, now)
         if isinstance(message, messages.PlanPhaseChange):
             return dispatch.plan_phase_change(self.scheduler, now)
         try:
@@ -101,6 +111,7 @@
             self.deliver(decision)
         if isinstance(message, messages.Tick):
             self._publish_crashes(now)
+            self.observe(self.scheduler, now)
         if isinstance(message, messages.ReportCompleted):
             # A relay that started later knows no earlier crash.
             for crash in self.scheduler.crash_history.crashes:
@@ -289,11 +300,13 @@
         to_retry_ms(decision.failure.retry_at, now),
         epoch_of(details.list_position),
         offset_of(details.list_position),
+        details.rejections,
     )
 
 
-def _figures(scheduler: SchedulerState) -> dict[str, Any]:
+def _figures(scheduler: SchedulerState, now: float) -> dict[str, Any]:
     return {
+        'competition': dispatch.fairness_figures(scheduler, now),
         'rate_limits': {
             name: limit.per_second
             for name, limit in scheduler.rate_limits.items()
--- a/libs/relay/src/gypsumrelay_relay/upstream_events.py
+++ b/libs/relay/src/gypsumrelay_relay/upstream_events.py
@@ -28,6 +28,8 @@
         retry_ms: Time in milliseconds after which to retry.
         list_epoch: Epoch of the store that the list of upstreams is from.
         list_position: Offset of that list in the epoch.
+        rejections: How often the caller has been rejected, as far as the
+            coordinator knows; 1 with the queue policy `strict`.
     """
 
     event: ClassVar[str] = 'denied'
@@ -48,6 +50,7 @@
     retry_ms: int
     list_epoch: int
     list_position: int
+    rejections: int = 1
 
 
 @attrs.frozen
