Send the urgency of a model request to its engines

Cause: engines admit and preempt by X-Request-Urgency, which was never sent. Change: grants carry the urgency, the adapter writes the header; a grant without one, as with the queue policy 'strict', sends none. A caller's own header was and is dropped.

--- a/libs/relay/src/gypsumrelay_relay/placement.py
+++ b/libs/relay/src/gypsumrelay_relay/placement.py
@@ -38,6 +38,9 @@
 RATE_SECONDS: Final = 1000
 # Latest start time that a message can carry.
 MAX_START_MS: Final = 9_007_199_254_740_991
+# Range of urgencies; a request without one gets the default of its upstream.
+LEAST_URGENT: Final = 9
+NO_URGENCY: Final = -1
 # Longest time in seconds for which a placement that another coordinator granted
 # is counted; no request runs longer.
 REPORTED_SECONDS: Final = 20.0
@@ -77,6 +80,7 @@
             none where unknown.
         granted_at: Instant at which this relay got the placement.
         version: Version of the upstream's software; empty where unknown.
+        urgency: Urgency that these upstreams get, 0 to 9; -1 for none.
     """
 
     request: PlacementRequest
@@ -92,6 +96,7 @@
     started_ms: Mapping[str, int] = attrs.field(factory=dict)
     granted_at: float = 0
     version: str = ''
+    urgency: int = NO_URGENCY
 
     @property
     def upstreams(self) -> tuple[str, ...]:
@@ -116,6 +121,7 @@
         grant.retries_used,
         {upstream.name: upstream.started_ms for upstream in granted},
         version=grant.upstream.version,
+        urgency=grant.urgency,
     )
 
 
@@ -208,6 +214,7 @@
         start_to_wire(placement.started_ms.get(placement.upstream, 0)),
         start_to_wire(placement.started_ms.get(placement.prefill, 0)),
         placement.version,
+        placement.urgency,
     )
 
 
@@ -248,9 +255,15 @@
         message.repeats_used,
         started_ms,
         version=message.version,
+        urgency=urgency_from_wire(message.urgency),
     )
 
 
+def urgency_from_wire(urgency: int) -> int:
+    """Return an urgency of a message; none for one outside of the range."""
+    return urgency if 0 <= urgency <= LEAST_URGENT else NO_URGENCY
+
+
 def start_to_wire(started_ms: int) -> int:
     """Return a start time for a message; 0 for one that has no encoding."""
     return started_ms if 0 <= started_ms <= MAX_START_MS else 0
--- a/libs/relay/src/gypsumrelay_relay/plain_requests.py
+++ b/libs/relay/src/gypsumrelay_relay/plain_requests.py
@@ -98,6 +98,7 @@
         placement.upstream,
         exchange.account_name,
         exchange.remaining_ms(),
+        urgency=placement.urgency,
     )
     retry_policy = exchange.admitted.route.retry_policy
     reply = send_request(
--- a/libs/relay/src/gypsumrelay_relay/prefill.py
+++ b/libs/relay/src/gypsumrelay_relay/prefill.py
@@ -70,6 +70,7 @@
         exchange.account_name,
         exchange.remaining_ms(),
         prefill_only=True,
+        urgency=placement.urgency,
     )
     deadline = min(exchange.deadline, started_at + PREFILL_SECONDS)
     reply = send_request(
--- a/libs/relay/src/gypsumrelay_relay/protocol.py
+++ b/libs/relay/src/gypsumrelay_relay/protocol.py
@@ -68,6 +68,8 @@
         prefill_only: Whether to run the prefill only.
         cache_source: Where to fetch the KV cache of a prefill; empty for none.
         last_event: Id of the event after which a stream is resumed.
+        urgency: Urgency that the upstream admits and preempts the request by,
+            0 (first) to 9; -1 for the upstream's default.
     """
 
     upstream: str
@@ -76,6 +78,7 @@
     prefill_only: bool = False
     cache_source: str = ''
     last_event: str = ''
+    urgency: int = -1
 
 
 @attrs.frozen
--- a/libs/relay/src/gypsumrelay_relay/stream_start.py
+++ b/libs/relay/src/gypsumrelay_relay/stream_start.py
@@ -245,6 +245,7 @@
         exchange.remaining_ms(),
         cache_source=cache.source if cache else '',
         last_event=run.last_event,
+        urgency=placement.urgency,
     )
     exchange.runs += 1
     patience = OVERLAP_SECONDS if run.silent else SILENCE_SECONDS
--- a/libs/wire/src/gypsumrelay_wire/placements.py
+++ b/libs/wire/src/gypsumrelay_wire/placements.py
@@ -93,6 +93,8 @@
         started_ms: Start of the upstream, Unix milliseconds; 0 if unknown.
         prefill_started_ms: Start of the prefill upstream, likewise.
         version: Version of the upstream's software; empty if unknown.
+        urgency: Urgency that the upstream admits and preempts the request by,
+            0 to 9; -1 for none.
     """
 
     tag: ClassVar[int] = 41
@@ -111,6 +113,7 @@
     started_ms: int = 0
     prefill_started_ms: int = 0
     version: str = ''
+    urgency: int = -1
 
 
 @attrs.frozen
