--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -5,6 +5,10 @@
     content_of,
     is_completion,
 )
+from gypsumrelay_dispatch.fair_queueing import (
+    fairness_figures,
+    is_weighted,
+)
 from gypsumrelay_dispatch.forecast import (
     expected_output_tokens,
 )
@@ -137,9 +141,11 @@
     'end_rate_limit',
     'end_read',
     'expected_output_tokens',
+    'fairness_figures',
     'is_completion',
     'is_leaving',
     'is_paused',
+    'is_weighted',
     'limits_in_force',
     'merge_starts',
     'note_listed',
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
@@ -6,6 +6,7 @@
 
 import attrs
 from gypsumrelay_attribution import CrashHistory, PendingLosses
+from gypsumrelay_fairness import Fairness, Group
 from gypsumrelay_performance import LimitChange
 
 from gypsumrelay_dispatch.accounts import Accounts, set_accounts
@@ -66,12 +67,20 @@
             are served after all others.
         delay: Seconds added to its latency objective in the queue order
             because of its cost.
+        cost_ratio: Its cost relative to the mean; 0 without a prompt. This and
+            the following are set for the queue policy `weighted` only.
+        has_returned: Whether its caller was rejected with a retry time.
+        groups: Groups of requests that it belongs to and that must not be
+            starved.
     """
 
     request: PlacementRequest
     requested_at: float
     overdrawn: bool = False
     delay: float = 0
+    cost_ratio: float = 0
+    has_returned: bool = False
+    groups: tuple[Group, ...] = ()
 
 
 @attrs.define
@@ -124,6 +133,8 @@
             squared; see `forecast.request_cost`.
         event_sizes: Mean size of the events of streams, by service.
         limit_changes: Changes of limits that are not logged yet.
+        fairness: What is known of competing callers; empty with the queue
+            policy `strict`.
     """
 
     settings: DispatchSettings
@@ -152,6 +163,7 @@
     mean_cost: float = 0
     event_sizes: dict[str, EventSize] = attrs.field(factory=dict)
     limit_changes: list[LimitChange] = attrs.field(factory=list)
+    fairness: Fairness = attrs.field(factory=Fairness)
 
     @property
     def retry_limit(self) -> RetryLimit:
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -54,10 +54,18 @@
 Publish = Callable[[Crash, str], None]
 
 
+# Observes the coordinator's state at an instant, for metrics.
+Observe = Callable[['SchedulerState', float], None]
+
+
 def publish_nothing(crash: Crash, relay: str) -> None:
     """Report nothing; the default without other relays."""
 
 
+def observe_nothing(scheduler: SchedulerState, now: float) -> None:
+    """Set no metrics."""
+
+
 class Coordinator(pykka.ThreadingActor):
     """Applies messages to the coordinator's state and delivers the answers."""
 
@@ -69,6 +77,7 @@
         deliver: Deliver,
         publish: Publish = publish_nothing,
         start_keeper: StartKeeper | None = None,
+        observe: Observe = observe_nothing,
     ) -> None:
         """Set the state, the callbacks, and where starts are kept."""
         super().__init__()
@@ -77,12 +86,13 @@
         self.publish = publish
         self.logged_causes: dict[bytes, Cause] = {}
         self.start_keeper = start_keeper
+        self.observe = observe
 
     def on_receive(self, message: Any) -> Any:
         """Handle one message."""
         now = monotonic()
         if isinstance(message, messages.GetFigures):
-            return _figures(self.scheduler)
+            return _figures(self.scheduler, now)
         if isinstance(message, messages.GetLimits):
             return dispatch.limits_in_force(self.scheduler)
         if isinstance(message, messages.PlanPhaseChange):
@@ -109,6 +119,7 @@
         if isinstance(message, messages.Tick):
             self._publish_crashes(now)
             report_limits(log, dispatch.take_limit_changes(self.scheduler))
+            self.observe(self.scheduler, now)
         if isinstance(message, messages.ReportCompleted):
             # A relay that started later knows no earlier crash.
             for crash in self.scheduler.crash_history.crashes:
@@ -312,11 +323,13 @@
         to_retry_ms(decision.failure.retry_at, now),
         epoch_of(details.list_position),
         offset_of(details.list_position),
+        details.rejections,
     )
 
 
-def _figures(scheduler: SchedulerState) -> dict[str, Any]:
+def _figures(scheduler: SchedulerState, now: float) -> dict[str, Any]:
     return {
+        'competition': dispatch.fairness_figures(scheduler, now),
         'rate_limits': {
             name: limit.per_second
             for name, limit in scheduler.rate_limits.items()
