Answer readiness probes by the relay's own load

Cause: the load balancer's hash distributes connections unevenly over relays of 0.292 to 2.15 cores; a relay near its capacity got as many new ones as the others.

Change: where capacity.ready_by_load is on, a relay measures its processor use, open requests, memory and waiting bytes four times a second. It announces that it is near its capacity in its heartbeats (two new fields at the end), and a second later answers probes with 503 for 3 to 4 s, if at most a third of the relays of its zone are dead, leaving or loaded, itself included, and for at most 0.08 of the time. Open connections are served as before. The answers to probes and the status page move to a subpackage of their own.

--- a/libs/relay/src/gypsumrelay_relay/building.py
+++ b/libs/relay/src/gypsumrelay_relay/building.py
@@ -33,6 +33,7 @@
 if TYPE_CHECKING:
     from gypsumrelay_settings import RelayInstance, RelaySettings
 
+    from gypsumrelay_relay.capacity.watching import CapacityWatch
     from gypsumrelay_relay.phase_switching import PhaseSwitcher
     from gypsumrelay_relay.protocol import HttpProtocol
     from gypsumrelay_relay.store_follower import StoreFollower
@@ -75,6 +76,7 @@
         servers: The HTTP servers; the first one is for callers.
         checked_at: Instant of the last check of the age of the list of
             upstreams.
+        capacity: Decides on readiness by load; None if load has no effect.
         stopped: Ends the threads.
     """
 
@@ -86,6 +88,7 @@
     phase_switcher: PhaseSwitcher | None = None
     servers: list[Any] = attrs.field(factory=list)
     checked_at: float = float('inf')
+    capacity: CapacityWatch | None = None
     stopped: threading.Event = attrs.field(factory=threading.Event)
 
 
@@ -154,4 +157,5 @@
         incarnation,
         instance.host,
         is_small=few_cores or slow_link,
+        availability_zone=instance.availability_zone,
     )
--- a/libs/relay/src/gypsumrelay_relay/heartbeats.py
+++ b/libs/relay/src/gypsumrelay_relay/heartbeats.py
@@ -48,7 +48,7 @@
     type(default) for default in attrs.astuple(Member('', '', ''))
 )
 # Values of the fields that older relays do not send.
-_LATER_DEFAULTS: Final = (DEFAULT_TIMEOUT_MS, -1)
+_LATER_DEFAULTS: Final = (DEFAULT_TIMEOUT_MS, -1, '', False)
 
 
 @attrs.define(eq=False)
--- a/libs/relay/src/gypsumrelay_relay/membership.py
+++ b/libs/relay/src/gypsumrelay_relay/membership.py
@@ -75,6 +75,9 @@
         silence_ms: Time in milliseconds without a heartbeat after which it
             counts as dead.
         version: Version of the configuration that is in force at it.
+        availability_zone: Its availability zone; empty if it is of an older
+            version.
+        is_loaded: Whether it is near its instance's capacity.
     """
 
     name: str
@@ -87,6 +90,8 @@
     position: int = -1
     silence_ms: int = DEFAULT_TIMEOUT_MS
     version: int = -1
+    availability_zone: str = ''
+    is_loaded: bool = False
 
     @property
     def rank(self) -> tuple[bool, bool, int, str]:
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/probes/__init__.py
@@ -0,0 +1,5 @@
+"""Answers to the load balancer's readiness probes and to operators."""
+
+from gypsumrelay_relay.probes.answers import is_ready, status_page
+
+__all__ = ('is_ready', 'status_page')
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import logging
 import signal
 import threading
@@ -25,6 +24,7 @@
     split_address,
 )
 from gypsumrelay_relay.caller_timeouts import CallerTimeouts
+from gypsumrelay_relay.capacity.watching import start_watch
 from gypsumrelay_relay.draining import plan_shutdown, reject_waiting
 from gypsumrelay_relay.heartbeats import SUSPENSION_SECONDS
 from gypsumrelay_relay.membership import (
@@ -33,6 +33,7 @@
 )
 from gypsumrelay_relay.operator_records import end_holds
 from gypsumrelay_relay.phase_switching import PhaseSwitcher
+from gypsumrelay_relay.probes import is_ready, status_page
 from gypsumrelay_relay.read_intervals import ReadIntervals, read_intervals
 from gypsumrelay_relay.records_exchange import request_records
 from gypsumrelay_relay.registration import (
@@ -41,14 +42,12 @@
     register_and_discover,
     update_own_member,
 )
-from gypsumrelay_relay.store_epoch import epoch_of, offset_of
 from gypsumrelay_relay.store_follower import StoreFollower
 
 if TYPE_CHECKING:
     from gypsumrelay_settings import RelaySettings
 
     from gypsumrelay_relay.context import Relay
-    from gypsumrelay_relay.coordination import Coordination
     from gypsumrelay_relay.topics import OperatorState
 
 log = Logger('relay')
@@ -119,10 +118,17 @@
         callers,
         *serve_probes(
             relay,
-            lambda: _is_ready(relay),
-            lambda: _status(relay),
+            lambda: is_ready(process),
+            lambda: status_page(relay),
         ),
     ]
+    if relay.settings.capacity.ready_by_load:
+        process.capacity = start_watch(
+            relay,
+            callers,
+            lambda loaded: update_own_member(process, is_loaded=loaded),
+            process.stopped,
+        )
     timeouts = CallerTimeouts(callers)
     timeouts.start()
     relay.operator_records.listeners.append(
@@ -285,34 +291,6 @@
     return apply
 
 
-def _is_ready(relay: Relay) -> bool:
-    return (
-        relay.operator_records.state is not None and not relay.draining.is_set()
-    )
-
-
-def _status(relay: Relay) -> bytes:
-    coordination = relay.coordination
-    position = relay.operator_records.position
-    figures: Any = coordination.actor.ask(messages.GetFigures())
-    figures |= {
-        'coordinator': coordination.leader,
-        'epoch': epoch_of(position),
-        'position': offset_of(position),
-        'open_requests': relay.watcher.count(),
-        'stated_limits': coordination.stated_limits.current(),
-    }
-    with coordination.lock:
-        figures['leaving_upstreams'] = sorted(coordination.departures)
-        figures['paused_upstreams'] = _paused(coordination, monotonic())
-    return json.dumps(figures).encode()
-
-
-def _paused(coordination: Coordination, now: float) -> list[str]:
-    paused = coordination.pauses.get(coordination.name, {})
-    return sorted(name for name, pause in paused.items() if now < pause.until)
-
-
 def _tick(process: Process) -> None:
     actor = process.relay.coordination.actor
     while not process.stopped.wait(TICK_SECONDS):
--- a/libs/settings/src/gypsumrelay_settings/__init__.py
+++ b/libs/settings/src/gypsumrelay_settings/__init__.py
@@ -11,6 +11,7 @@
 from .models import (
     AgentSettings,
     CallerSettings,
+    CapacitySettings,
     DispatchSettings,
     EntrySettings,
     EvidenceSettings,
@@ -31,6 +32,7 @@
 __all__ = (
     'AgentSettings',
     'CallerSettings',
+    'CapacitySettings',
     'DispatchSettings',
     'EntrySettings',
     'EvidenceSettings',
