Choose decode upstreams by the measured times of transfers

Change: the relay reports with the end of an attempt how long after the prefill the first event came (transfer_ms, a new last field of PlaceEnded). The delay counts in the choice of both upstreams, as a part of the time that is left to the latency objective. Changes are logged (transfers), and shown on the status page; a histogram has the times.

--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -92,6 +92,10 @@
     restore_starts,
     take_unsaved,
 )
+from gypsumrelay_dispatch.transfers import (
+    TransferChange,
+    refresh_slow,
+)
 
 __all__ = (
     'AMBIGUOUS',
@@ -112,6 +116,7 @@
     'RejectionDetails',
     'SchedulerState',
     'ServiceLimits',
+    'TransferChange',
     'Upstream',
     'apply_configuration',
     'apply_departure',
@@ -137,6 +142,7 @@
     'queue_deadline',
     'record_phase_change',
     'record_starts',
+    'refresh_slow',
     'reject_failed',
     'remove_instance',
     'request_placement',
--- a/libs/dispatch/src/gypsumrelay_dispatch/granting.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/granting.py
@@ -4,7 +4,12 @@
 
 from typing import TYPE_CHECKING, Final
 
-from gypsumrelay_dispatch import pauses, rate_limits, retry_budget
+from gypsumrelay_dispatch import (
+    pauses,
+    rate_limits,
+    retry_budget,
+    transfer_costs,
+)
 from gypsumrelay_dispatch.crashes import note_placed
 from gypsumrelay_dispatch.grant_rate import count_grant
 from gypsumrelay_dispatch.loads import ActivePlacement, drop_old_sends
@@ -38,6 +43,7 @@
     used = len(load.running)
     _count_use(scheduler, request, choice, now)
     note_placed(scheduler, request, now)
+    transfer_costs.note_placed(scheduler, choice.prefill, load, now)
     placement = _placement(request, choice, now)
     add_placement(scheduler, placement)
     if is_direct_prefill(placement):
--- a/libs/dispatch/src/gypsumrelay_dispatch/results.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/results.py
@@ -22,6 +22,7 @@
     remove_placement,
 )
 from gypsumrelay_dispatch.scheduling import serve
+from gypsumrelay_dispatch.transfer_costs import observe_result
 
 # Milliseconds per token; observations outside this range are clamped as
 # outliers.
@@ -107,6 +108,7 @@
     now: float,
     *,
     began: bool = False,
+    transfer_ms: int = -1,
 ) -> list[Decision]:
     """Record the result of an attempt and remove its placement.
 
@@ -116,6 +118,8 @@
         ending: How the attempt ended.
         now: The present instant.
         began: Whether the upstream had sent an event of the answer.
+        transfer_ms: Time in milliseconds from the end of the prefill to the
+            first event; -1 if unknown.
     """
     withdraw(scheduler, key)
     placement = remove_placement(scheduler, key)
@@ -135,6 +139,7 @@
     prefill_load = scheduler.loads.get(placement.prefilled_by)
     if prefill_load is not None:
         observe_kv_fetch(prefill_load, ending, scheduler.settings, now)
+    observe_result(scheduler, placement, ending, transfer_ms, now)
     return serve(scheduler, now, placement.request.service)
 
 
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
@@ -34,6 +34,7 @@
 )
 from gypsumrelay_dispatch.retry_budget import RetryBudget, RetryLimit
 from gypsumrelay_dispatch.stream_starts import StreamStarts
+from gypsumrelay_dispatch.transfers import Transfers
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -120,6 +121,7 @@
             yet, by attempt.
         mean_cost: Moving average of the cost of a model request, in tokens
             squared; see `forecast.request_cost`.
+        transfers: Observed times of KV cache transfers.
     """
 
     settings: DispatchSettings
@@ -146,6 +148,7 @@
     stream_starts: StreamStarts = attrs.field(factory=StreamStarts)
     unbound: dict[tuple[str, int], HeldRequest] = attrs.field(factory=dict)
     mean_cost: float = 0
+    transfers: Transfers = attrs.field(factory=Transfers)
 
     @property
     def retry_limit(self) -> RetryLimit:
--- a/libs/dispatch/src/gypsumrelay_dispatch/selection.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/selection.py
@@ -18,18 +18,16 @@
 from gypsumrelay_dispatch.pauses import admitted_at
 from gypsumrelay_dispatch.rate_limits import accepted_at, allows_request
 from gypsumrelay_dispatch.scheduler_state import SchedulerState, is_usable
+from gypsumrelay_dispatch.transfer_costs import (
+    source_delay_ms,
+    transfer_penalty,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
     from gypsumrelay_dispatch.models import Upstream
 
-# Score penalty of a decode upstream outside the prefill upstream's zone, as a
-# part of engine memory: a KV cache transfer takes twice as long between
-# zones.
-CROSS_ZONE_PENALTY: Final = 0.3
-
-
 # Part of an engine's memory below which a decode upstream has spare memory
 # for a direct prefill.
 SPARE_MEMORY_SHARE: Final = 0.75
@@ -55,7 +53,7 @@
     if not request.prompt_tokens:
         return _choose_plain(scheduler, request, now)
     if request.read:
-        decode = _choose_decode(scheduler, request, '', now)
+        decode = _choose_decode(scheduler, request, None, now)
         return Choice(decode) if decode else None
     return _choose_pair(scheduler, request, now)
 
@@ -277,7 +275,7 @@
         if load.direct_prefill_until > now
     }
     narrowed = attrs.evolve(request, excluded=request.excluded | busy)
-    decode = _choose_decode(scheduler, narrowed, '', now)
+    decode = _choose_decode(scheduler, narrowed, None, now)
     return Choice(decode) if decode else None
 
 
@@ -294,11 +292,16 @@
         for load in _within_limits(scheduler, request, prefill_loads, now)
         if not load.prefill_work_ms or load.backlog_ms + estimate <= limit
     ]
-    prefill = _lowest(free, lambda load: load.backlog_ms * load.slowness)
+    prefill = _lowest(
+        free,
+        lambda load: (
+            load.backlog_ms * load.slowness
+            + source_delay_ms(scheduler, request, load, now)
+        ),
+    )
     if prefill is None:
         return _choose_spare_memory(scheduler, request, now)
-    zone = prefill.upstream.availability_zone
-    decode = _choose_decode(scheduler, request, zone, now)
+    decode = _choose_decode(scheduler, request, prefill, now)
     return Choice(decode, prefill, estimate) if decode else None
 
 
@@ -325,7 +328,7 @@
 def _choose_decode(
     scheduler: SchedulerState,
     request: PlacementRequest,
-    zone: str,
+    prefill: Load | None,
     now: float,
 ) -> Load | None:
     memory = scheduler.services[request.service].memory_tokens
@@ -342,10 +345,10 @@
     ]
 
     def score(load: Load) -> float:
-        is_remote = bool(zone) and load.upstream.availability_zone != zone
-        return (
-            peaks[load.upstream.name] / memory + CROSS_ZONE_PENALTY * is_remote
-        )
+        share = peaks[load.upstream.name] / memory
+        if prefill is None:
+            return share
+        return share + transfer_penalty(scheduler, request, prefill, load, now)
 
     return _lowest(free, score)
 
--- a/libs/relay/src/gypsumrelay_relay/attempts.py
+++ b/libs/relay/src/gypsumrelay_relay/attempts.py
@@ -57,6 +57,8 @@
     ),
 )
 FIRST_SERVER_ERROR: Final = 500
+# Time of the transfer of an attempt without one.
+UNKNOWN_MS: Final = -1
 
 
 @attrs.frozen
@@ -254,7 +256,12 @@
     """Release the placement of an attempt and log how it ended."""
     request = placement.request
     ending = ending_at(exchange, result, placement.address)
-    exchange.relay.coordination.report_end(request, ending, began=result.began)
+    exchange.relay.coordination.report_end(
+        request,
+        ending,
+        began=result.began,
+        transfer_ms=exchange.transfer_ms.pop(request.key, UNKNOWN_MS),
+    )
     exchange.relay.metrics.count_attempt(ending.value)
     exchange.log(
         request_events.AttemptEnded(
--- a/libs/relay/src/gypsumrelay_relay/capacity/events.py
+++ b/libs/relay/src/gypsumrelay_relay/capacity/events.py
@@ -5,6 +5,7 @@
 from typing import ClassVar
 
 import attrs
+from gypsumrelay_dispatch import TransferChange
 
 from gypsumrelay_relay.state_events import StateChange
 
@@ -61,3 +62,33 @@
     zone_relays: int
     zone_not_ready: int
     budget_ms: int
+
+
+@attrs.frozen
+class TransferTimeChanged(StateChange):
+    """KV cache transfers have become slow, or no longer are.
+
+    Attributes:
+        cause: `zones` with service, zone of the prefill upstream and zone of
+            the decode upstream; `source` with a prefill upstream; or
+            `destination` with a decode upstream.
+        state: `slow` or `normal`.
+        delay_ms: Delay in milliseconds of a prompt of 3,000 tokens, compared
+            with the usual time; the last one known if it is normal now.
+    """
+
+    event: ClassVar[str] = 'transfers'
+    template: ClassVar[str] = (
+        'Transfers of KV caches are {state} for {cause}: {delay_ms} ms.'
+    )
+
+    cause: str
+    state: str
+    delay_ms: int
+
+
+def transfer_event(change: TransferChange) -> TransferTimeChanged:
+    """Return the log event of a change of transfer times."""
+    state = 'slow' if change.is_slow else 'normal'
+    cause = ' '.join(change.subject)
+    return TransferTimeChanged(cause, state, int(change.delay_ms))
--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -158,7 +158,12 @@
             self.tell(messages.PrefillEnded(key, ending))
 
     def report_end(
-        self, request: PlacementRequest, ending: Ending, *, began: bool = False
+        self,
+        request: PlacementRequest,
+        ending: Ending,
+        *,
+        began: bool = False,
+        transfer_ms: int = -1,
     ) -> None:
         """Report that a placement is free, or that its request is cancelled.
 
@@ -166,6 +171,8 @@
             request: The placement request.
             ending: How the attempt ended.
             began: Whether the upstream had sent an event of the answer.
+            transfer_ms: Time in milliseconds from the end of the prefill to
+                the first event; -1 if unknown.
         """
         with self.lock:
             self.pending.pop(request.key, None)
@@ -174,7 +181,9 @@
                 self.known_crashes.record_end(
                     placement, ending, monotonic(), began=began
                 )
-            self.tell(messages.PlacementEnded(request.key, ending, began))
+            self.tell(
+                messages.PlacementEnded(request.key, ending, began, transfer_ms)
+            )
 
     def report_rate_limit(
         self, upstream: str, per_second: float | None, key: tuple[str, int]
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -14,6 +14,7 @@
 from logbook import Logger
 
 from gypsumrelay_relay import coordinator_events as messages
+from gypsumrelay_relay.capacity.events import transfer_event
 from gypsumrelay_relay.crash_reports import (
     crash_event,
     report_causes,
@@ -101,6 +102,7 @@
             self.deliver(decision)
         if isinstance(message, messages.Tick):
             self._publish_crashes(now)
+            self._log_transfers(now)
         if isinstance(message, messages.ReportCompleted):
             # A relay that started later knows no earlier crash.
             for crash in self.scheduler.crash_history.crashes:
@@ -130,6 +132,11 @@
             log, self.logged_causes, history.causes
         )
 
+    def _log_transfers(self, now: float) -> None:
+        """Log which links and upstreams have become slow or normal."""
+        for change in dispatch.refresh_slow(self.scheduler.transfers, now):
+            report(log, transfer_event(change))
+
     def _apply(self, message: Any, now: float) -> Iterable[Decision]:
         scheduler = self.scheduler
         match message:
@@ -164,9 +171,14 @@
     match message:
         case messages.PrefillEnded(key, ending):
             return dispatch.end_prefill(scheduler, key, ending, now)
-        case messages.PlacementEnded(key, ending, began):
+        case messages.PlacementEnded(key, ending, began, transfer_ms):
             return dispatch.end_attempt(
-                scheduler, key, ending, now, began=began
+                scheduler,
+                key,
+                ending,
+                now,
+                began=began,
+                transfer_ms=transfer_ms,
             )
         case messages.RateLimitEndReported(upstream, key):
             return dispatch.end_rate_limit(scheduler, upstream, key, now)
@@ -302,6 +314,10 @@
             short_digest(subject) for subject in scheduler.crash_history.causes
         ),
         'known_streams': len(scheduler.stream_starts.versions),
+        'slow_transfers': {
+            ' '.join(subject): int(delay_ms)
+            for subject, delay_ms in scheduler.transfers.slow.items()
+        },
         'waiting': len(scheduler.queue),
         'places': len(scheduler.placements),
         'upstreams': {
--- a/libs/relay/src/gypsumrelay_relay/coordinator_events.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator_events.py
@@ -46,11 +46,14 @@
         key: Request id and number of the attempt.
         ending: How the attempt ended.
         began: Whether the upstream had sent an event of the answer.
+        transfer_ms: Time in milliseconds from the end of the prefill to the
+            first event; -1 if unknown.
     """
 
     key: tuple[str, int]
     ending: Ending
     began: bool = False
+    transfer_ms: int = -1
 
 
 @attrs.frozen
--- a/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
@@ -57,8 +57,8 @@
             return request_message(request, now)
         case messages.PrefillEnded(key, ending):
             return PromptRead(*key, ending.value)
-        case messages.PlacementEnded(key, ending, began):
-            return PlaceEnded(*key, ending.value, began)
+        case messages.PlacementEnded(key, ending, began, transfer_ms):
+            return PlaceEnded(*key, ending.value, began, transfer_ms)
         case messages.RateLimitEndReported(upstream, key):
             return LimitEnded(upstream, *key)
     return _report_to_wire(message, now)
@@ -183,7 +183,9 @@
     match message:
         case PromptRead(ending=ending):
             return messages.PrefillEnded(key, parse_ending(ending))
-        case PlaceEnded(ending=ending, began=began):
-            return messages.PlacementEnded(key, parse_ending(ending), began)
+        case PlaceEnded(ending=ending, began=began, transfer_ms=transfer_ms):
+            return messages.PlacementEnded(
+                key, parse_ending(ending), began, transfer_ms
+            )
         case LimitEnded(upstream=upstream):
             return messages.RateLimitEndReported(upstream, key)
--- a/libs/relay/src/gypsumrelay_relay/exchange.py
+++ b/libs/relay/src/gypsumrelay_relay/exchange.py
@@ -78,6 +78,8 @@
         attempts: Number of placement requests.
         runs: Number of attempts that may have run.
         excluded: Names of the upstreams that are not tried again.
+        transfer_ms: Time in milliseconds from the end of the prefill to the
+            first event, by attempt.
     """
 
     relay: Relay
@@ -91,6 +93,7 @@
     attempts: int = 0
     runs: int = 0
     excluded: set[str] = attrs.field(factory=set)
+    transfer_ms: dict[tuple[str, int], int] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Set the time limit for the first placement."""
--- a/libs/relay/src/gypsumrelay_relay/metrics.py
+++ b/libs/relay/src/gypsumrelay_relay/metrics.py
@@ -28,6 +28,7 @@
     registry: CollectorRegistry = attrs.field(factory=CollectorRegistry)
     answered: Histogram = attrs.field(init=False)
     first_event: Histogram = attrs.field(init=False)
+    transfer: Histogram = attrs.field(init=False)
     refused: Counter = attrs.field(init=False)
     attempts: Counter = attrs.field(init=False)
     gauges: Gauge = attrs.field(init=False)
@@ -47,6 +48,12 @@
             buckets=BUCKETS,
             registry=self.registry,
         )
+        self.transfer = Histogram(
+            'gypsumrelay_transfer_seconds',
+            'Time from the end of a prefill to the first event of its stream.',
+            buckets=BUCKETS,
+            registry=self.registry,
+        )
         self.refused = Counter(
             'gypsumrelay_refused',
             'Requests that were refused or failed, by code.',
--- a/libs/relay/src/gypsumrelay_relay/stream_start.py
+++ b/libs/relay/src/gypsumrelay_relay/stream_start.py
@@ -22,7 +22,7 @@
 )
 from gypsumrelay_relay.eventstream import EventSplitter
 from gypsumrelay_relay.exchange import CompleteAnswer
-from gypsumrelay_relay.prefill import run_prefill
+from gypsumrelay_relay.prefill import MS_PER_SECOND, Cache, run_prefill
 from gypsumrelay_relay.protocol import AddedHeaders
 from gypsumrelay_relay.read_limits import Silence
 from gypsumrelay_relay.sending import (
@@ -275,6 +275,7 @@
     started_at: float,
 ) -> OpenStream | CompleteAnswer | AttemptResult:
     exchange = run.exchange
+    cache = run.cache
     result = classify_reply(exchange, reply)
     if run.cache is not None and result.ending is Ending.rejected:
         result = AttemptResult(Ending.unfetched, result.reason)
@@ -284,6 +285,7 @@
         close_silent(run)
         opened = _first_events(run, placement, reply, started_at)
         if isinstance(opened, OpenStream):
+            _record_transfer(exchange, opened, cache)
             return opened
         result = opened
     exchange.excluded.add(placement.upstream)
@@ -312,6 +314,23 @@
     return opened
 
 
+def _record_transfer(
+    exchange: Exchange, opened: OpenStream, cache: Cache | None
+) -> None:
+    """Record the time from a prefill to the first event after it.
+
+    A cache from an earlier attempt was not offered to this upstream at once.
+    """
+    placement = opened.placement
+    if cache is None or opened.first is None:
+        return
+    if cache.upstream == placement.prefill:
+        seconds = monotonic() - cache.prefilled_at
+        elapsed_ms = int(seconds * MS_PER_SECOND)
+        exchange.transfer_ms[placement.request.key] = elapsed_ms
+        exchange.relay.metrics.transfer.observe(seconds)
+
+
 def _read_error(
     exchange: Exchange,
     reply: Reply,
--- a/libs/wire/src/gypsumrelay_wire/placements.py
+++ b/libs/wire/src/gypsumrelay_wire/placements.py
@@ -144,6 +144,8 @@
         attempt: Number of the attempt.
         ending: The outcome.
         began: Whether the upstream had sent an event of the answer.
+        transfer_ms: Time in milliseconds from the end of the prefill to the
+            first event; -1 if unknown.
     """
 
     tag: ClassVar[int] = 44
@@ -151,6 +153,7 @@
     attempt: int
     ending: str
     began: bool = False
+    transfer_ms: int = -1
 
 
 @attrs.frozen
