Let the split of engines follow the load of the last seconds

Cause: the split follows averages of about 33 requests, and waits three seconds before each change, so that a pool stays the bottleneck for 15 to 20 s after long prompts change to long answers.

Change: where learn_transfers or learn_performance is on, an upstream changes after one second if the demand of the last three seconds needs it, the pool that gets it is under pressure (backlog or forecast memory at 0.75 of the limit) and the other one is not. Soon after a change, the reverse is decided by the slower average alone, and not at all for a time that doubles with each reversal of the last minute. Otherwise the present behaviour stays.

--- a/libs/dispatch/src/gypsumrelay_dispatch/rebalancing.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/rebalancing.py
@@ -6,6 +6,18 @@
 
 import attrs
 
+from gypsumrelay_dispatch.load_following import (
+    MAX_PRESSED_SHARE,
+    Demand,
+    add_demand,
+    alternates,
+    follows_load,
+    is_conclusive,
+    is_reversal,
+    may_change_pressed,
+    note_change,
+    pool_pressure,
+)
 from gypsumrelay_dispatch.loads import Load
 from gypsumrelay_dispatch.models import Phase, PlacementRequest
 from gypsumrelay_dispatch.scheduler_state import SchedulerState, is_usable
@@ -64,24 +76,30 @@
         imbalanced_since: Instant since which the pools are imbalanced; infinite
             if they are balanced.
         changed_at: Instant of the last change of a phase.
+        demand: Work of the requests of the last seconds; kept only while the
+            split follows the load.
     """
 
     prefill_ms: float
     decode_ms: float
     imbalanced_since: float = float('inf')
     changed_at: float = float('-inf')
+    demand: Demand = attrs.field(factory=Demand)
 
 
 def observe_request(
-    scheduler: SchedulerState, request: PlacementRequest
+    scheduler: SchedulerState, request: PlacementRequest, now: float
 ) -> None:
     """Update the average work of a service from a request."""
-    _observe_tokens(
-        scheduler,
-        request.service,
-        request.prompt_tokens,
-        request.expected_tokens,
-    )
+    service, prompt = request.service, request.prompt_tokens
+    _observe_tokens(scheduler, service, prompt, request.expected_tokens)
+    if follows_load(scheduler.settings):
+        add_demand(
+            scheduler.workloads[service].demand,
+            prompt / scheduler.settings.prefill_tokens_per_ms,
+            _decode_ms(scheduler, service, prompt, request.expected_tokens),
+            now,
+        )
 
 
 def _observe_tokens(
@@ -121,6 +139,7 @@
         workload = scheduler.workloads.get(load.upstream.service)
         if workload is not None:
             workload.changed_at = now
+            note_change(workload.demand, change.phase, now)
 
 
 def wanted_prefill(workload: Workload, total: int, weight: float) -> int:
@@ -149,17 +168,28 @@
     if workload is None or len(pool) < MIN_UPSTREAMS:
         return None
     weight = scheduler.settings.prefill_weight
-    prefill = [
-        load for load in pool if _target_phase(load, now) is Phase.prefill
-    ]
+    prefill = sum(_target_phase(load, now) is Phase.prefill for load in pool)
+    if follows_load(scheduler.settings):
+        wanted = _pressed_target(scheduler, name, pool, prefill, now)
+        if wanted is not None:
+            return _next_change(pool, prefill, wanted, now)
     wanted = wanted_prefill(workload, len(pool), weight)
-    if not _is_imbalanced(workload, len(prefill), wanted, len(pool), weight):
+    if not _is_imbalanced(workload, prefill, wanted, len(pool), weight):
         workload.imbalanced_since = float('inf')
         return None
     workload.imbalanced_since = min(workload.imbalanced_since, now)
+    counts = (prefill, wanted, len(pool))
+    if _opposes_demand(scheduler, workload, counts, now):
+        return None
     if not _may_change(workload, pool, now):
         return None
-    from_phase = Phase.prefill if len(prefill) > wanted else Phase.decode
+    return _next_change(pool, prefill, wanted, now)
+
+
+def _next_change(
+    pool: list[Load], prefill: int, wanted: int, now: float
+) -> PhaseChange | None:
+    from_phase = Phase.prefill if prefill > wanted else Phase.decode
     chosen = _cheapest_move(pool, from_phase, now)
     if chosen is None:
         return None
@@ -167,12 +197,79 @@
         chosen.upstream.name,
         chosen.upstream.address,
         Phase.decode if from_phase is Phase.prefill else Phase.prefill,
-        len(prefill),
-        len(pool) - len(prefill),
+        prefill,
+        len(pool) - prefill,
         wanted,
     )
 
 
+def _pressed_target(
+    scheduler: SchedulerState,
+    name: str,
+    pool: list[Load],
+    prefill: int,
+    now: float,
+) -> int | None:
+    """Return the target number of prefill upstreams for a change at once.
+
+    Returns:
+        The number; None if the requests of the last seconds make neither pool
+        the bottleneck, or not for long enough.
+    """
+    workload = scheduler.workloads[name]
+    demand = workload.demand
+    weight = scheduler.settings.prefill_weight
+    latest = Workload(demand.prefill_ms, demand.decode_ms)
+    wanted = wanted_prefill(latest, len(pool), weight)
+    phase = Phase.prefill if wanted > prefill else Phase.decode
+    is_pressed = (
+        is_conclusive(demand, now)
+        and _is_imbalanced(latest, prefill, wanted, len(pool), weight)
+        and not is_reversal(demand, phase, now)
+        and pool_pressure(scheduler, name, pool, now).favours(phase)
+    )
+    if not is_pressed:
+        demand.pressed_since = float('inf')
+        return None
+    demand.pressed_since = min(demand.pressed_since, now)
+    changing = sum(load.is_changing(now) for load in pool)
+    is_due = may_change_pressed(demand, now)
+    may_change = is_due and changing < len(pool) * MAX_PRESSED_SHARE
+    return wanted if may_change else None
+
+
+def _opposes_demand(
+    scheduler: SchedulerState,
+    workload: Workload,
+    counts: tuple[int, int, int],
+    now: float,
+) -> bool:
+    """Return whether the load of the last seconds speaks against a change.
+
+    Its requests need the reverse, or it alternates faster than engines change.
+
+    Args:
+        scheduler: The coordinator's state.
+        workload: The service's state.
+        counts: Present and target number of prefill upstreams, and the number
+            of all upstreams.
+        now: The current instant.
+    """
+    demand = workload.demand
+    prefill, wanted, total = counts
+    if not follows_load(scheduler.settings):
+        return False
+    phase = Phase.prefill if wanted > prefill else Phase.decode
+    if alternates(demand, phase, now):
+        return True
+    if not is_conclusive(demand, now):
+        return False
+    latest = Workload(demand.prefill_ms, demand.decode_ms)
+    weight = scheduler.settings.prefill_weight
+    target = wanted_prefill(latest, total, weight)
+    return (target - prefill) * (wanted - prefill) < 0
+
+
 def _workload(scheduler: SchedulerState, name: str) -> Workload | None:
     """Return the average work, initially that of the settings."""
     settings = scheduler.settings
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
@@ -98,7 +98,7 @@
     )
     delay = cost_delay(scheduler, request)
     if request.prompt_tokens and request.attempt == 1:
-        rebalancing.observe_request(scheduler, request)
+        rebalancing.observe_request(scheduler, request, now)
     waiting = QueuedRequest(request, now, overdrawn, delay)
     earlier = earlier_requests(scheduler, waiting, now)
     wait = expected_wait(scheduler, request, earlier)
--- a/libs/dispatch/tests/steps/rebalancing.py
+++ b/libs/dispatch/tests/steps/rebalancing.py
@@ -58,7 +58,7 @@
             prompt_tokens=prompt,
             expected_tokens=output,
         )
-        observe_request(sim.scheduler, request)
+        observe_request(sim.scheduler, request, sim.now)
     wait(context, seconds)
 
 
