--- a/libs/dispatch/src/gypsumrelay_dispatch/rebalancing.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/rebalancing.py
@@ -55,6 +55,7 @@
         prefill: Present number of prefill upstreams.
         decode: Present number of decode upstreams.
         wanted: Target number of prefill upstreams.
+        is_pressed: Whether the other pool is the bottleneck now.
     """
 
     upstream: str
@@ -63,6 +64,7 @@
     prefill: int
     decode: int
     wanted: int
+    is_pressed: bool = False
 
 
 @attrs.define
@@ -172,7 +174,7 @@
     if follows_load(scheduler.settings):
         wanted = _pressed_target(scheduler, name, pool, prefill, now)
         if wanted is not None:
-            return _next_change(pool, prefill, wanted, now)
+            return _next_change(pool, prefill, wanted, now, is_pressed=True)
     wanted = wanted_prefill(workload, len(pool), weight)
     if not _is_imbalanced(workload, prefill, wanted, len(pool), weight):
         workload.imbalanced_since = float('inf')
@@ -187,7 +189,12 @@
 
 
 def _next_change(
-    pool: list[Load], prefill: int, wanted: int, now: float
+    pool: list[Load],
+    prefill: int,
+    wanted: int,
+    now: float,
+    *,
+    is_pressed: bool = False,
 ) -> PhaseChange | None:
     from_phase = Phase.prefill if prefill > wanted else Phase.decode
     chosen = _cheapest_move(pool, from_phase, now)
@@ -200,6 +207,7 @@
         prefill,
         len(pool) - prefill,
         wanted,
+        is_pressed,
     )
 
 
--- a/libs/dispatch/src/gypsumrelay_dispatch/transfers.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/transfers.py
@@ -12,7 +12,7 @@
 # Number of transfers from which a delay is estimated, the minimum one, and the
 # part of them that is faster than the estimate: three of four or five of seven
 # have to be slow. If 15 in 100 first events are late at random, as many are in
-# one of 80 and one of 1,000 windows.
+# one of 80 and one of 800 windows.
 WINDOW: Final = 7
 MIN_TRANSFERS: Final = 4
 QUANTILE: Final = 1 / 3
--- a/libs/relay/src/gypsumrelay_relay/phase_switching.py
+++ b/libs/relay/src/gypsumrelay_relay/phase_switching.py
@@ -161,6 +161,7 @@
             change.wanted,
             token,
             str(status),
+            change.is_pressed,
         )
         report(log, ordered)
         # An order without an answer may still be carried out later.
--- a/libs/relay/src/gypsumrelay_relay/upstream_events.py
+++ b/libs/relay/src/gypsumrelay_relay/upstream_events.py
@@ -173,6 +173,8 @@
         wanted: Target number of prefill upstreams.
         token: Fencing token of the order.
         answer: Status code of the answer, or the error if there was none.
+        pressed: Whether the pool that gets the upstream is the bottleneck now,
+            so that the switch was not delayed.
     """
 
     event: ClassVar[str] = 'phase_ordered'
@@ -189,6 +191,7 @@
     wanted: int
     token: int
     answer: str
+    pressed: bool = False
 
 
 @attrs.frozen
