--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -103,6 +103,10 @@
     restore_starts,
     take_unsaved,
 )
+from gypsumrelay_dispatch.transfers import (
+    TransferChange,
+    refresh_slow,
+)
 
 __all__ = (
     'AMBIGUOUS',
@@ -125,6 +129,7 @@
     'SchedulerState',
     'ServiceLimits',
     'StreamPace',
+    'TransferChange',
     'Upstream',
     'apply_configuration',
     'apply_departure',
@@ -153,6 +158,7 @@
     'queue_deadline',
     'record_phase_change',
     'record_starts',
+    'refresh_slow',
     'reject_failed',
     'remove_instance',
     'request_placement',
--- a/libs/dispatch/src/gypsumrelay_dispatch/granting.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/granting.py
@@ -9,6 +9,7 @@
     pauses,
     rate_limits,
     retry_budget,
+    transfer_costs,
 )
 from gypsumrelay_dispatch.crashes import note_placed
 from gypsumrelay_dispatch.grant_rate import count_grant
@@ -43,6 +44,7 @@
     used = len(load.running)
     _count_use(scheduler, request, choice, now)
     note_placed(scheduler, request, now)
+    transfer_costs.note_placed(scheduler, choice.prefill, load, now)
     placement = _placement(request, choice, now)
     add_placement(scheduler, placement)
     if is_direct_prefill(placement):
--- a/libs/dispatch/src/gypsumrelay_dispatch/results.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/results.py
@@ -31,6 +31,7 @@
     remove_placement,
 )
 from gypsumrelay_dispatch.scheduling import serve
+from gypsumrelay_dispatch.transfer_costs import observe_result
 
 # Milliseconds per token; observations outside this range are clamped as
 # outliers.
@@ -118,6 +119,7 @@
     *,
     began: bool = False,
     pace: StreamPace = UNMEASURED,
+    transfer_ms: int = -1,
 ) -> list[Decision]:
     """Record the result of an attempt and remove its placement.
 
@@ -128,6 +130,8 @@
         now: The present instant.
         began: Whether the upstream had sent an event of the answer.
         pace: Events of the stream after the first ones and their time.
+        transfer_ms: Time in milliseconds from the end of the prefill to the
+            first event; -1 if unknown.
     """
     withdraw(scheduler, key)
     placement = remove_placement(scheduler, key)
@@ -148,6 +152,7 @@
     prefill_load = scheduler.loads.get(placement.prefilled_by)
     if prefill_load is not None:
         observe_kv_fetch(prefill_load, ending, scheduler.settings, now)
+    observe_result(scheduler, placement, ending, transfer_ms, now)
     return serve(scheduler, now, placement.request.service)
 
 
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
@@ -37,6 +37,7 @@
 )
 from gypsumrelay_dispatch.retry_budget import RetryBudget, RetryLimit
 from gypsumrelay_dispatch.stream_starts import StreamStarts
+from gypsumrelay_dispatch.transfers import Transfers
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -135,6 +136,7 @@
         limit_changes: Changes of limits that are not logged yet.
         fairness: What is known of competing callers; empty with the queue
             policy `strict`.
+        transfers: Observed times of KV cache transfers.
     """
 
     settings: DispatchSettings
@@ -164,6 +166,7 @@
     event_sizes: dict[str, EventSize] = attrs.field(factory=dict)
     limit_changes: list[LimitChange] = attrs.field(factory=list)
     fairness: Fairness = attrs.field(factory=Fairness)
+    transfers: Transfers = attrs.field(factory=Transfers)
 
     @property
     def retry_limit(self) -> RetryLimit:
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
@@ -101,7 +101,7 @@
     )
     delay = cost_delay(scheduler, request)
     if request.prompt_tokens and request.attempt == 1:
-        rebalancing.observe_request(scheduler, request)
+        rebalancing.observe_request(scheduler, request, now)
     waiting = fair_queueing.describe(
         scheduler, QueuedRequest(request, now, overdrawn, delay)
     )
--- a/libs/dispatch/src/gypsumrelay_dispatch/selection.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/selection.py
@@ -18,6 +18,10 @@
 from gypsumrelay_dispatch.pauses import admitted_at
 from gypsumrelay_dispatch.rate_limits import accepted_at, allows_request
 from gypsumrelay_dispatch.scheduler_state import SchedulerState, is_usable
+from gypsumrelay_dispatch.transfer_costs import (
+    source_delay_ms,
+    transfer_penalty,
+)
 from gypsumrelay_dispatch.upstream_performance import (
     allowed_slots,
     candidates_pace_ms,
@@ -34,12 +38,6 @@
 
     from gypsumrelay_dispatch.models import Upstream
 
-# Score penalty of a decode upstream outside the prefill upstream's zone, as a
-# part of engine memory: a KV cache transfer takes twice as long between
-# zones.
-CROSS_ZONE_PENALTY: Final = 0.3
-
-
 # Part of an engine's memory below which a decode upstream has spare memory
 # for a direct prefill.
 SPARE_MEMORY_SHARE: Final = 0.75
@@ -65,7 +63,7 @@
     if not request.prompt_tokens:
         return _choose_plain(scheduler, request, now)
     if request.read:
-        decode = _choose_decode(scheduler, request, '', now)
+        decode = _choose_decode(scheduler, request, None, now)
         return Choice(decode) if decode else None
     return _choose_pair(scheduler, request, now)
 
@@ -291,7 +289,7 @@
         if load.direct_prefill_until > now
     }
     narrowed = attrs.evolve(request, excluded=request.excluded | busy)
-    decode = _choose_decode(scheduler, narrowed, '', now)
+    decode = _choose_decode(scheduler, narrowed, None, now)
     return Choice(decode) if decode else None
 
 
@@ -310,12 +308,15 @@
         or prefill_finish_ms(scheduler, load, estimate) <= limit
     ]
     prefill = _lowest(
-        free, lambda load: prefill_score(scheduler, load, estimate)
+        free,
+        lambda load: (
+            prefill_score(scheduler, load, estimate)
+            + source_delay_ms(scheduler, request, load, now)
+        ),
     )
     if prefill is None:
         return _choose_spare_memory(scheduler, request, now)
-    zone = prefill.upstream.availability_zone
-    decode = _choose_decode(scheduler, request, zone, now)
+    decode = _choose_decode(scheduler, request, prefill, now)
     return Choice(decode, prefill, estimate) if decode else None
 
 
@@ -342,7 +343,7 @@
 def _choose_decode(
     scheduler: SchedulerState,
     request: PlacementRequest,
-    zone: str,
+    prefill: Load | None,
     now: float,
 ) -> Load | None:
     memory = scheduler.services[request.service].memory_tokens
@@ -361,10 +362,11 @@
     pool_ms = candidates_pace_ms(scheduler, free)
 
     def score(load: Load) -> float:
-        is_remote = bool(zone) and load.upstream.availability_zone != zone
         share = peaks[load.upstream.name] / memory
         own = decode_score(scheduler, load, share, pool_ms)
-        return own + CROSS_ZONE_PENALTY * is_remote
+        if prefill is None:
+            return own
+        return own + transfer_penalty(scheduler, request, prefill, load, now)
 
     return _lowest(free, score)
 
--- a/libs/relay/src/gypsumrelay_relay/building.py
+++ b/libs/relay/src/gypsumrelay_relay/building.py
@@ -35,6 +35,7 @@
 if TYPE_CHECKING:
     from gypsumrelay_settings import RelayInstance, RelaySettings
 
+    from gypsumrelay_relay.capacity.watching import CapacityWatch
     from gypsumrelay_relay.metrics import RelayMetrics
     from gypsumrelay_relay.phase_switching import PhaseSwitcher
     from gypsumrelay_relay.protocol import HttpProtocol
@@ -78,6 +79,7 @@
         servers: The HTTP servers; the first one is for callers.
         checked_at: Instant of the last check of the age of the list of
             upstreams.
+        capacity: Decides on readiness by load; None if load has no effect.
         stopped: Ends the threads.
     """
 
@@ -89,6 +91,7 @@
     phase_switcher: PhaseSwitcher | None = None
     servers: list[Any] = attrs.field(factory=list)
     checked_at: float = float('inf')
+    capacity: CapacityWatch | None = None
     stopped: threading.Event = attrs.field(factory=threading.Event)
 
 
@@ -171,4 +174,5 @@
         # Until the first read of the list of upstreams; its first heartbeat
         # would make this relay the coordinator of a fleet that only starts.
         is_stale=True,
+        availability_zone=instance.availability_zone,
     )
--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -174,6 +174,7 @@
         *,
         began: bool = False,
         pace: StreamPace = UNMEASURED,
+        transfer_ms: int = -1,
     ) -> None:
         """Report that a placement is free, or that its request is cancelled.
 
@@ -182,6 +183,8 @@
             ending: How the attempt ended.
             began: Whether the upstream had sent an event of the answer.
             pace: Events after the first ones, and the time they took.
+            transfer_ms: Time in milliseconds from the end of the prefill to
+                the first event; -1 if unknown.
         """
         with self.lock:
             self.pending.pop(request.key, None)
@@ -194,7 +197,12 @@
                 self.measured.record_end(placement, ending, pace, now)
             self.tell(
                 messages.PlacementEnded(
-                    request.key, ending, began, pace.events, pace.stream_ms
+                    request.key,
+                    ending,
+                    began,
+                    pace.events,
+                    pace.stream_ms,
+                    transfer_ms,
                 )
             )
 
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -14,6 +14,7 @@
 from logbook import Logger
 
 from gypsumrelay_relay import coordinator_events as messages
+from gypsumrelay_relay.capacity.events import transfer_event
 from gypsumrelay_relay.crash_reports import (
     crash_event,
     report_causes,
@@ -120,6 +121,7 @@
             self._publish_crashes(now)
             report_limits(log, dispatch.take_limit_changes(self.scheduler))
             self.observe(self.scheduler, now)
+            self._log_transfers(now)
         if isinstance(message, messages.ReportCompleted):
             # A relay that started later knows no earlier crash.
             for crash in self.scheduler.crash_history.crashes:
@@ -149,6 +151,11 @@
             log, self.logged_causes, history.causes
         )
 
+    def _log_transfers(self, now: float) -> None:
+        """Log which links and upstreams have become slow or normal."""
+        for change in dispatch.refresh_slow(self.scheduler.transfers, now):
+            report(log, transfer_event(change))
+
     def _apply(self, message: Any, now: float) -> Iterable[Decision]:
         scheduler = self.scheduler
         match message:
@@ -191,6 +198,7 @@
                 now,
                 began=began,
                 pace=dispatch.StreamPace(events, stream_ms),
+                transfer_ms=message.transfer_ms,
             )
         case messages.RateLimitEndReported(upstream, key):
             return dispatch.end_rate_limit(scheduler, upstream, key, now)
@@ -339,6 +347,11 @@
         ),
         'known_streams': len(scheduler.stream_starts.versions),
         'limits': dispatch.limits_in_force(scheduler),
+        'known_transfers': len(scheduler.transfers.estimates),
+        'slow_transfers': {
+            ' '.join(subject): int(delay_ms)
+            for subject, delay_ms in scheduler.transfers.slow.items()
+        },
         'waiting': len(scheduler.queue),
         'places': len(scheduler.placements),
         'upstreams': {
--- a/libs/relay/src/gypsumrelay_relay/coordinator_events.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator_events.py
@@ -49,6 +49,8 @@
         began: Whether the upstream had sent an event of the answer.
         events: Events of the stream after the first ones; 0 if not measured.
         stream_ms: Time in milliseconds in which these events arrived.
+        transfer_ms: Time in milliseconds from the end of the prefill to the
+            first event; -1 if unknown.
     """
 
     key: tuple[str, int]
@@ -56,6 +58,7 @@
     began: bool = False
     events: int = 0
     stream_ms: int = 0
+    transfer_ms: int = -1
 
 
 @attrs.frozen
--- a/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from typing import Any, Final
 
+import attrs
 from gypsumrelay_wire import (
     ContentQuarantined,
     LimitEnded,
@@ -64,7 +65,8 @@
         case messages.PrefillEnded(key, ending):
             return PromptRead(*key, ending.value)
         case messages.PlacementEnded(key, ending, began, events, stream_ms):
-            return PlaceEnded(*key, ending.value, began, events, stream_ms)
+            sent = PlaceEnded(*key, ending.value, began, events, stream_ms)
+            return attrs.evolve(sent, transfer_ms=message.transfer_ms)
         case messages.RateLimitEndReported(upstream, key):
             return LimitEnded(upstream, *key)
     return _report_to_wire(message, now)
@@ -205,6 +207,7 @@
                 began,
                 max(0, message.events),
                 max(0, message.stream_ms),
+                message.transfer_ms,
             )
         case LimitEnded(upstream=upstream):
             return messages.RateLimitEndReported(upstream, key)
--- a/libs/wire/src/gypsumrelay_wire/placements.py
+++ b/libs/wire/src/gypsumrelay_wire/placements.py
@@ -149,6 +149,8 @@
         began: Whether the upstream had sent an event of the answer.
         events: Events of the stream after the first ones; 0 if not measured.
         stream_ms: Time in milliseconds in which these events arrived.
+        transfer_ms: Time in milliseconds from the end of the prefill to the
+            first event; -1 if unknown.
     """
 
     tag: ClassVar[int] = 44
@@ -158,6 +160,7 @@
     began: bool = False
     events: int = 0
     stream_ms: int = 0
+    transfer_ms: int = -1
 
 
 @attrs.frozen
