Add roll-outs of software versions: decisions, selection and status record

Cause: operators order that a service moves to another software version, and bad versions have to be found within a bounded number of requests. Change: gypsumrelay_rollouts has orders, evidence, exposure and decisions; dispatch chooses the version of a request, the relay keeps the status record and reports counts to a new coordinator. Off unless rollouts.enabled.

--- a/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/__init__.py
@@ -37,6 +37,7 @@
     PlacementRequest,
     Rejection,
     RejectionDetails,
+    RolloutCounts,
     ServiceLimits,
     Upstream,
 )
@@ -110,6 +111,7 @@
     'PlacementRequest',
     'Rejection',
     'RejectionDetails',
+    'RolloutCounts',
     'SchedulerState',
     'ServiceLimits',
     'Upstream',
--- a/libs/dispatch/src/gypsumrelay_dispatch/granting.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/granting.py
@@ -10,6 +10,7 @@
 from gypsumrelay_dispatch.loads import ActivePlacement, drop_old_sends
 from gypsumrelay_dispatch.models import Grant, PlacementRequest
 from gypsumrelay_dispatch.queueing import MS_PER_SECOND
+from gypsumrelay_dispatch.rollouts import count_rollout_grant
 from gypsumrelay_dispatch.scheduler_state import (
     QueuedRequest,
     SchedulerState,
@@ -39,6 +40,8 @@
     _count_use(scheduler, request, choice, now)
     note_placed(scheduler, request, now)
     placement = _placement(request, choice, now)
+    granted = list(filter(None, (load.upstream, prefill)))
+    rollout = count_rollout_grant(scheduler, request, granted)
     add_placement(scheduler, placement)
     if is_direct_prefill(placement):
         prefill_work_ms = (
@@ -54,6 +57,7 @@
         scheduler.list_position,
         _limits_in_force(scheduler, load.upstream, prefill),
         len(scheduler.retry_budget(request.service).retries),
+        rollout,
     )
 
 
@@ -78,6 +82,9 @@
     )
     if choice.prefill is None:
         placement.started_at = now
+    else:
+        ahead = choice.prefill.prefill_work_ms.values()
+        placement.prefill_ahead_ms = sum(ahead)
     return placement
 
 
--- a/libs/dispatch/src/gypsumrelay_dispatch/loads.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/loads.py
@@ -59,6 +59,8 @@
         started_at: Estimated start of decode; infinite during prefill.
         is_restored: Whether an earlier coordinator granted it, so that the
             instant of the grant is unknown.
+        prefill_ahead_ms: Estimated time of the prefills that ran before it, in
+            milliseconds.
     """
 
     request: PlacementRequest
@@ -69,6 +71,7 @@
     started_at: float = float('inf')
     prefilled_by: str = ''
     is_restored: bool = False
+    prefill_ahead_ms: float = 0
 
 
 @attrs.define
--- a/libs/dispatch/src/gypsumrelay_dispatch/models.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/models.py
@@ -143,6 +143,7 @@
             the stream; empty for any.
         resumes: Digest of the start of the stream that the request goes on
             with; empty for a new stream.
+        route: Name of the request's route.
     """
 
     request_id: str
@@ -167,6 +168,7 @@
     parts: tuple[bytes, ...] = ()
     version: str = ''
     resumes: bytes = b''
+    route: str = ''
 
     @property
     def key(self) -> tuple[str, int]:
@@ -174,6 +176,21 @@
         return (self.request_id, self.attempt)
 
 
+@attrs.frozen
+class RolloutCounts:
+    """Counts of a roll-out, as its coordinator knows them.
+
+    Attributes:
+        version: The version on trial.
+        requests: Requests of the service since the order.
+        sent: Sends to the version, with those of this grant.
+    """
+
+    version: str
+    requests: int
+    sent: int
+
+
 @attrs.frozen
 class Grant:
     """Grant of a placement request and its details.
@@ -188,6 +205,7 @@
         rate_limits: Rate limits in force at these upstreams in requests per
             second, by upstream.
         retries_used: Retries of the service that are counted in the window.
+        rollout: Counts of the service's roll-out; None if none is running.
     """
 
     request: PlacementRequest
@@ -198,6 +216,7 @@
     list_position: int
     rate_limits: Mapping[str, float] = attrs.field(factory=dict)
     retries_used: int = 0
+    rollout: RolloutCounts | None = None
 
 
 @attrs.frozen
--- a/libs/dispatch/src/gypsumrelay_dispatch/rebalancing.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/rebalancing.py
@@ -8,6 +8,7 @@
 
 from gypsumrelay_dispatch.loads import Load
 from gypsumrelay_dispatch.models import Phase, PlacementRequest
+from gypsumrelay_dispatch.rollouts import is_on_trial
 from gypsumrelay_dispatch.scheduler_state import SchedulerState, is_usable
 
 if TYPE_CHECKING:
@@ -144,7 +145,9 @@
     pool = [
         load
         for load in scheduler.loads.values()
-        if load.upstream.service == name and is_usable(scheduler, load, now)
+        if load.upstream.service == name
+        and is_usable(scheduler, load, now)
+        and not is_on_trial(scheduler, load.upstream)
     ]
     if workload is None or len(pool) < MIN_UPSTREAMS:
         return None
--- a/libs/dispatch/src/gypsumrelay_dispatch/results.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/results.py
@@ -17,6 +17,10 @@
 from gypsumrelay_dispatch.models import Decision, Ending
 from gypsumrelay_dispatch.pauses import Pause, start_pause
 from gypsumrelay_dispatch.queueing import MS_PER_SECOND, withdraw
+from gypsumrelay_dispatch.rollouts import (
+    observe_answer,
+    observe_prefill_answer,
+)
 from gypsumrelay_dispatch.scheduler_state import (
     SchedulerState,
     remove_placement,
@@ -90,6 +94,7 @@
     load.prefill_work_ms.pop(key, None)
     if ending is not Ending.answered:
         attribute(scheduler, placement, load, ending, now, began=False)
+    observe_prefill_answer(scheduler, placement, load, ending, now)
     seconds = now - placement.granted_at
     if ending is Ending.answered:
         observe_prefill(load, placement.prefill_ms, seconds)
@@ -127,6 +132,7 @@
     if load is not None and not placement.prefill:
         seconds = now - placement.granted_at
         observe_ending(load, ending, seconds, scheduler.settings, now)
+        observe_answer(scheduler, placement, load, ending, now)
         if is_direct_prefill(placement):
             load.direct_prefill_until = min(load.direct_prefill_until, now)
         attribute(scheduler, placement, load, ending, now, began=began)
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
@@ -6,6 +6,7 @@
 
 import attrs
 from gypsumrelay_attribution import CrashHistory, PendingLosses
+from gypsumrelay_rollouts import Rollouts, apply_versions, may_use
 
 from gypsumrelay_dispatch.accounts import Accounts, set_accounts
 from gypsumrelay_dispatch.crashes import confirm
@@ -120,6 +121,7 @@
             yet, by attempt.
         mean_cost: Moving average of the cost of a model request, in tokens
             squared; see `forecast.request_cost`.
+        rollouts: Roll-outs of software versions.
     """
 
     settings: DispatchSettings
@@ -146,6 +148,7 @@
     stream_starts: StreamStarts = attrs.field(factory=StreamStarts)
     unbound: dict[tuple[str, int], HeldRequest] = attrs.field(factory=dict)
     mean_cost: float = 0
+    rollouts: Rollouts = attrs.field(factory=Rollouts)
 
     @property
     def retry_limit(self) -> RetryLimit:
@@ -229,6 +232,18 @@
         if gone.usable_until > now:
             _confirm_crash(scheduler, gone, now)
         gone.usable_until = min(gone.usable_until, now + grace)
+    _apply_versions(scheduler, now)
+
+
+def _apply_versions(scheduler: SchedulerState, now: float) -> None:
+    """Apply the versions of all upstreams that are listed or still in use."""
+    versions: dict[str, set[str]] = {}
+    for load in scheduler.loads.values():
+        if now < load.usable_until:
+            upstream = load.upstream
+            known = versions.setdefault(upstream.service, set())
+            known.add(upstream.version)
+    apply_versions(scheduler.rollouts, versions)
 
 
 def apply_departure(
@@ -270,6 +285,7 @@
         not upstream.leaving
         and upstream.availability_zone not in scheduler.evacuated
         and now < load.usable_until
+        and may_use(scheduler.rollouts, upstream.service, upstream.version)
     )
 
 
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
@@ -41,6 +41,7 @@
     wait_at_grant_rate,
     withdraw,
 )
+from gypsumrelay_dispatch.rollouts import advance_rollouts
 from gypsumrelay_dispatch.scheduler_state import (
     QueuedRequest,
     SchedulerState,
@@ -176,6 +177,7 @@
     remove_departed(scheduler, now)
     drop_ended(scheduler.pauses, now)
     expire_placements(scheduler, now)
+    advance_rollouts(scheduler, now)
     return [
         *settle_resumptions(scheduler, now),
         *serve(scheduler, now),
--- a/libs/dispatch/src/gypsumrelay_dispatch/selection.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/selection.py
@@ -17,6 +17,7 @@
 from gypsumrelay_dispatch.models import Phase, PlacementRequest
 from gypsumrelay_dispatch.pauses import admitted_at
 from gypsumrelay_dispatch.rate_limits import accepted_at, allows_request
+from gypsumrelay_dispatch.rollouts import narrow
 from gypsumrelay_dispatch.scheduler_state import SchedulerState, is_usable
 
 if TYPE_CHECKING:
@@ -52,6 +53,16 @@
     scheduler: SchedulerState, request: PlacementRequest, now: float
 ) -> Choice | None:
     """Return the upstreams for an attempt; None if it has to wait."""
+    found = (
+        _choose(scheduler, narrowed, now)
+        for narrowed in narrow(scheduler, request, now)
+    )
+    return next((choice for choice in found if choice is not None), None)
+
+
+def _choose(
+    scheduler: SchedulerState, request: PlacementRequest, now: float
+) -> Choice | None:
     if not request.prompt_tokens:
         return _choose_plain(scheduler, request, now)
     if request.read:
--- a/libs/relay/src/gypsumrelay_relay/building.py
+++ b/libs/relay/src/gypsumrelay_relay/building.py
@@ -10,6 +10,7 @@
 
 import attrs
 from gypsumrelay_dispatch import SchedulerState
+from gypsumrelay_rollouts import Rollouts
 from gypsumrelay_telemetry import new_metrics, set_up_output
 from gypsumrelay_wire import Endpoint, Identity
 
@@ -27,6 +28,8 @@
 )
 from gypsumrelay_relay.metrics import RelayMetrics
 from gypsumrelay_relay.operator_records import OperatorRecords
+from gypsumrelay_relay.rollouts import bounds_of
+from gypsumrelay_relay.rollouts.keeper import RolloutKeeper
 from gypsumrelay_relay.stream_log import StreamLog
 from gypsumrelay_relay.stream_messages import StartKeeper
 
@@ -70,6 +73,7 @@
         heartbeats: Sends and receives heartbeats.
         follower: Follows the store; None before the start.
         stream_log: Saves the starts of streams.
+        rollout_keeper: Keeps the statuses of roll-outs in the store.
         phase_switcher: Sends phase changes to upstreams; None before the
             start.
         servers: The HTTP servers; the first one is for callers.
@@ -82,6 +86,7 @@
     adapter: PlatformAdapter
     heartbeats: Heartbeats
     stream_log: StreamLog
+    rollout_keeper: RolloutKeeper
     follower: StoreFollower | None = None
     phase_switcher: PhaseSwitcher | None = None
     servers: list[Any] = attrs.field(factory=list)
@@ -115,7 +120,8 @@
         coordination.lock,
         open_socket(instance.host, instance.link_port),
     )
-    return Process(relay, adapter, heartbeats, stream_log)
+    keeper = RolloutKeeper(relay, adapter.store, adapter.reader)
+    return Process(relay, adapter, heartbeats, stream_log, keeper)
 
 
 def _coordination(
@@ -131,7 +137,9 @@
         settings=settings.dispatch,
     )
     coordination.actor = Coordinator.start(
-        SchedulerState(settings.dispatch),
+        SchedulerState(
+            settings.dispatch, rollouts=Rollouts(bounds_of(settings.rollouts))
+        ),
         coordination.deliver_answer,
         coordination.publish_crash,
         StartKeeper(stream_log.save, stream_log.request_read),
--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -171,6 +171,7 @@
             self.pending.pop(request.key, None)
             placement = self.active.pop(request.key, None)
             if placement is not None:
+                self.uses.rollouts.record_end(placement, ending)
                 self.known_crashes.record_end(
                     placement, ending, monotonic(), began=began
                 )
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator.py
@@ -10,6 +10,7 @@
 from gypsumrelay_attribution import Cause, Crash, refresh_causes, take_changed
 from gypsumrelay_clock import monotonic
 from gypsumrelay_dispatch import Rejection
+from gypsumrelay_rollouts import apply_orders
 from gypsumrelay_wire import to_retry_ms
 from logbook import Logger
 
@@ -19,6 +20,12 @@
     report_causes,
 )
 from gypsumrelay_relay.digests import short_digest
+from gypsumrelay_relay.rollouts import (
+    ROLLOUT_UPDATES,
+    TakeRolloutWork,
+    apply_rollout_message,
+    take_rollout_work,
+)
 from gypsumrelay_relay.state_events import report
 from gypsumrelay_relay.store_epoch import epoch_of, offset_of
 from gypsumrelay_relay.stream_messages import (
@@ -80,6 +87,8 @@
             return _figures(self.scheduler)
         if isinstance(message, messages.PlanPhaseChange):
             return dispatch.plan_phase_change(self.scheduler, now)
+        if isinstance(message, TakeRolloutWork):
+            return take_rollout_work(self.scheduler.rollouts)
         try:
             decisions = list(self._apply(message, now))
         except Exception:
@@ -245,6 +254,8 @@
     match message:
         case SavedStartsRead() | SavedStartsUnavailable() | SavedStartsLost():
             apply_saved_starts(scheduler, message, now)
+        case _ if isinstance(message, ROLLOUT_UPDATES):
+            apply_rollout_message(scheduler.rollouts, message, now)
         case messages.ConfigurationChanged(state):
             _apply_operator_state(scheduler, state, now)
         case messages.PhaseChangeSent(change):
@@ -265,6 +276,7 @@
 ) -> None:
     configuration = state.configuration
     scheduler.evacuated = state.evacuated
+    apply_orders(scheduler.rollouts, state.rollouts, now)
     dispatch.apply_configuration(
         scheduler,
         configuration.services.values(),
--- a/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from typing import Any, Final
 
+import attrs
 from gypsumrelay_wire import (
     ContentQuarantined,
     LimitEnded,
@@ -16,6 +17,7 @@
     PlaceRequest,
     PromptRead,
     RepeatsUsed,
+    RolloutUsed,
     SendsUsed,
     StreamsBegan,
     SubjectsCompleted,
@@ -37,6 +39,7 @@
     request_message,
     start_to_wire,
 )
+from gypsumrelay_relay.rollouts import RolloutReported, report_from_wire
 from gypsumrelay_relay.stream_messages import StreamsReported
 
 MS_PER_SECOND: Final = 1000
@@ -86,6 +89,8 @@
             return messages.PauseReported(
                 sender, upstream, max(0, started_ms), until
             )
+        case RolloutUsed():
+            return report_from_wire(message, sender)
         case PlaceHeld():
             placement = reported_placement(message, sender, now)
             return messages.PlacementReported(placement)
@@ -112,6 +117,8 @@
 
 def _statement_to_wire(message: Any, now: float) -> Message:
     match message:
+        case RolloutReported(_, found):
+            return RolloutUsed(*attrs.astuple(found))
         case messages.LeavingReported(upstream, started_ms):
             return UpstreamLeaving(upstream, start_to_wire(started_ms))
         case messages.PauseReported(_, upstream, started_ms, until):
--- a/libs/relay/src/gypsumrelay_relay/exchange.py
+++ b/libs/relay/src/gypsumrelay_relay/exchange.py
@@ -174,6 +174,7 @@
                 self.target, self.account_name, admitted.body
             ),
             parts=part_digests(admitted.service, headers.parts),
+            route=admitted.route.name,
         )
 
     def stream_digest(self, request_id: str) -> bytes:
--- a/libs/relay/src/gypsumrelay_relay/metrics.py
+++ b/libs/relay/src/gypsumrelay_relay/metrics.py
@@ -31,6 +31,8 @@
     refused: Counter = attrs.field(init=False)
     attempts: Counter = attrs.field(init=False)
     gauges: Gauge = attrs.field(init=False)
+    rollouts: Gauge = attrs.field(init=False)
+    rollout_changes: Counter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Register the metrics."""
@@ -59,6 +61,18 @@
             ['ending'],
             registry=self.registry,
         )
+        self.rollouts = Gauge(
+            'gypsumrelay_rollout',
+            'Figures of the roll-out that this instance coordinates.',
+            ['service', 'figure'],
+            registry=self.registry,
+        )
+        self.rollout_changes = Counter(
+            'gypsumrelay_rollout_changes',
+            'Changes of roll-outs, by the stage that they led to.',
+            ['stage'],
+            registry=self.registry,
+        )
         self.gauges = Gauge(
             'gypsumrelay_state',
             'Present figures of the instance.',
--- a/libs/relay/src/gypsumrelay_relay/operator_records.py
+++ b/libs/relay/src/gypsumrelay_relay/operator_records.py
@@ -230,6 +230,7 @@
     state = OperatorState(
         configuration,
         operator_records.evacuated.union(operator_records.held_until),
+        operator_records.reader.rollouts(operator_records.latest.records),
     )
     operator_records.state = state
     applied = ConfigurationApplied(
--- a/libs/relay/src/gypsumrelay_relay/placement.py
+++ b/libs/relay/src/gypsumrelay_relay/placement.py
@@ -12,6 +12,7 @@
     Grant,
     PlacementRequest,
     Rejection,
+    RolloutCounts,
 )
 from gypsumrelay_errors import (
     Failure,
@@ -41,6 +42,8 @@
 # Longest time in seconds for which a placement that another coordinator granted
 # is counted; no request runs longer.
 REPORTED_SECONDS: Final = 20.0
+# Counts in a message where no roll-out runs.
+NO_ROLLOUT: Final = RolloutCounts('', 0, 0)
 
 # Failures that a coordinator returns; an unknown code is handled as overload.
 _FAILURES: Final = {
@@ -77,6 +80,7 @@
             none where unknown.
         granted_at: Instant at which this relay got the placement.
         version: Version of the upstream's software; empty where unknown.
+        rollout: Counts of the service's roll-out; None if none is running.
     """
 
     request: PlacementRequest
@@ -92,6 +96,7 @@
     started_ms: Mapping[str, int] = attrs.field(factory=dict)
     granted_at: float = 0
     version: str = ''
+    rollout: RolloutCounts | None = None
 
     @property
     def upstreams(self) -> tuple[str, ...]:
@@ -116,6 +121,7 @@
         grant.retries_used,
         {upstream.name: upstream.started_ms for upstream in granted},
         version=grant.upstream.version,
+        rollout=grant.rollout,
     )
 
 
@@ -143,6 +149,7 @@
         parts=list(request.parts),
         version=request.version,
         resumes=request.resumes,
+        route=request.route,
     )
 
 
@@ -173,6 +180,7 @@
         parts=tuple(message.parts),
         version=message.version,
         resumes=message.resumes,
+        route=message.route,
     )
 
 
@@ -192,6 +200,7 @@
             to_retry_ms(failure.retry_at, now),
         )
     placement = granted_placement(decision)
+    rollout = placement.rollout or NO_ROLLOUT
     return PlaceGranted(
         request.request_id,
         request.attempt,
@@ -208,6 +217,9 @@
         start_to_wire(placement.started_ms.get(placement.upstream, 0)),
         start_to_wire(placement.started_ms.get(placement.prefill, 0)),
         placement.version,
+        rollout_version=rollout.version,
+        rollout_requests=rollout.requests,
+        rollout_sent=rollout.sent,
     )
 
 
@@ -248,6 +260,15 @@
         message.repeats_used,
         started_ms,
         version=message.version,
+        rollout=_rollout_from_wire(message),
+    )
+
+
+def _rollout_from_wire(message: PlaceGranted) -> RolloutCounts | None:
+    if not message.rollout_version:
+        return None
+    return RolloutCounts(
+        message.rollout_version, message.rollout_requests, message.rollout_sent
     )
 
 
--- a/libs/relay/src/gypsumrelay_relay/prefill.py
+++ b/libs/relay/src/gypsumrelay_relay/prefill.py
@@ -51,6 +51,8 @@
         name: The upstream's handle of the cache.
         source: Where a decode upstream fetches the cache.
         prefilled_at: Instant at which the prefill ended.
+        version: Version of the upstream during a roll-out, the only one that
+            may use the cache; else empty.
     """
 
     upstream: str
@@ -58,6 +60,7 @@
     name: str
     source: str
     prefilled_at: float
+    version: str = ''
 
 
 def run_prefill(
@@ -158,6 +161,7 @@
         name,
         source,
         monotonic(),
+        '' if placement.rollout is None else placement.version,
     )
 
 
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -145,6 +145,7 @@
         follower,
         process.stream_log,
         process.phase_switcher,
+        process.rollout_keeper,
     ):
         part.start()
     for target in (register_and_discover, _tick, _send_link_heartbeats):
--- a/libs/relay/src/gypsumrelay_relay/state_reports.py
+++ b/libs/relay/src/gypsumrelay_relay/state_reports.py
@@ -42,6 +42,7 @@
     for placement in coordination.active.values():
         yield messages.PlacementReported(own_placement(placement, now))
     yield from coordination.streams.reports(now)
+    yield from coordination.uses.rollouts.reports(coordination.name)
     yield from _use_reports(coordination, now)
     yield from _crash_reports(coordination, now)
 
--- a/libs/relay/src/gypsumrelay_relay/stream_start.py
+++ b/libs/relay/src/gypsumrelay_relay/stream_start.py
@@ -196,7 +196,11 @@
         return attrs.evolve(request, reread=run.was_prefilled)
     until = run.cache.prefilled_at + CACHE_OFFER_SECONDS
     return attrs.evolve(
-        request, read=True, objective_at=until, wait_until=until
+        request,
+        read=True,
+        objective_at=until,
+        wait_until=until,
+        version=run.version or run.cache.version,
     )
 
 
--- a/libs/relay/src/gypsumrelay_relay/topics.py
+++ b/libs/relay/src/gypsumrelay_relay/topics.py
@@ -4,7 +4,7 @@
 
 import enum
 from collections.abc import Callable, Mapping
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import attrs
 from gypsumrelay_clock import monotonic
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from gypsumrelay_dispatch import Upstream
+    from gypsumrelay_rollouts import Order, Status
 
     from gypsumrelay_relay.routes import Configuration
 
@@ -26,6 +27,7 @@
     members = 'members'
     orders = 'orders'
     streams = 'streams'
+    status = 'status'
 
 
 @attrs.frozen
@@ -79,10 +81,17 @@
     Attributes:
         configuration: The configuration.
         evacuated: Availability zones that get no work.
+        rollouts: Orders to move services to other versions, by service.
     """
 
     configuration: Configuration
     evacuated: frozenset[str]
+    rollouts: Mapping[str, Order] = attrs.field(factory=dict)
+
+
+def read_nothing(records: Mapping[str, bytes]) -> Mapping[str, Any]:
+    """Read nothing; the default without roll-outs."""
+    return {}
 
 
 @attrs.frozen
@@ -96,11 +105,22 @@
             evacuate.
         upstream: Parses the record of one upstream; returns a failure if it is
             invalid.
+        rollouts: Parses the orders in the operator records, by service; an
+            invalid one is returned with its fault.
+        statuses: Parses the statuses of roll-outs, by service.
+        status_record: Returns key and record of the status of a roll-out.
     """
 
     configuration: Callable[[Mapping[str, bytes]], Configuration | Failure]
     evacuated: Callable[[Mapping[str, bytes]], frozenset[str]]
     upstream: Callable[[str, bytes], Upstream | Failure]
+    rollouts: Callable[[Mapping[str, bytes]], Mapping[str, Order]] = (
+        read_nothing
+    )
+    statuses: Callable[[Mapping[str, bytes]], Mapping[str, Status]] = (
+        read_nothing
+    )
+    status_record: Callable[[Status], tuple[str, bytes]] | None = None
 
 
 @attrs.define
--- a/libs/relay/src/gypsumrelay_relay/usage_history.py
+++ b/libs/relay/src/gypsumrelay_relay/usage_history.py
@@ -8,6 +8,8 @@
 import attrs
 from gypsumrelay_dispatch import retry_count
 
+from gypsumrelay_relay.rollouts import RolloutHistory
+
 if TYPE_CHECKING:
     from gypsumrelay_settings import DispatchSettings
 
@@ -63,9 +65,10 @@
 
 @attrs.define
 class UsageHistory:
-    """Recent use of limits, the newest last."""
+    """Recent use of limits, the newest last, and of versions on trial."""
 
     uses: deque[Use] = attrs.field(factory=deque)
+    rollouts: RolloutHistory = attrs.field(factory=RolloutHistory)
 
 
 def record_use(
@@ -85,6 +88,7 @@
         frozenset((coordinator,)),
     )
     history.uses.append(use)
+    history.rollouts.record_grant(placement)
 
 
 def drop_old_uses(
--- /dev/null
+++ b/libs/rollouts/src/gypsumrelay_rollouts/exposure.py
@@ -0,0 +1,57 @@
+"""Bound of the requests that a version on trial may get."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import attrs
+
+# Part of the bound that one coordinator uses. Two of them can exist for a
+# while, and each counts only what it grants.
+BOUND_SHARE: Final = 0.5
+
+
+@attrs.frozen
+class Bounds:
+    """Bounds of all roll-outs of a deployment.
+
+    Attributes:
+        share: Maximum share of a service's requests that a bad version gets.
+        slack: Requests that it may get in addition.
+        enabled: Whether roll-outs are in force.
+    """
+
+    share: float = 0.1
+    slack: float = 0
+    enabled: bool = False
+
+
+@attrs.define
+class Exposure:
+    """Requests since the order.
+
+    Attributes:
+        requests: Requests of the service.
+        sent: Sends to the new version; a request with a separate prefill has
+            two.
+        is_partial: Whether sends before a restart of all instances may be
+            missing. These were within the slack and the share of the requests
+            that are missing as well.
+    """
+
+    requests: int = 0
+    sent: int = 0
+    is_partial: bool = False
+
+
+def allowance(exposure: Exposure, bounds: Bounds) -> float:
+    """Return how many more sends the new version may get now."""
+    slack = 0 if exposure.is_partial else bounds.slack
+    allowed = bounds.share * exposure.requests + slack
+    return BOUND_SHARE * allowed - exposure.sent
+
+
+def restore_exposure(exposure: Exposure, requests: int, sent: int) -> None:
+    """Count what an instance knows of the time before this coordinator."""
+    exposure.requests = max(exposure.requests, requests)
+    exposure.sent = max(exposure.sent, sent)
--- a/libs/settings/src/gypsumrelay_settings/models.py
+++ b/libs/settings/src/gypsumrelay_settings/models.py
@@ -247,13 +247,16 @@
         expose_share: Maximum share of a service's requests, from the order to
             its deadline, that a bad version may get.
         expose_slack: Requests that it may get in addition.
-        rollback_seconds: Time after its 50th bad answer from which a bad
-            version gets no request.
+        rollback_ms: Time in milliseconds after its 50th bad answer from which
+            a bad version gets no request.
+        enabled: Whether orders of roll-outs are carried out. If so, a version
+            that appears later gets requests only by an order.
     """
 
     expose_share: float = bounded(0, 1, default=0.1)
     expose_slack: float = bounded(0, 1_000_000, default=0)
-    rollback_seconds: float = bounded(0.1, 600, default=5)
+    rollback_ms: float = bounded(100, 600_000, default=5000)
+    enabled: bool = False
 
 
 @attrs.frozen
--- a/libs/wire/src/gypsumrelay_wire/placements.py
+++ b/libs/wire/src/gypsumrelay_wire/placements.py
@@ -46,6 +46,7 @@
         version: Software version that the upstreams must have; empty for any.
         resumes: Digest of the start of the stream that the request goes on
             with; empty for a new stream.
+        route: Name of the request's route; empty if unknown.
     """
 
     tag: ClassVar[int] = 40
@@ -70,6 +71,7 @@
     parts: list[bytes] = attrs.field(factory=list)
     version: str = ''
     resumes: bytes = b''
+    route: str = ''
 
 
 @attrs.frozen
@@ -93,6 +95,9 @@
         started_ms: Start of the upstream, Unix milliseconds; 0 if unknown.
         prefill_started_ms: Start of the prefill upstream, likewise.
         version: Version of the upstream's software; empty if unknown.
+        rollout_version: Version to which the service is moved; empty if none.
+        rollout_requests: Requests of the service since that order.
+        rollout_sent: Sends to that version.
     """
 
     tag: ClassVar[int] = 41
@@ -111,6 +116,9 @@
     started_ms: int = 0
     prefill_started_ms: int = 0
     version: str = ''
+    rollout_version: str = ''
+    rollout_requests: int = 0
+    rollout_sent: int = 0
 
 
 @attrs.frozen
@@ -364,3 +372,26 @@
     tag: ClassVar[int] = 58
     version: str
     digests: list[bytes]
+
+
+@attrs.frozen
+class RolloutUsed(Message):
+    """Reports a roll-out under earlier coordinators to the new one.
+
+    Attributes:
+        service: The service.
+        version: The version on trial.
+        requests: Requests of the service since the order, as far as the sender
+            knows.
+        sent: Sends to the version, likewise.
+        answers: Answers of the version to the sender.
+        bad: Failures among them.
+    """
+
+    tag: ClassVar[int] = 66
+    service: str
+    version: str
+    requests: int
+    sent: int
+    answers: int
+    bad: int
