--- a/libs/dispatch/tests/steps/rollouts.py
+++ b/libs/dispatch/tests/steps/rollouts.py
@@ -48,6 +48,7 @@
 THIRD: Final = 'v3'
 BOUNDS: Final = Bounds(0.1, 50, enabled=True)
 ROUTES: Final = ('usual', 'usual', 'usual', 'usual', 'rare')
+SINGLE: Final = 'plain-102'
 TICK: Final = 0.05
 MEMORY: Final = 60_000
 START: Final = 100.0
@@ -56,6 +57,38 @@
 DECODE_SECONDS: Final = 1.5
 
 
+@attrs.frozen
+class Send:
+    """A request that an upstream gets.
+
+    Attributes:
+        one: The upstream.
+        route: Route of the request.
+        at: Instant of the send.
+        running: Requests that the upstream runs.
+    """
+
+    one: Any
+    route: str = ''
+    at: float = 0
+    running: int = 0
+
+    @property
+    def is_new(self) -> bool:
+        """Return whether the upstream is of the new version."""
+        return bool(self.one.version == NEW)
+
+
+def never_fails(send: Send) -> float:
+    """Return the part of the answers that are failures."""
+    return 0
+
+
+def never_slow(send: Send) -> float:
+    """Return the factor of the time that an answer takes."""
+    return 1
+
+
 @attrs.define
 class World:
     """Upstreams of several versions, and what goes to them."""
@@ -66,8 +99,8 @@
     scheduler: Any = None
     now: float = START
     orders: list[tuple[float, Order]] = attrs.field(factory=list)
-    fails: Callable[[Any, str, float, int], float] = lambda *_: 0.0
-    slows: Callable[[Any, float], float] = lambda *_: 1.0
+    fails: Callable[[Send], float] = never_fails
+    slows: Callable[[Send], float] = never_slow
     store_until: float = float('inf')
     dies_at: float = float('inf')
     is_reported: bool = True
@@ -165,73 +198,63 @@
 def give_fault(context: Any, fault: str) -> None:
     world = context.world
     words = fault.split()
+    if fault.endswith('times slower'):
+        factor = float(words[0])
+        world.slows = lambda send: factor if send.is_new else 1
+    elif fault != 'good':
+        world.fails = failing(words)
 
-    def is_new(one: Any) -> bool:
-        return bool(one.version == NEW)
 
-    if fault == 'good':
-        return
-    if fault.startswith('failing in'):
-        part = int(words[2]) / 100
-        world.fails = lambda one, *_: part * is_new(one)
-    elif fault.endswith('times slower'):
-        factor = float(words[0])
-        world.slows = lambda one, _: factor if is_new(one) else 1.0
-    elif fault.startswith('failing from'):
-        since = START + int(words[3])
-        world.fails = lambda one, _, now, __: 0.5 * is_new(one) * (now >= since)
-    elif fault == 'failing under load':
-        world.fails = lambda one, _, __, running: (
-            0.6 * is_new(one) * (running >= 2)
-        )
-    else:
-        assert fault == 'failing on one route'
-        world.fails = lambda one, route, *_: (
-            0.5 * is_new(one) * (route == 'rare')
-        )
+def failing(words: list[str]) -> Callable[[Send], float]:
+    """Return which part of the new version's answers are failures."""
+    match words:
+        case ['failing', 'in', part, *_]:
+            return lambda send: int(part) / 100 * send.is_new
+        case ['failing', 'from', 'second', second, *_]:
+            since = START + int(second)
+            return lambda send: 0.5 * (send.is_new and send.at >= since)
+        case ['failing', 'under', 'load']:
+            return lambda send: 0.6 * (send.is_new and send.running >= 2)
+    assert words == ['failing', 'on', 'one', 'route']
+    return lambda send: 0.5 * (send.is_new and send.route == 'rare')
 
 
 @given('all upstreams fail in {part:d} of 100 from second 10 on')
 def give_common_failures(context: Any, part: int) -> None:
-    context.world.fails = lambda _, __, now, ___: (
-        part / 100 * (now >= START + 10)
-    )
+    context.world.fails = lambda send: part / 100 * (send.at >= START + 10)
 
 
 @given('all upstreams fail in {part:d} of 100')
 def give_noise(context: Any, part: int) -> None:
-    context.world.fails = lambda *_: part / 100
+    context.world.fails = lambda send: part / 100
 
 
 @given('all upstreams are {factor:d} times slower for 10 seconds')
 def give_common_slowness(context: Any, factor: int) -> None:
-    context.world.slows = lambda _, now: (
-        float(factor) if START + 15 <= now < START + 25 else 1.0
+    context.world.slows = lambda send: (
+        factor if START + 15 <= send.at < START + 25 else 1
     )
 
 
 @given('new upstreams that are slow at first')
 def give_cold(context: Any) -> None:
-    world = context.world
     used: dict[str, float] = {}
 
-    def slows(one: Any, now: float) -> float:
-        first = used.setdefault(one.name, now)
-        return 6.0 if one.version == NEW and now < first + 1.0 else 1.0
+    def slows(send: Send) -> float:
+        first = used.setdefault(send.one.name, send.at)
+        return 6 if send.is_new and send.at < first + 1 else 1
 
-    world.slows = slows
+    context.world.slows = slows
 
 
 @given('a single new upstream that fails always')
 def give_single_bad(context: Any) -> None:
-    context.world.fails = lambda one, *_: float(one.name == 'plain-102')
+    context.world.fails = lambda send: float(send.one.name == SINGLE)
 
 
 @given('a single new upstream that is {factor:d} times slower')
 def give_single_slow(context: Any, factor: int) -> None:
-    context.world.slows = lambda one, _: (
-        float(factor) if one.name == 'plain-102' else 1.0
-    )
+    context.world.slows = lambda send: factor if send.one.name == SINGLE else 1
 
 
 @given('the store does not answer from second {second:d} on')
@@ -291,17 +314,21 @@
             world.now = next_request
             arrive(world, source)
             next_request += source.expovariate(rate)
-        while world.events and world.events[0][0] < due:
-            world.now, _, event = heapq.heappop(world.events)
-            event()
+        happen(world, due)
         world.now = due
         step(world)
-    while world.events:
-        world.now, _, event = heapq.heappop(world.events)
-        event()
+    happen(world, float('inf'))
     step(world)
 
 
+def happen(world: World, until: float) -> None:
+    """Let the answers come that are due."""
+    while world.events and world.events[0][0] < until:
+        at, _, event = heapq.heappop(world.events)
+        world.now = at
+        event()
+
+
 def step(world: World) -> None:
     scheduler = world.scheduler
     if world.now >= world.dies_at:
@@ -356,10 +383,10 @@
         world.grants.append((world.now, decision))
         if decision.rollout is not None:
             note(world, decision)
-        if decision.prefill is not None:
-            prefill(world, decision)
-        else:
+        if decision.prefill is None:
             serve(world, decision)
+        else:
+            prefill(world, decision)
 
 
 def note(world: World, grant: Grant) -> None:
@@ -385,7 +412,8 @@
     key = grant.request.key
     busy = world.running[one.name]
     world.running[one.name] += 1
-    seconds = PREFILL_SECONDS * world.slows(one, world.now)
+    send = Send(one, grant.request.route, world.now, busy)
+    seconds = PREFILL_SECONDS * world.slows(send)
     seconds *= source.uniform(0.8, 1.3) + busy
 
     def end() -> None:
@@ -404,10 +432,11 @@
     running = world.running[one.name]
     world.running[one.name] += 1
     usual = DECODE_SECONDS if world.kind == 'model' else PLAIN_SECONDS
-    seconds = usual * source.uniform(0.6, 1.4) * world.slows(one, world.now)
-    route = grant.request.route
-    is_failed = source.random() < world.fails(one, route, world.now, running)
-    is_bad = is_failed or world.slows(one, world.now) > 1
+    send = Send(one, grant.request.route, world.now, running)
+    slowness = world.slows(send)
+    seconds = usual * source.uniform(0.6, 1.4) * slowness
+    is_failed = source.random() < world.fails(send)
+    is_bad = is_failed or slowness > 1
 
     def end() -> None:
         world.running[one.name] -= 1
@@ -426,7 +455,7 @@
 @when('requests arrive at {rate:d} a second')
 def arrive_all(context: Any, rate: int) -> None:
     context.rate = rate
-    run(context.world, rate, 80 if not hasattr(context, 'second_at') else 110)
+    run(context.world, rate, 110 if hasattr(context, 'second_at') else 80)
 
 
 @when('requests arrive at {rate:d} a second for {seconds:d} seconds')
@@ -456,16 +485,7 @@
 
 def ended_at(world: World, stage: str) -> float:
     found = [at for at, one in world.changes if one.stage.value == stage]
-    assert found, [
-        (
-            round(at - START, 1),
-            one.stage.value,
-            one.share,
-            one.reason,
-            one.comparison,
-        )
-        for at, one in world.changes
-    ]
+    assert found, world.changes
     return found[-1]
 
 
@@ -484,7 +504,8 @@
     world = context.world
     version = {'old': OLD, 'third': THIRD}[which]
     assert ended_at(world, 'completed')
-    assert world.changes[-1][1].order.version == version
+    _, change = world.changes[-1]
+    assert change.order.version == version
     assert world.store[SERVICE].state.value == 'completed'
 
 
@@ -559,7 +580,8 @@
 
 @then('nothing has gone to the new version')
 def check_nothing(context: Any) -> None:
-    versions = {one.upstream.version for _, one in context.world.grants}
+    granted = context.world.grants
+    versions = {grant.upstream.version for _, grant in granted}
     assert versions == {OLD}, versions
 
 
--- a/libs/rollouts/src/gypsumrelay_rollouts/decision.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/decision.py
@@ -24,22 +24,26 @@
 MIN_ANSWERS: Final = 10
 # Score from which the new version is neither raised nor completed.
 DOUBT_SCORE: Final = 3.0
+# Score from which the canary gets more, so that doubt is settled sooner.
+SUSPICION_SCORE: Final = 1.5
 # Requests that run at the new version until it has given `MIN_ANSWERS`.
 PROBE_REQUESTS: Final = 8
 # Sends for which the canary waits after its allowance was used up. Sent close
 # together they load an upstream as full traffic does.
 BURST_SENDS: Final = 8
-# Shares of the traffic after the canary, and the time at each in seconds. The
-# rest stays with the old version, as a comparison.
+# Shares of the traffic after the canary. The rest stays with the old version,
+# as a comparison.
 SHARES: Final = (0.25, 0.5, 0.9)
-STEP_SECONDS: Final = 1.0
+# Bounds of the time at each share in seconds. Between them it is the longest
+# request, since the evidence of a share comes with the ends of its requests.
+STEP_SECONDS: Final = (1.0, 3.0)
 # Time in seconds at full share before the roll-out may be completed; grants of
 # places at old upstreams are under way for less.
 DRAIN_SECONDS: Final = 1.0
 # The share is raised this long before the deadline: the longest request at the
-# old version, with a margin, and the time for the steps and the status record.
+# old version, with a margin, the steps, and the time for the status record.
 DRAIN_FACTOR: Final = 1.5
-LEAD_SECONDS: Final = 5.0
+LEAD_SECONDS: Final = 2.0
 MIN_LEAD_SECONDS: Final = 6.0
 MAX_LEAD_SHARE: Final = 0.5
 # Interval in seconds between two judgements of the evidence.
@@ -109,6 +113,7 @@
         summary: The evidence at the last judgement.
         suspects: New upstreams that get nothing more, since only they are
             worse than the old version.
+        in_doubt: Whether the new version may be worse than the old one.
         judged_at: Instant of the last judgement.
         longest_seconds: Longest request at the old version.
         is_paused: Whether the canary waits for its allowance.
@@ -131,6 +136,7 @@
     evidence: Evidence = attrs.field(factory=Evidence)
     summary: Summary = attrs.field(factory=Summary)
     suspects: frozenset[str] = frozenset()
+    in_doubt: bool = False
     judged_at: float = float('-inf')
     longest_seconds: float = 0
     is_paused: bool = False
@@ -188,7 +194,8 @@
 
     Until then a version that turns bad late has got no more than its bound.
     """
-    lead = DRAIN_FACTOR * rollout.longest_seconds + LEAD_SECONDS
+    steps = len(SHARES) * _step_seconds(rollout)
+    lead = DRAIN_FACTOR * rollout.longest_seconds + steps + LEAD_SECONDS
     longest_lead = MAX_LEAD_SHARE * rollout.order.duration_seconds
     lead = min(longest_lead, max(MIN_LEAD_SECONDS, lead))
     return rollout.deadline - lead
@@ -215,7 +222,7 @@
     answers = sum(rollout.evidence.counted.values())
     if answers < MIN_ANSWERS and running_new >= PROBE_REQUESTS:
         return False
-    allowed = allowance(rollout.exposure, bounds)
+    allowed = allowance(rollout.exposure, bounds, in_doubt=rollout.in_doubt)
     if allowed < sends:
         rollout.is_paused = True
     elif allowed >= BURST_SENDS:
@@ -255,6 +262,7 @@
     rollout.judged_at = now
     rollout.summary = summarize(rollout.evidence)
     rollout.suspects = suspects(rollout.summary) & situation.alternatives
+    rollout.in_doubt = _worst(rollout).score >= SUSPICION_SCORE
     if not rollout.is_trusted:
         bad = find_bad(rollout.summary, situation.alternatives)
         if bad is not None:
@@ -338,7 +346,7 @@
 def _raise_share(
     rollout: Rollout, situation: Situation, now: float
 ) -> Change | None:
-    is_over = now >= rollout.changed_at + STEP_SECONDS
+    is_over = now >= rollout.changed_at + _step_seconds(rollout)
     if not is_over or not situation.store_available:
         return None
     found = _worst(rollout)
@@ -363,6 +371,11 @@
     return move(rollout, Stage.completed, 'drained', now, found, 1)
 
 
+def _step_seconds(rollout: Rollout) -> float:
+    shortest, longest = STEP_SECONDS
+    return min(longest, max(shortest, rollout.longest_seconds))
+
+
 def _worst(rollout: Rollout) -> Comparison:
     """Return the worst comparison, without a single bad upstream."""
     lone = rollout.suspects if len(rollout.suspects) == 1 else frozenset()
--- a/libs/rollouts/src/gypsumrelay_rollouts/exposure.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/exposure.py
@@ -8,7 +8,9 @@
 
 # Part of the bound that one coordinator uses. Two of them can exist for a
 # while, and each counts only what it grants.
-BOUND_SHARE: Final = 0.5
+BOUND_PART: Final = 0.5
+# The same while the evidence is doubtful, so that it is settled sooner.
+DOUBT_PART: Final = 0.75
 
 
 @attrs.frozen
@@ -44,11 +46,14 @@
     is_partial: bool = False
 
 
-def allowance(exposure: Exposure, bounds: Bounds) -> float:
+def allowance(
+    exposure: Exposure, bounds: Bounds, *, in_doubt: bool = False
+) -> float:
     """Return how many more sends the new version may get now."""
+    part = DOUBT_PART if in_doubt else BOUND_PART
     slack = 0 if exposure.is_partial else bounds.slack
     allowed = bounds.share * exposure.requests + slack
-    return BOUND_SHARE * allowed - exposure.sent
+    return part * allowed - exposure.sent
 
 
 def restore_exposure(exposure: Exposure, requests: int, sent: int) -> None:
