Hold versions without an order for five seconds, and bar ended ones

Cause: a version that appears before its order is known would get an equal share; one that is released without an order must still be used. Change: such a version waits five seconds; reverted versions, and the old ones after a completion, get nothing without another order. Two bad answers beside the worst upstream confirm a bad version; three were needed in effect.

--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
@@ -243,7 +243,7 @@
             upstream = load.upstream
             known = versions.setdefault(upstream.service, set())
             known.add(upstream.version)
-    apply_versions(scheduler.rollouts, versions)
+    apply_versions(scheduler.rollouts, versions, now)
 
 
 def apply_departure(
--- a/libs/dispatch/tests/steps/rollouts.py
+++ b/libs/dispatch/tests/steps/rollouts.py
@@ -585,6 +585,13 @@
     assert versions == {OLD}, versions
 
 
+@then('requests have gone to both versions')
+def check_both(context: Any) -> None:
+    granted = context.world.grants
+    versions = {grant.upstream.version for _, grant in granted}
+    assert versions == {OLD, NEW}, versions
+
+
 @then('all requests were placed')
 def check_placed(context: Any) -> None:
     world = context.world
--- a/libs/rollouts/src/gypsumrelay_rollouts/__init__.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/__init__.py
@@ -24,14 +24,11 @@
 )
 from gypsumrelay_rollouts.exposure import Bounds, Exposure, allowance
 from gypsumrelay_rollouts.orders import Order, State, Status
+from gypsumrelay_rollouts.progress import advance_all, apply_orders
 from gypsumrelay_rollouts.state import (
     Report,
     Rollouts,
-    advance_all,
-    apply_orders,
     apply_report,
-    apply_statuses,
-    apply_versions,
     mark_written,
     may_place,
     may_use,
@@ -39,6 +36,8 @@
     set_leading,
     unwritten_statuses,
 )
+from gypsumrelay_rollouts.statuses import apply_statuses
+from gypsumrelay_rollouts.versions import apply_versions
 
 __all__ = (
     'Answer',
--- a/libs/rollouts/src/gypsumrelay_rollouts/decision.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/decision.py
@@ -146,6 +146,13 @@
     is_refusal_noted: bool = False
     written: Status | None = None
 
+    @property
+    def versions(self) -> frozenset[str]:
+        """Return the ordered version, and that of a replaced order."""
+        former = self.former
+        known = frozenset((self.order.version,))
+        return known if former is None else known | former.versions
+
     @property
     def is_final(self) -> bool:
         """Return whether the roll-out has ended."""
--- a/libs/rollouts/src/gypsumrelay_rollouts/evidence.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/evidence.py
@@ -38,7 +38,7 @@
 # test is repeated after each answer, so that three would be reached by chance.
 BAD_SCORE: Final = 4.0
 # The same for the upstreams beside the worst one, which have to confirm it.
-CONFIRMING_SCORE: Final = 2.0
+CONFIRMING_SCORE: Final = 1.5
 MIN_CONFIRMING: Final = 2
 # The same for one upstream, which then gets nothing more.
 SUSPECT_SCORE: Final = 3.0
--- /dev/null
+++ b/libs/rollouts/tests/rollouts.feature
@@ -0,0 +1,102 @@
+Feature: Decisions on a roll-out
+
+  Guards against an exposure above the bound, against verdicts that a fault of
+  both versions or a single upstream causes, and against a new coordinator that
+  repeats or undoes what was decided.
+
+  Scenario Outline: The allowance of the canary
+    Given <requests> requests and <sent> sends under a share of 0.1 and a slack of 50
+    And the counts are <counts>
+    Then <allowed> more sends are allowed
+
+    Examples:
+      | requests | sent | counts   | allowed |
+      | 0        | 0    | complete | 25      |
+      | 1000     | 50   | complete | 25      |
+      | 1000     | 80   | complete | -5      |
+      | 1000     | 0    | partial  | 50      |
+      | 1000     | 50   | in doubt | 62.5    |
+
+  Scenario Outline: Answers of both versions
+    Given <old_bad> of <old> answers of the old version are bad
+    And <new_bad> of <new> answers of <upstreams> new upstreams are bad
+    Then the new version is <verdict>
+
+    Examples:
+      | old_bad | old | new_bad | new | upstreams | verdict  |
+      | 0       | 100 | 5       | 20  | 2         | bad      |
+      | 0       | 100 | 4       | 20  | 2         | not bad  |
+      | 0       | 100 | 0       | 20  | 2         | not bad  |
+      | 30      | 100 | 8       | 20  | 2         | not bad  |
+      | 30      | 100 | 19      | 20  | 2         | bad      |
+      | 0       | 100 | 5       | 20  | 1         | bad      |
+      | 0       | 0   | 5       | 20  | 2         | not bad  |
+      | 0       | 0   | 10      | 20  | 2         | bad      |
+
+  Scenario: All bad answers are of one of several upstreams
+    Given 0 of 100 answers of the old version are bad
+    And 10 of 10 answers of one new upstream are bad, and 0 of 10 of another
+    Then the new version is not bad
+    And the first new upstream is a suspect
+
+  Scenario: A crash ends many requests at once
+    Guards against a version that is blamed for one crashed machine.
+    Given 0 of 100 answers of the old version are bad
+    When a new upstream with 40 requests crashes
+    Then 1 bad answer is counted
+
+  Scenario Outline: A slow answer
+    Given 20 answers of the old version took 1 second each
+    When an answer of a new upstream that has given <before> answers takes <seconds> seconds
+    Then it counts as <verdict>
+
+    Examples:
+      | before | seconds | verdict |
+      | 10     | 4       | bad     |
+      | 10     | 1.5     | good    |
+      | 0      | 4       | good    |
+
+  Scenario Outline: A new coordinator reads the status
+    Given an order for "v2" in a service whose upstreams are of "v1" and "v2"
+    When a new coordinator reads the status <status>
+    Then new requests may go to <versions>
+    And the roll-out is <stage>
+
+    Examples:
+      | status             | versions  | stage     |
+      | completed of v2    | v2        | completed |
+      | reverted of v2     | v1        | reverted  |
+      | running of v2      | v1 and v2 | canary    |
+      | running of v3      | v1 and v2 | canary    |
+      | completed of v1    | v1 and v2 | canary    |
+      | refused of v2      | v1        | refused   |
+
+  Scenario: A new coordinator before it reads the status
+    Given an order for "v2" in a service whose upstreams are of "v1" and "v2"
+    Then a request that is bound to "v2" waits
+
+  Scenario: A coordinator learns that another one has decided
+    Guards against two coordinators that disagree for long.
+    Given an order for "v2" in a service whose upstreams are of "v1" and "v2"
+    When a new coordinator reads the status running of v2
+    And it reads the status reverted of v2 later
+    Then new requests may go to v1
+    And the roll-out is reverted
+
+  Scenario Outline: What relays report to a new coordinator
+    Given an order for "v2" in a service whose upstreams are of "v1" and "v2"
+    When a new coordinator reads the status running of v2
+    And relays report <first> and <second> sends of <requests> requests
+    Then it counts <counted> sends
+    And its counts are complete
+
+    Examples:
+      | first | second | requests | counted |
+      | 12    | 30     | 400      | 30      |
+      | 30    | 12     | 400      | 30      |
+
+  Scenario: All relays have ended
+    Guards against a slack that is used once more after each restart.
+    Given an order for "v2" in a service whose upstreams are of "v1" and "v2"
+    When a new coordinator reads the status running of v2
+    Then its counts are partial
