Keep the status of roll-outs consistent between coordinators, and document roll-outs

Cause: a former coordinator whose write was rejected read the status of the present one, and replaced it with its own end on the next try. Change: the end that the store has counts; the other versions come back into force.

--- a/libs/rollouts/src/gypsumrelay_rollouts/statuses.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/statuses.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from gypsumrelay_rollouts.decision import Rollout, Stage
+from gypsumrelay_rollouts.decision import Rollout, Stage, status_of
 from gypsumrelay_rollouts.orders import (
     IN_FORCE,
     Order,
@@ -16,7 +16,12 @@
     is_status_of,
 )
 from gypsumrelay_rollouts.state import Rollouts
-from gypsumrelay_rollouts.versions import bar_version, keep_others, put_in_force
+from gypsumrelay_rollouts.versions import (
+    bar_version,
+    keep_others,
+    put_in_force,
+    restore_others,
+)
 
 MS_PER_SECOND: Final = 1000
 
@@ -62,10 +67,11 @@
 ) -> None:
     for service, status in statuses.items():
         rollout = rollouts.current.get(service)
-        if rollout is None or rollout.is_final or status.refusal:
+        if rollout is None or status.refusal or rollout.refusal:
             continue
         is_end = status.state is not State.running
-        if is_end and is_status_of(status, rollout.order):
+        is_news = is_end and status.state is not status_of(rollout).state
+        if is_news and is_status_of(status, rollout.order):
             _apply_status(rollouts, rollout, status, left_seconds)
 
 
@@ -105,6 +111,7 @@
     if not status.refusal:
         rollout.stage = Stage.reverted
         bar_version(rollouts, status.service, status.version)
+        restore_others(rollouts, status.service, status.version)
         return
     rollout.stage = Stage.refused
     if status.refusal == IN_FORCE:
--- a/libs/rollouts/src/gypsumrelay_rollouts/versions.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/versions.py
@@ -69,6 +69,19 @@
     keep_others(rollouts, service, version)
 
 
+def restore_others(rollouts: Rollouts, service: str, version: str) -> None:
+    """Put the other versions back into force after another decision.
+
+    A coordinator that has completed a roll-out learns that another one had
+    reverted it.
+    """
+    if rollouts.in_force.get(service) != {version}:
+        return
+    others = rollouts.listed.get(service, frozenset()) - {version}
+    rollouts.in_force[service] = others
+    rollouts.barred[service] = frozenset((version,))
+
+
 def keep_others(rollouts: Rollouts, service: str, version: str) -> None:
     """Put a version out of force if there is another one in force."""
     others = rollouts.in_force.get(service, frozenset()) - {version}
--- a/tools/write_reference.py
+++ b/tools/write_reference.py
@@ -33,6 +33,7 @@
         settings.StoreSettings,
         settings.DispatchSettings,
         settings.ShutdownSettings,
+        settings.RolloutSettings,
     ),
     'configuration.md': (
         configuration.Configuration,
