--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
@@ -236,11 +236,14 @@
 
 
 def _apply_versions(scheduler: SchedulerState, now: float) -> None:
-    """Apply the versions of all upstreams that are listed or still in use."""
+    """Apply the versions of all upstreams that may get requests.
+
+    If only upstreams that leave are left of a version, another one is needed.
+    """
     versions: dict[str, set[str]] = {}
     for load in scheduler.loads.values():
-        if now < load.usable_until:
-            upstream = load.upstream
+        upstream = load.upstream
+        if now < load.usable_until and not upstream.leaving:
             known = versions.setdefault(upstream.service, set())
             known.add(upstream.version)
     apply_versions(scheduler.rollouts, versions, now)
--- a/libs/dispatch/tests/rollouts.feature
+++ b/libs/dispatch/tests/rollouts.feature
@@ -27,6 +27,7 @@
     Then the new version is reverted by the deadline
     And the new version got no more than its exposure
     And it got nothing later than 5 seconds after its 50th bad answer
+    And it got nothing after it was reverted
     And prefill and decode of each request are of one version
 
     Examples:
@@ -83,6 +84,14 @@
     When requests arrive at 40 a second for 8 seconds
     Then requests have gone to both versions
 
+  Scenario: All old upstreams leave without an order
+    Guards against a version that waits for an order while nothing else serves.
+    Given 3 old and 3 new plain upstreams
+    And the old upstreams leave at second 2
+    When requests arrive at 40 a second for 5 seconds
+    Then all requests were placed
+    And requests have gone to both versions
+
   Scenario Outline: An order that cannot be carried out is refused
     Given 3 old and 3 new plain upstreams
     And an order <order>
--- a/libs/dispatch/tests/steps/rollouts.py
+++ b/libs/dispatch/tests/steps/rollouts.py
@@ -116,6 +116,7 @@
     requests: int = 0
     left_running: int = -1
     rejected: int = 0
+    leave_at: float = float('inf')
 
     def version_of(self, name: str) -> str:
         """Return the version of an upstream."""
@@ -273,6 +274,11 @@
     context.world.is_reported = False
 
 
+@given('the old upstreams leave at second {second:d}')
+def give_leaving(context: Any, second: int) -> None:
+    context.world.leave_at = START + second
+
+
 @given('the statuses cannot be read')
 def give_unread(context: Any) -> None:
     context.world.reads_statuses = False
@@ -337,6 +343,12 @@
         world.running.clear()
         begin_term(world)
         scheduler = world.scheduler
+    if world.now >= world.leave_at:
+        world.leave_at = float('inf')
+        leaving = [
+            attrs.evolve(one, leaving=one.version == OLD) for one in world.pool
+        ]
+        apply_upstreams(scheduler, leaving, world.now)
     rollouts = scheduler.rollouts
     known = {
         order.service: order for at, order in world.orders if at <= world.now
@@ -573,6 +585,18 @@
     assert len(bad) < 50 or last <= bad[49] + 5
 
 
+@then('it got nothing after it was reverted')
+def check_stopped(context: Any) -> None:
+    world = context.world
+    at = ended_at(world, 'reverted')
+    late = [
+        grant
+        for when, grant in world.grants
+        if when > at and grant.upstream.version == NEW
+    ]
+    assert not late, len(late)
+
+
 @then('at least {count:d} of them are completed')
 def check_most(context: Any, count: int) -> None:
     assert context.ends.count('completed') >= count, context.ends
--- a/libs/rollouts/src/gypsumrelay_rollouts/versions.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/versions.py
@@ -75,7 +75,7 @@
     A coordinator that has completed a roll-out learns that another one had
     reverted it.
     """
-    if rollouts.in_force.get(service) != {version}:
+    if rollouts.in_force.get(service) != frozenset((version,)):
         return
     others = rollouts.listed.get(service, frozenset()) - {version}
     rollouts.in_force[service] = others
--- a/libs/rollouts/tests/rollouts.feature
+++ b/libs/rollouts/tests/rollouts.feature
@@ -39,6 +39,12 @@
     Then the new version is not bad
     And the first new upstream is a suspect
 
+  Scenario: A version is bad on one route, while all fail on another
+    Guards against a bad route that the noise of the others hides.
+    Given on route "usual" 30 of 100 old and 60 of 200 new answers are bad
+    And on route "rare" 0 of 50 old and 8 of 20 new answers are bad
+    Then the new version is bad
+
   Scenario: A crash ends many requests at once
     Guards against a version that is blamed for one crashed machine.
     Given 0 of 100 answers of the old version are bad
--- a/libs/rollouts/tests/steps/rollouts.py
+++ b/libs/rollouts/tests/steps/rollouts.py
@@ -59,13 +59,19 @@
 
 
 def add_answers(
-    context: Any, upstreams: list[str], bad: int, total: int, *, is_new: bool
+    context: Any,
+    upstreams: list[str],
+    bad: int,
+    total: int,
+    *,
+    is_new: bool,
+    route: str = 'route',
 ) -> None:
     if not hasattr(context, 'evidence'):
         context.evidence = Evidence()
     for number in range(total):
         name = upstreams[number % len(upstreams)]
-        answer = Answer(name, is_new, 'route', 'plain', number < bad)
+        answer = Answer(name, is_new, route, 'plain', number < bad)
         observe(context.evidence, answer, NOW)
 
 
@@ -92,6 +98,20 @@
     add_answers(context, ['new-1'], 0, 10, is_new=True)
 
 
+@given(
+    'on route "{route}" {old_bad:d} of {old:d} old and {new_bad:d} of {new:d} '
+    'new answers are bad'
+)
+def give_route(
+    context: Any, route: str, old_bad: int, old: int, new_bad: int, new: int
+) -> None:
+    context.upstreams = ['new-0', 'new-1']
+    add_answers(context, ['old'], old_bad, old, is_new=False, route=route)
+    add_answers(
+        context, context.upstreams, new_bad, new, is_new=True, route=route
+    )
+
+
 @then('the new version is {verdict}')
 def check_verdict(context: Any, verdict: str) -> None:
     several = len(context.upstreams) > 1
