--- a/libs/dispatch/src/gypsumrelay_dispatch/loads.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/loads.py
@@ -61,6 +61,8 @@
         is_restored: Whether an earlier coordinator granted it, so that the
             instant of the grant is unknown.
         running_at_grant: Requests at the upstream after the grant.
+        prefill_ahead_ms: Estimated time of the prefills that ran before it, in
+            milliseconds.
     """
 
     request: PlacementRequest
@@ -72,6 +74,7 @@
     prefilled_by: str = ''
     is_restored: bool = False
     running_at_grant: int = 1
+    prefill_ahead_ms: float = 0
 
 
 @attrs.define
--- a/libs/dispatch/src/gypsumrelay_dispatch/models.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/models.py
@@ -160,6 +160,7 @@
             the stream; empty for any.
         resumes: Digest of the start of the stream that the request goes on
             with; empty for a new stream.
+        route: Name of the request's route.
     """
 
     request_id: str
@@ -184,6 +185,7 @@
     parts: tuple[bytes, ...] = ()
     version: str = ''
     resumes: bytes = b''
+    route: str = ''
 
     @property
     def key(self) -> tuple[str, int]:
@@ -191,6 +193,21 @@
         return (self.request_id, self.attempt)
 
 
+@attrs.frozen
+class RolloutCounts:
+    """Counts of a roll-out, as its coordinator knows them.
+
+    Attributes:
+        version: The version on trial.
+        requests: Requests of the service since the order.
+        sent: Sends to the version, with those of this grant.
+    """
+
+    version: str
+    requests: int
+    sent: int
+
+
 @attrs.frozen
 class Grant:
     """Grant of a placement request and its details.
@@ -207,6 +224,7 @@
         retries_used: Retries of the service that are counted in the window.
         urgency: Urgency that engines admit and preempt the request by, 0 to 9;
             -1 for none.
+        rollout: Counts of the service's roll-out; None if none is running.
     """
 
     request: PlacementRequest
@@ -218,6 +236,7 @@
     rate_limits: Mapping[str, float] = attrs.field(factory=dict)
     retries_used: int = 0
     urgency: int = -1
+    rollout: RolloutCounts | None = None
 
 
 @attrs.frozen
--- a/libs/dispatch/src/gypsumrelay_dispatch/results.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/results.py
@@ -26,6 +26,10 @@
     observe_prefill_end,
 )
 from gypsumrelay_dispatch.queueing import MS_PER_SECOND, withdraw
+from gypsumrelay_dispatch.rollouts import (
+    observe_answer,
+    observe_prefill_answer,
+)
 from gypsumrelay_dispatch.scheduler_state import (
     SchedulerState,
     remove_placement,
@@ -100,6 +104,7 @@
     load.prefill_work_ms.pop(key, None)
     if ending is not Ending.answered:
         attribute(scheduler, placement, load, ending, now, began=False)
+    observe_prefill_answer(scheduler, placement, load, ending, now)
     seconds = now - placement.granted_at
     observe_prefill_end(scheduler, load, placement, ending, now)
     if ending is Ending.answered:
@@ -143,6 +148,7 @@
     if load is not None and not placement.prefill:
         seconds = now - placement.granted_at
         observe_ending(load, ending, seconds, scheduler.settings, now)
+        observe_answer(scheduler, placement, load, ending, now)
         if is_direct_prefill(placement):
             load.direct_prefill_until = min(load.direct_prefill_until, now)
         attribute(scheduler, placement, load, ending, now, began=began)
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
@@ -8,6 +8,7 @@
 from gypsumrelay_attribution import CrashHistory, PendingLosses
 from gypsumrelay_fairness import Fairness, Group
 from gypsumrelay_performance import LimitChange
+from gypsumrelay_rollouts import Rollouts, apply_versions, may_use
 
 from gypsumrelay_dispatch.accounts import Accounts, set_accounts
 from gypsumrelay_dispatch.crashes import confirm
@@ -137,6 +138,7 @@
         fairness: What is known of competing callers; empty with the queue
             policy `strict`.
         transfers: Observed times of KV cache transfers.
+        rollouts: Roll-outs of software versions.
     """
 
     settings: DispatchSettings
@@ -167,6 +169,7 @@
     limit_changes: list[LimitChange] = attrs.field(factory=list)
     fairness: Fairness = attrs.field(factory=Fairness)
     transfers: Transfers = attrs.field(factory=Transfers)
+    rollouts: Rollouts = attrs.field(factory=Rollouts)
 
     @property
     def retry_limit(self) -> RetryLimit:
@@ -254,6 +257,21 @@
         if gone.usable_until > now:
             _confirm_crash(scheduler, gone, now)
         gone.usable_until = min(gone.usable_until, now + grace)
+    _apply_versions(scheduler, now)
+
+
+def _apply_versions(scheduler: SchedulerState, now: float) -> None:
+    """Apply the versions of all upstreams that may get requests.
+
+    If only upstreams that leave are left of a version, another one is needed.
+    """
+    versions: dict[str, set[str]] = {}
+    for load in scheduler.loads.values():
+        upstream = load.upstream
+        if now < load.usable_until and not upstream.leaving:
+            known = versions.setdefault(upstream.service, set())
+            known.add(upstream.version)
+    apply_versions(scheduler.rollouts, versions, now)
 
 
 def apply_departure(
@@ -295,6 +313,7 @@
         not upstream.leaving
         and upstream.availability_zone not in scheduler.evacuated
         and now < load.usable_until
+        and may_use(scheduler.rollouts, upstream.service, upstream.version)
     )
 
 
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
@@ -43,6 +43,7 @@
     wait_at_grant_rate,
     withdraw,
 )
+from gypsumrelay_dispatch.rollouts import advance_rollouts
 from gypsumrelay_dispatch.scheduler_state import (
     QueuedRequest,
     SchedulerState,
@@ -184,6 +185,7 @@
     expire_placements(scheduler, now)
     adjust_limits(scheduler, now)
     fair_queueing.expire_promises(scheduler, now)
+    advance_rollouts(scheduler, now)
     return [
         *settle_resumptions(scheduler, now),
         *serve(scheduler, now),
--- a/libs/relay/src/gypsumrelay_relay/building.py
+++ b/libs/relay/src/gypsumrelay_relay/building.py
@@ -5,12 +5,10 @@
 import importlib
 import random
 import secrets
-import threading
-from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Final
 
-import attrs
 from gypsumrelay_dispatch import SchedulerState
+from gypsumrelay_rollouts import Rollouts
 from gypsumrelay_telemetry import new_metrics, set_up_output
 from gypsumrelay_wire import Endpoint, Identity
 
@@ -28,73 +26,24 @@
     Members,
 )
 from gypsumrelay_relay.operator_records import OperatorRecords
+from gypsumrelay_relay.process_parts import PlatformAdapter, Process
+from gypsumrelay_relay.rollouts import bounds_of
+from gypsumrelay_relay.rollouts.keeper import RolloutKeeper
 from gypsumrelay_relay.startup import defer
 from gypsumrelay_relay.stream_log import StreamLog
 from gypsumrelay_relay.stream_messages import StartKeeper
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from gypsumrelay_settings import RelayInstance, RelaySettings
 
-    from gypsumrelay_relay.capacity.watching import CapacityWatch
     from gypsumrelay_relay.metrics import RelayMetrics
-    from gypsumrelay_relay.phase_switching import PhaseSwitcher
-    from gypsumrelay_relay.protocol import HttpProtocol
-    from gypsumrelay_relay.store_follower import StoreFollower
-    from gypsumrelay_relay.topics import RecordReader, Store
 
 INCARNATION_BYTES: Final = 4
 SEED_BITS: Final = 64
 
 
-@attrs.frozen
-class PlatformAdapter:
-    """The parts that the platform's adapter provides.
-
-    Attributes:
-        store: The platform's store.
-        reader: Parsers of the store's records.
-        protocol: The HTTP protocol of callers and upstreams.
-        load_settings: Reads the settings again; returns None if they are
-            invalid.
-    """
-
-    store: Store
-    reader: RecordReader
-    protocol: HttpProtocol
-    load_settings: Callable[[], RelaySettings | None]
-
-
-@attrs.define(eq=False)
-class Process:
-    """The running parts of a relay.
-
-    Attributes:
-        relay: The parts that requests use.
-        adapter: The parts that the platform's adapter provides.
-        heartbeats: Sends and receives heartbeats.
-        follower: Follows the store; None before the start.
-        stream_log: Saves the starts of streams.
-        phase_switcher: Sends phase changes to upstreams; None before the
-            start.
-        servers: The HTTP servers; the first one is for callers.
-        checked_at: Instant of the last check of the age of the list of
-            upstreams.
-        capacity: Decides on readiness by load; None if load has no effect.
-        stopped: Ends the threads.
-    """
-
-    relay: Relay
-    adapter: PlatformAdapter
-    heartbeats: Heartbeats
-    stream_log: StreamLog
-    follower: StoreFollower | None = None
-    phase_switcher: PhaseSwitcher | None = None
-    servers: list[Any] = attrs.field(factory=list)
-    checked_at: float = float('inf')
-    capacity: CapacityWatch | None = None
-    stopped: threading.Event = attrs.field(factory=threading.Event)
-
-
 def build(settings: RelaySettings, adapter: PlatformAdapter) -> Process:
     """Build the parts of a relay without starting them."""
     instance = settings.instance
@@ -122,7 +71,8 @@
         coordination.lock,
         open_socket(instance.host, instance.link_port),
     )
-    return Process(relay, adapter, heartbeats, stream_log)
+    keeper = RolloutKeeper(relay, adapter.store, adapter.reader)
+    return Process(relay, adapter, heartbeats, stream_log, keeper)
 
 
 def _new_metrics(settings: RelaySettings) -> RelayMetrics:
@@ -147,7 +97,9 @@
         settings=settings.dispatch,
     )
     coordination.actor = Coordinator.start(
-        SchedulerState(settings.dispatch),
+        SchedulerState(
+            settings.dispatch, rollouts=Rollouts(bounds_of(settings.rollouts))
+        ),
         coordination.deliver_answer,
         coordination.publish_crash,
         StartKeeper(stream_log.save, stream_log.request_read),
--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -191,6 +191,7 @@
             placement = self.active.pop(request.key, None)
             if placement is not None:
                 now = monotonic()
+                self.uses.rollouts.record_end(placement, ending)
                 self.known_crashes.record_end(
                     placement, ending, now, began=began
                 )
--- a/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
+++ b/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
@@ -18,6 +18,7 @@
     PlaceRequest,
     PromptRead,
     RepeatsUsed,
+    RolloutUsed,
     SendsUsed,
     StreamsBegan,
     SubjectsCompleted,
@@ -44,6 +45,7 @@
     request_message,
     start_to_wire,
 )
+from gypsumrelay_relay.rollouts import RolloutReported, report_from_wire
 from gypsumrelay_relay.stream_messages import StreamsReported
 
 MS_PER_SECOND: Final = 1000
@@ -94,6 +96,8 @@
             return messages.PauseReported(
                 sender, upstream, max(0, started_ms), until
             )
+        case RolloutUsed():
+            return report_from_wire(message, sender)
         case PlaceHeld():
             placement = reported_placement(message, sender, now)
             return messages.PlacementReported(placement)
@@ -122,6 +126,8 @@
     match message:
         case MeasurementsReported():
             return measurements_to_wire(message)
+        case RolloutReported(_, found):
+            return RolloutUsed(*attrs.astuple(found))
         case messages.LeavingReported(upstream, started_ms):
             return UpstreamLeaving(upstream, start_to_wire(started_ms))
         case messages.PauseReported(_, upstream, started_ms, until):
--- a/libs/relay/src/gypsumrelay_relay/placement.py
+++ b/libs/relay/src/gypsumrelay_relay/placement.py
@@ -12,6 +12,7 @@
     Grant,
     PlacementRequest,
     Rejection,
+    RolloutCounts,
 )
 from gypsumrelay_errors import (
     Failure,
@@ -44,6 +45,8 @@
 # Longest time in seconds for which a placement that another coordinator granted
 # is counted; no request runs longer.
 REPORTED_SECONDS: Final = 20.0
+# Counts in a message where no roll-out runs.
+NO_ROLLOUT: Final = RolloutCounts('', 0, 0)
 
 # Failures that a coordinator returns; an unknown code is handled as overload.
 _FAILURES: Final = {
@@ -81,6 +84,7 @@
         granted_at: Instant at which this relay got the placement.
         version: Version of the upstream's software; empty where unknown.
         urgency: Urgency that these upstreams get, 0 to 9; -1 for none.
+        rollout: Counts of the service's roll-out; None if none is running.
     """
 
     request: PlacementRequest
@@ -97,6 +101,7 @@
     granted_at: float = 0
     version: str = ''
     urgency: int = NO_URGENCY
+    rollout: RolloutCounts | None = None
 
     @property
     def upstreams(self) -> tuple[str, ...]:
@@ -122,6 +127,7 @@
         {upstream.name: upstream.started_ms for upstream in granted},
         version=grant.upstream.version,
         urgency=grant.urgency,
+        rollout=grant.rollout,
     )
 
 
@@ -149,6 +155,7 @@
         parts=list(request.parts),
         version=request.version,
         resumes=request.resumes,
+        route=request.route,
     )
 
 
@@ -179,6 +186,7 @@
         parts=tuple(message.parts),
         version=message.version,
         resumes=message.resumes,
+        route=message.route,
     )
 
 
@@ -198,6 +206,7 @@
             to_retry_ms(failure.retry_at, now),
         )
     placement = granted_placement(decision)
+    rollout = placement.rollout or NO_ROLLOUT
     return PlaceGranted(
         request.request_id,
         request.attempt,
@@ -215,6 +224,9 @@
         start_to_wire(placement.started_ms.get(placement.prefill, 0)),
         placement.version,
         placement.urgency,
+        rollout_version=rollout.version,
+        rollout_requests=rollout.requests,
+        rollout_sent=rollout.sent,
     )
 
 
@@ -256,6 +268,15 @@
         started_ms,
         version=message.version,
         urgency=urgency_from_wire(message.urgency),
+        rollout=_rollout_from_wire(message),
+    )
+
+
+def _rollout_from_wire(message: PlaceGranted) -> RolloutCounts | None:
+    if not message.rollout_version:
+        return None
+    return RolloutCounts(
+        message.rollout_version, message.rollout_requests, message.rollout_sent
     )
 
 
--- a/libs/relay/src/gypsumrelay_relay/probes/answers.py
+++ b/libs/relay/src/gypsumrelay_relay/probes/answers.py
@@ -12,9 +12,9 @@
 from gypsumrelay_relay.store_epoch import epoch_of, offset_of
 
 if TYPE_CHECKING:
-    from gypsumrelay_relay.building import Process
     from gypsumrelay_relay.context import Relay
     from gypsumrelay_relay.coordination import Coordination
+    from gypsumrelay_relay.process_parts import Process
 
 
 def is_ready(process: Process) -> bool:
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -14,7 +14,7 @@
 
 from gypsumrelay_relay import coordinator_events as messages
 from gypsumrelay_relay import state_events
-from gypsumrelay_relay.building import PlatformAdapter, Process, build
+from gypsumrelay_relay.building import build
 from gypsumrelay_relay.caller_server import (
     close_to_new_requests,
     count_busy_connections,
@@ -33,6 +33,7 @@
 from gypsumrelay_relay.operator_records import end_holds
 from gypsumrelay_relay.phase_switching import PhaseSwitcher
 from gypsumrelay_relay.probes import is_ready, status_page
+from gypsumrelay_relay.process_parts import PlatformAdapter, Process
 from gypsumrelay_relay.read_intervals import ReadIntervals, read_intervals
 from gypsumrelay_relay.records_exchange import request_records
 from gypsumrelay_relay.registration import (
@@ -154,6 +155,7 @@
         follower,
         process.stream_log,
         process.phase_switcher,
+        process.rollout_keeper,
     ):
         part.start()
     for target in (register_and_discover, _tick, _send_link_heartbeats):
--- a/libs/relay/src/gypsumrelay_relay/registration.py
+++ b/libs/relay/src/gypsumrelay_relay/registration.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from gypsumrelay_relay.building import Process
+    from gypsumrelay_relay.process_parts import Process
 
 log = Logger('registration')
 
--- a/libs/relay/src/gypsumrelay_relay/startup/report.py
+++ b/libs/relay/src/gypsumrelay_relay/startup/report.py
@@ -11,7 +11,7 @@
 from gypsumrelay_relay.state_events import StartTimed, report
 
 if TYPE_CHECKING:
-    from gypsumrelay_relay.building import Process
+    from gypsumrelay_relay.process_parts import Process
     from gypsumrelay_relay.startup.phases import StartPhases
 
 log = Logger('startup')
--- a/libs/relay/src/gypsumrelay_relay/state_reports.py
+++ b/libs/relay/src/gypsumrelay_relay/state_reports.py
@@ -44,6 +44,7 @@
     yield from coordination.streams.reports(now)
     if coordination.settings.learn_performance:
         yield from coordination.measured.reports(now)
+    yield from coordination.uses.rollouts.reports(coordination.name)
     yield from _use_reports(coordination, now)
     yield from _crash_reports(coordination, now)
 
--- a/tools/write_reference.py
+++ b/tools/write_reference.py
@@ -34,6 +34,7 @@
         settings.DispatchSettings,
         settings.ShutdownSettings,
         settings.CapacitySettings,
+        settings.RolloutSettings,
     ),
     'configuration.md': (
         configuration.Configuration,
