--- a/libs/relay/src/gypsumrelay_relay/__init__.py
+++ b/libs/relay/src/gypsumrelay_relay/__init__.py
@@ -1,14 +1,14 @@
 """The relay program, which forwards requests unchanged to upstreams."""
 
-from .building import (
-    PlatformAdapter,
-)
 from .connections import (
     LIVENESS_OPTIONS,
 )
 from .process import (
     run,
 )
+from .process_parts import (
+    PlatformAdapter,
+)
 from .protocol import (
     AddedHeaders,
     CallerHeaders,
