Let requests wait for the first configuration; time the start

Cause: a request that reached a relay before its first configuration was turned away after 0.3 s, which used up the only retry of its caller. A relay sent its first heartbeat after 0.2 s, and read a store that failed again after 0.3 s.

Change: such a request waits up to a third of its caller's time, 3 s at most; half of the worker threads and an eighth of the instance's memory bound what waits. The first heartbeat goes out at once, another round once the other members are read from the store; until the list of upstreams is read, a relay counts as unable to read it, so that the early heartbeat makes it no coordinator. Failed first reads are repeated after 0.05, 0.1, 0.2 and 0.3 s. The phases of a start are logged in one line and exported as metrics.

--- a/libs/relay/src/gypsumrelay_relay/admission.py
+++ b/libs/relay/src/gypsumrelay_relay/admission.py
@@ -35,7 +35,6 @@
     respond_with,
 )
 from gypsumrelay_relay.model_requests import answer_model
-from gypsumrelay_relay.operator_records import wait_for_configuration
 from gypsumrelay_relay.plain_requests import answer_plain
 from gypsumrelay_relay.routes import (
     Account,
@@ -44,6 +43,7 @@
     choose_target,
     find_route,
 )
+from gypsumrelay_relay.startup import first_configuration
 from gypsumrelay_relay.store_epoch import epoch_of, offset_of
 
 if TYPE_CHECKING:
@@ -55,8 +55,6 @@
 MS_PER_SECOND: Final = 1000
 # Delay in seconds after which a new relay is expected to have a configuration.
 CONFIGURATION_RETRY_SECONDS: Final = 0.5
-# Time in seconds for which a request waits for the first configuration.
-CONFIGURATION_WAIT_SECONDS: Final = 0.3
 # Valid request targets; any other could not be forwarded, which would look like
 # an error of the upstream.
 _TARGET: Final = re.compile('[!-~]+')
@@ -133,15 +131,15 @@
     """
     if not _TARGET.fullmatch(str(environ['REQUEST_URI'])):
         return BodyMalformed('the target has characters that no URL can have')
-    until = arrived_at + CONFIGURATION_WAIT_SECONDS
-    state = wait_for_configuration(relay.operator_records, until)
+    headers = relay.protocol.read_caller(environ)
+    if isinstance(headers, Failure):
+        return headers
+    size = int(environ.get('CONTENT_LENGTH') or 0)
+    state = first_configuration(relay, headers.wait_ms, size, arrived_at)
     if state is None:
         retry_at = monotonic() + CONFIGURATION_RETRY_SECONDS
         return ConfigurationMissing('no configuration yet', retry_at=retry_at)
     configuration = state.configuration
-    headers = relay.protocol.read_caller(environ)
-    if isinstance(headers, Failure):
-        return headers
     path = str(environ['REQUEST_URI']).partition('?')[0]
     route = find_route(configuration, environ.get('HTTP_HOST', ''), path)
     if route is None:
--- a/libs/relay/src/gypsumrelay_relay/building.py
+++ b/libs/relay/src/gypsumrelay_relay/building.py
@@ -162,4 +162,7 @@
         incarnation,
         instance.host,
         is_small=few_cores or slow_link,
+        # Until the first read of the list of upstreams; its first heartbeat
+        # would make this relay the coordinator of a fleet that only starts.
+        is_stale=True,
     )
--- a/libs/relay/src/gypsumrelay_relay/context.py
+++ b/libs/relay/src/gypsumrelay_relay/context.py
@@ -8,6 +8,11 @@
 import attrs
 
 from gypsumrelay_relay.draining import Shutdown
+from gypsumrelay_relay.startup import (
+    StartPhases,
+    WaitingRoom,
+    new_waiting_room,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,6 +38,8 @@
             processor time to import; the first call does it.
         shutdown: The instants of the shutdown.
         draining: Set when the shutdown starts.
+        phases: The phases that the start of the process has reached.
+        waiting_room: Requests that wait for the first configuration.
     """
 
     settings: RelaySettings
@@ -46,6 +53,12 @@
     random: Random
     shutdown: Shutdown = attrs.field(factory=Shutdown)
     draining: threading.Event = attrs.field(factory=threading.Event)
+    phases: StartPhases = attrs.field(factory=StartPhases)
+    waiting_room: WaitingRoom = attrs.field(
+        default=attrs.Factory(
+            lambda relay: new_waiting_room(relay.settings), takes_self=True
+        )
+    )
 
     @property
     def metrics(self) -> RelayMetrics:
--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -115,6 +115,8 @@
         on_elected: Called when this relay becomes the coordinator.
         changed: Set when the choice of the coordinator has to be checked.
         stopped: Ends the thread that follows the coordinator.
+        on_coordinated: Called when the coordinator is known.
+        on_granted: Called with each placement that is granted to this relay.
     """
 
     name: str
@@ -142,6 +144,8 @@
     on_elected: Callable[[], None] = do_nothing
     changed: threading.Event = attrs.field(factory=threading.Event)
     stopped: threading.Event = attrs.field(factory=threading.Event)
+    on_coordinated: Callable[[], None] = do_nothing
+    on_granted: Callable[[], None] = do_nothing
 
     def request_placement(self, request: PlacementRequest) -> PendingRequest:
         """Request a placement; the answer is put into the returned queue."""
@@ -349,6 +353,7 @@
                 len(self.pending),
             )
             state_events.report(log, change)
+            self.on_coordinated()
             self._report_state(now)
         if is_self:
             self.on_elected()
@@ -405,6 +410,7 @@
                 record_rejection(self.quarantine, digest, seconds, now)
             if isinstance(answer, Placement):
                 answer = attrs.evolve(answer, granted_at=now)
+                self.on_granted()
                 self.active[key] = answer
                 for upstream, per_second in answer.rate_limits.items():
                     self.stated_limits.learn(upstream, per_second, now)
--- a/libs/relay/src/gypsumrelay_relay/exchange.py
+++ b/libs/relay/src/gypsumrelay_relay/exchange.py
@@ -25,6 +25,7 @@
     part_digests,
     stream_digest,
 )
+from gypsumrelay_relay.startup import Phase
 
 if TYPE_CHECKING:
     from gypsumrelay_relay.context import Relay
@@ -247,6 +248,7 @@
                 self.attempts,
             ),
         )
+        self.relay.phases.note(Phase.answered)
         self.relay.metrics.observe_answer(
             self.admitted.route.retry_policy.value,
             elapsed / MS_PER_SECOND,
--- a/libs/relay/src/gypsumrelay_relay/heartbeats.py
+++ b/libs/relay/src/gypsumrelay_relay/heartbeats.py
@@ -86,6 +86,8 @@
     def run_sender(self) -> None:
         """Send heartbeats until the process stops."""
         last = monotonic()
+        # The answers tell of the coordinator before the first check.
+        self.send_round(last)
         while not self.stopped.wait(HEARTBEAT_SECONDS):
             now = monotonic()
             if now - last > HEARTBEAT_SECONDS + SUSPENSION_SECONDS:
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -41,8 +41,11 @@
     update_own_member,
 )
 from gypsumrelay_relay.startup import (
+    Phase,
     Startup,
+    follow_phases,
     handle_signals,
+    report_start,
     resume_collection,
 )
 from gypsumrelay_relay.store_epoch import epoch_of, offset_of
@@ -88,6 +91,7 @@
     reloading = threading.Event()
     handle_signals(stopping, reloading, startup.stop_signals)
     process = build(settings, adapter)
+    follow_phases(process, startup.phases)
     start(process, startup)
     resume_collection()
     process.checked_at = monotonic()
@@ -112,6 +116,7 @@
     )
     listener.start()
     callers = serve_callers(relay, startup.callers)
+    startup.phases.note(Phase.serving)
     process.servers = [
         callers,
         *serve_probes(
@@ -269,6 +274,7 @@
 
 def _configuration_listener(process: Process, timeouts: CallerTimeouts) -> Any:
     def apply(state: OperatorState) -> None:
+        process.relay.phases.note(Phase.configured)
         timeouts.apply(state.configuration.limits)
         process.relay.coordination.actor.tell(
             messages.ConfigurationChanged(state)
@@ -320,6 +326,7 @@
     coordination = process.relay.coordination
     while not process.stopped.wait(LINK_HEARTBEAT_SECONDS):
         coordination.send_heartbeats()
+        report_start(process)
         end_holds(coordination.operator_records, monotonic())
         gauges = process.relay.metrics.gauges
         gauges.labels('open_requests').set(process.relay.watcher.count())
--- a/libs/relay/src/gypsumrelay_relay/registration.py
+++ b/libs/relay/src/gypsumrelay_relay/registration.py
@@ -64,7 +64,8 @@
 def register_and_discover(process: Process) -> None:
     """Register in the store and read the addresses of the other members."""
     _register_with_retries(process)
-    _discover(process)
+    if _discover(process) is not None:
+        process.heartbeats.send_round(monotonic())
 
 
 def follow_restores(process: Process) -> None:
--- a/libs/relay/src/gypsumrelay_relay/startup/early.py
+++ b/libs/relay/src/gypsumrelay_relay/startup/early.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from gypsumrelay_relay.startup.phases import StartPhases
+
 if TYPE_CHECKING:
     import socket
 
@@ -17,7 +19,9 @@
     Attributes:
         callers: Socket that listens for callers already; None for none.
         stop_signals: Instants of SIGTERM and SIGINT so far.
+        phases: The phases that the start has reached.
     """
 
     callers: socket.socket | None = None
     stop_signals: list[float] = attrs.field(factory=list)
+    phases: StartPhases = attrs.field(factory=StartPhases)
--- a/libs/relay/src/gypsumrelay_relay/state_events.py
+++ b/libs/relay/src/gypsumrelay_relay/state_events.py
@@ -39,6 +39,41 @@
     relay: str
 
 
+@attrs.frozen(eq=False)
+class StartTimed(StateChange):
+    """The relay answered its first request, or none in the first 30 s.
+
+    Times are milliseconds since the first step of the process, -1 for what has
+    not happened.
+
+    Attributes:
+        processor_ms: Processor time in milliseconds until requests were read.
+        listening_ms: Until callers could connect.
+        imported_ms: Until the modules were imported.
+        serving_ms: Until requests were read.
+        configured_ms: Until the first configuration was in force.
+        coordinated_ms: Until the coordinator was known.
+        granted_ms: Until the first placement was granted.
+        answered_ms: Until the first request was answered in full.
+    """
+
+    event: ClassVar[str] = 'start_timed'
+    template: ClassVar[str] = (
+        'Listening after {listening_ms} ms, serving after {serving_ms} ms,'
+        ' configured after {configured_ms} ms, first answer after'
+        ' {answered_ms} ms.'
+    )
+
+    processor_ms: int
+    listening_ms: int
+    imported_ms: int
+    serving_ms: int
+    configured_ms: int
+    coordinated_ms: int
+    granted_ms: int
+    answered_ms: int
+
+
 @attrs.frozen(eq=False)
 class Draining(StateChange):
     """The relay accepts no new connections.
--- a/libs/relay/src/gypsumrelay_relay/store_follower.py
+++ b/libs/relay/src/gypsumrelay_relay/store_follower.py
@@ -44,9 +44,10 @@
 # granted from it; an upstream that is leaving must stop receiving work within
 # two seconds.
 LIST_USABLE_SECONDS: Final = 2.0
-# Delay in seconds between reads of a topic that was never read; until the first
-# one succeeds, this relay can serve no request.
-FIRST_RETRY_SECONDS: Final = 0.3
+# Delays in seconds before the reads of a topic that was never read are
+# repeated, the last one from then on. Until one succeeds, this relay can serve
+# no request; the later ones keep a fleet from flooding a store that is away.
+FIRST_RETRY_SECONDS: Final = (0.05, 0.1, 0.2, 0.3)
 # Delay in seconds after an unexpected error before a topic is followed again.
 RESTART_SECONDS: Final = 0.5
 # Maximum number of unreadable records that are remembered.
@@ -191,7 +192,9 @@
     def _retry_pause(self, copy: TopicCopy) -> float:
         seconds = self.intervals().retry_seconds
         if copy.position < 0:
-            return min(FIRST_RETRY_SECONDS, seconds)
+            failures = min(copy.first_failures, len(FIRST_RETRY_SECONDS) - 1)
+            copy.first_failures += 1
+            return min(FIRST_RETRY_SECONDS[failures], seconds)
         return seconds
 
     def read_early(self, now: float) -> None:
--- a/libs/relay/src/gypsumrelay_relay/topics.py
+++ b/libs/relay/src/gypsumrelay_relay/topics.py
@@ -117,6 +117,7 @@
             at which the epoch of the copy began for this relay.
         failing: Whether the last read failed.
         failed_at: Instant of the last failed read.
+        first_failures: Number of failed reads before the first successful one.
     """
 
     topic: Topic
@@ -127,6 +128,7 @@
     returned_at: float = float('-inf')
     failing: bool = False
     failed_at: float = float('-inf')
+    first_failures: int = 0
 
 
 def refresh(
