--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination.py
@@ -384,6 +384,7 @@
                 len(self.pending),
             )
             state_events.report(log, change)
+            self.on_coordinated()
             self._report_state(now)
         self.on_coordinated()
         if is_self:
