--- a/libs/performance/src/gypsumrelay_performance/curves.py
+++ b/libs/performance/src/gypsumrelay_performance/curves.py
@@ -117,6 +117,8 @@
         sampled_at: Instant of the newest sample.
         peak: Recent maximum of concurrent requests.
         restored: Samples behind a level that other instances measured.
+        comparable_seconds: Seconds within which times at two numbers of
+            concurrent requests are compared.
     """
 
     points: dict[int, Point] = attrs.field(factory=dict)
@@ -128,6 +130,7 @@
     sampled_at: float = float('-inf')
     peak: float = 0
     restored: float = 0
+    comparable_seconds: float = COMPARABLE_SECONDS
 
     @property
     def is_measured(self) -> bool:
@@ -172,7 +175,10 @@
         _compare(point, math.log(measured) - reference, now)
     if point.is_mature or reference is None:
         _add_to_level(curve, measured / point.shape, now)
-    _note_newest(point, math.log(measured / point.shape), now)
+    is_recent = now - point.seen_at <= curve.comparable_seconds
+    _note_newest(
+        point, math.log(measured / point.shape), now, is_recent=is_recent
+    )
     elapsed = max(0, now - curve.sampled_at)
     faded = curve.peak * math.exp(-elapsed / RISE_SECONDS)
     curve.peak = max(running, faded)
@@ -265,7 +271,7 @@
     newest = [
         point.newest
         for lower, point in curve.points.items()
-        if lower < group and now - point.seen_at <= COMPARABLE_SECONDS
+        if lower < group and now - point.seen_at <= curve.comparable_seconds
     ]
     return sum(newest) / len(newest) if newest else None
 
@@ -292,9 +298,10 @@
     point.variance = (1 - weight) * (point.variance + weight * difference**2)
 
 
-def _note_newest(point: Point, sample: float, now: float) -> None:
+def _note_newest(
+    point: Point, sample: float, now: float, *, is_recent: bool
+) -> None:
     """Average the samples that are recent enough for a comparison."""
-    is_recent = now - point.seen_at <= COMPARABLE_SECONDS
     weight = NEWEST_SMOOTHING if is_recent else 1
     point.newest += weight * (sample - point.newest)
     point.seen_at = now
--- a/libs/performance/src/gypsumrelay_performance/limits.py
+++ b/libs/performance/src/gypsumrelay_performance/limits.py
@@ -8,7 +8,6 @@
 
 import math
 from collections.abc import Mapping
-from statistics import median_low
 from typing import Final
 
 import attrs
@@ -133,7 +132,9 @@
         for curve in measured
         if curve.usual > 0 and window_samples(curve, now)
     ]
-    return max(1, median_low(slowdowns)) if slowdowns else 1
+    # Without `statistics`, whose import delays the start of a process.
+    median = sorted(slowdowns)[(len(slowdowns) - 1) // 2] if slowdowns else 1
+    return max(1, median)
 
 
 def _adjust(
--- a/libs/performance/src/gypsumrelay_performance/measurements.py
+++ b/libs/performance/src/gypsumrelay_performance/measurements.py
@@ -13,6 +13,16 @@
 PREFILL_RETENTION: Final = 0.86
 
 
+# Seconds within which decode times with fewer and more streams are compared. A
+# stream takes seconds, over which short slow moments average out.
+DECODE_COMPARABLE_SECONDS: Final = 4.0
+
+
+def new_decode_curve() -> Curve:
+    """Return an empty curve of decode times."""
+    return Curve(comparable_seconds=DECODE_COMPARABLE_SECONDS)
+
+
 @attrs.define
 class Performance:
     """Performance of one upstream.
@@ -27,7 +37,7 @@
         peak: Recent maximum of concurrent requests before a slowdown.
     """
 
-    decode: Curve = attrs.field(factory=Curve)
+    decode: Curve = attrs.field(factory=new_decode_curve)
     service: Curve = attrs.field(factory=Curve)
     prefill_tokens: float = 0
     prefill_ms: float = 0
