Bound the wait for the limits that the metrics show

The thread that sends heartbeats asked the coordinator's actor for the limits without a time-out, so that a busy actor delayed heartbeats.

--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -32,6 +32,7 @@
     must_give_up_rank,
 )
 from gypsumrelay_relay.operator_records import end_holds
+from gypsumrelay_relay.performance.gauges import update_limits
 from gypsumrelay_relay.phase_switching import PhaseSwitcher
 from gypsumrelay_relay.read_intervals import ReadIntervals, read_intervals
 from gypsumrelay_relay.records_exchange import request_records
@@ -48,7 +49,6 @@
     from gypsumrelay_settings import RelaySettings
 
     from gypsumrelay_relay.context import Relay
-    from gypsumrelay_relay.coordination import Coordination
     from gypsumrelay_relay.topics import OperatorState
 
 log = Logger('relay')
@@ -304,11 +304,12 @@
     }
     with coordination.lock:
         figures['leaving_upstreams'] = sorted(coordination.departures)
-        figures['paused_upstreams'] = _paused(coordination, monotonic())
+        figures['paused_upstreams'] = _paused(relay, monotonic())
     return json.dumps(figures).encode()
 
 
-def _paused(coordination: Coordination, now: float) -> list[str]:
+def _paused(relay: Relay, now: float) -> list[str]:
+    coordination = relay.coordination
     paused = coordination.pauses.get(coordination.name, {})
     return sorted(name for name, pause in paused.items() if now < pause.until)
 
@@ -324,9 +325,7 @@
     while not process.stopped.wait(LINK_HEARTBEAT_SECONDS):
         coordination.send_heartbeats()
         end_holds(coordination.operator_records, monotonic())
-        if coordination.settings.learn_performance:
-            limits: Any = coordination.actor.ask(messages.GetLimits())
-            process.relay.metrics.show_limits(limits)
+        update_limits(coordination, process.relay.metrics)
         gauges = process.relay.metrics.gauges
         gauges.labels('open_requests').set(process.relay.watcher.count())
         gauges.labels('limited_upstreams').set(
--- a/libs/relay/tests/performance.feature
+++ b/libs/relay/tests/performance.feature
@@ -39,3 +39,8 @@
     Given a coordinator whose upstream turns 4 times slower than its pool
     Then one line for each change of its limit is logged
     And the metrics show its limit
+
+  Scenario: A busy coordinator does not delay heartbeats
+    Given a relay whose coordinator does not answer
+    When it updates the metrics of the limits
+    Then that takes less than 1 second and the limits shown stay
--- a/libs/relay/tests/steps/performance.py
+++ b/libs/relay/tests/steps/performance.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import threading
 from typing import Any
 
 import attrs
 import logbook
 import msgpack
+import pykka
 from behave import given, then, when
+from gypsumrelay_clock import monotonic
 from gypsumrelay_dispatch import (
     UNMEASURED,
     Ending,
@@ -33,6 +36,7 @@
 from gypsumrelay_relay.metrics import RelayMetrics
 from gypsumrelay_relay.operator_records import OperatorRecords
 from gypsumrelay_relay.performance.events import report_limits
+from gypsumrelay_relay.performance.gauges import update_limits
 from gypsumrelay_relay.performance.history import PerformanceHistory
 from gypsumrelay_relay.performance.messages import (
     MeasurementsReported,
@@ -48,6 +52,21 @@
 START = 1000.0
 
 
+class BusyActor(pykka.ThreadingActor):
+    """An actor that handles one message until an event is set."""
+
+    use_daemon_thread = True
+
+    def __init__(self, done: threading.Event) -> None:
+        """Set the event."""
+        super().__init__()
+        self.done = done
+
+    def on_receive(self, message: Any) -> None:
+        """Wait for the event."""
+        self.done.wait(5)
+
+
 @given(
     'a relay whose streams at upstream {name} had {events:d} events in '
     '{stream_ms:d} ms'
@@ -234,16 +253,47 @@
     assert line in metrics.page().decode()
 
 
-def _reports(context: Any) -> list[MeasurementsReported]:
+@given('a relay whose coordinator does not answer')
+def give_busy(context: Any) -> None:
+    context.busy = threading.Event()
+
+    actor = BusyActor.start(context.busy)
+    context.add_cleanup(actor.stop)
+    context.add_cleanup(context.busy.set)
+    context.metrics = RelayMetrics(new_metrics(TelemetrySettings()))
+    context.metrics.show_limits({'one': 3})
+    context.coordination = _coordination(learns=True)
+    context.coordination.actor = actor
+
+
+@when('it updates the metrics of the limits')
+def update(context: Any) -> None:
+    started_at = monotonic()
+    update_limits(context.coordination, context.metrics)
+    context.elapsed = monotonic() - started_at
+
+
+@then('that takes less than 1 second and the limits shown stay')
+def check_quick(context: Any) -> None:
+    assert context.elapsed < 1, context.elapsed
+    line = 'gypsumrelay_upstream_limit{upstream="one"} 3.0'
+    assert line in context.metrics.page().decode()
+
+
+def _coordination(*, learns: bool) -> Coordination:
     reader = RecordReader(lambda records: None, frozenset, lambda *one: None)
     members = Members(Member('own', 'a', '10.0.0.1', 9))
-    coordination = Coordination(
+    return Coordination(
         'own',
         members,
         OperatorRecords(reader),
         1,
-        settings=DispatchSettings(learn_performance=context.learns),
+        settings=DispatchSettings(learn_performance=learns),
     )
+
+
+def _reports(context: Any) -> list[MeasurementsReported]:
+    coordination = _coordination(learns=context.learns)
     coordination.measured = context.history
     return [
         message
