--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -30,7 +30,7 @@
     add_hosts,
     must_give_up_rank,
 )
-from gypsumrelay_relay.operator_records import end_holds
+from gypsumrelay_relay.periodic import send_link_heartbeats
 from gypsumrelay_relay.phase_switching import PhaseSwitcher
 from gypsumrelay_relay.probes import is_ready, status_page
 from gypsumrelay_relay.process_parts import PlatformAdapter, Process
@@ -47,7 +47,6 @@
     Startup,
     follow_phases,
     handle_signals,
-    report_start,
     resume_collection,
 )
 from gypsumrelay_relay.store_follower import StoreFollower
@@ -63,9 +62,6 @@
 # Interval in seconds of the coordinator's ticks and of the checks in the main
 # loop.
 TICK_SECONDS: Final = 0.05
-# Interval in seconds between heartbeats on a link. They bound the time until a
-# silent link breaks, together with the time for an acknowledgement.
-LINK_HEARTBEAT_SECONDS: Final = 0.5
 # Time in seconds for reading requests that had arrived when the listener
 # closed.
 LATE_READ_SECONDS: Final = 0.3
@@ -158,7 +154,7 @@
         process.rollout_keeper,
     ):
         part.start()
-    for target in (register_and_discover, _tick, _send_link_heartbeats):
+    for target in (register_and_discover, _tick, send_link_heartbeats):
         threading.Thread(target=target, args=(process,), daemon=True).start()
 
 
@@ -301,19 +297,3 @@
     actor = process.relay.coordination.actor
     while not process.stopped.wait(TICK_SECONDS):
         actor.tell(messages.Tick())
-
-
-def _send_link_heartbeats(process: Process) -> None:
-    coordination = process.relay.coordination
-    while not process.stopped.wait(LINK_HEARTBEAT_SECONDS):
-        coordination.send_heartbeats()
-        report_start(process)
-        end_holds(coordination.operator_records, monotonic())
-        if coordination.settings.learn_performance:
-            limits: Any = coordination.actor.ask(messages.GetLimits())
-            process.relay.metrics.show_limits(limits)
-        gauges = process.relay.metrics.gauges
-        gauges.labels('open_requests').set(process.relay.watcher.count())
-        gauges.labels('limited_upstreams').set(
-            len(coordination.stated_limits.limits)
-        )
