--- a/libs/dispatch/src/gypsumrelay_dispatch/admission.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/admission.py
@@ -58,17 +58,14 @@
             retry_at=now + DEFAULT_RETRY_SECONDS,
         )
         return build_rejection(scheduler, request, exhausted)
-    reserved = fair_queueing.reserved_tokens(scheduler, request, now)
     retry_at = accounts.retry_after(
         scheduler.accounts,
         request.client_account,
-        _overdraft(settings, request.cost_tokens) - reserved,
+        _overdraft(settings, request.cost_tokens),
         now,
     )
     if retry_at is not None:
-        retry_at = fair_queueing.promise_tokens(
-            scheduler, request, retry_at, now
-        )
+        fair_queueing.note_rate_exceeded(scheduler, request, retry_at)
         sentence = 'the rate is used up for now'
         return build_rejection(
             scheduler, request, RateExceeded(sentence, retry_at=retry_at)
--- a/libs/dispatch/src/gypsumrelay_dispatch/fair_queueing.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/fair_queueing.py
@@ -127,21 +127,6 @@
     )
 
 
-def reserved_tokens(
-    scheduler: SchedulerState, request: PlacementRequest, now: float
-) -> int:
-    """Return the tokens that other requests of an account leave unused.
-
-    They are for callers of the account that are due to return.
-    """
-    if not is_weighted(scheduler):
-        return 0
-    ledger = scheduler.fairness.ledger
-    if fairness.claimed_promise(ledger, request.request_id) is not None:
-        return 0
-    return fairness.promised_tokens(ledger, request.client_account, now)
-
-
 def note_granted(
     scheduler: SchedulerState, queued: QueuedRequest, now: float
 ) -> int:
@@ -197,37 +182,20 @@
     )
 
 
-def promise_tokens(
-    scheduler: SchedulerState,
-    request: PlacementRequest,
-    retry_at: float,
-    now: float,
-) -> float:
-    """Return when an account has tokens for one more of its callers.
-
-    Callers that were rejected before get theirs first.
+def note_rate_exceeded(
+    scheduler: SchedulerState, request: PlacementRequest, retry_at: float
+) -> None:
+    """Keep the retry time of a request beyond its account's rate.
 
-    Args:
-        scheduler: The coordinator's state.
-        request: The request that was rejected for its account's rate.
-        retry_at: Instant at which the bucket admits a request.
-        now: The present instant.
+    Its caller is recognised when it returns. It gets no precedence: its account
+    has consumed its contract, and is charged in the order of the arrivals.
     """
     if not is_weighted(scheduler):
-        return retry_at
+        return
     state = scheduler.fairness
     rejected = _rejected(scheduler, request)
     state.counts.promised += 1
-    bucket = scheduler.accounts.buckets.get(request.client_account)
-    if bucket is not None and bucket.size.rate > 0:
-        latest = fairness.latest_retry(request.deadline, now)
-        promised = fairness.promised_tokens(
-            state.ledger, request.client_account, latest
-        )
-        shifted = retry_at + promised / bucket.size.rate
-        retry_at = max(retry_at, min(latest, shifted))
-    fairness.add_promise(state.ledger, rejected, retry_at)
-    return retry_at
+    fairness.add_promise(state.ledger, rejected, retry_at, has_capacity=False)
 
 
 def rejection_count(
@@ -324,7 +292,6 @@
         request.service,
         _caller(request),
         request.priority,
-        request.cost_tokens,
         request.deadline,
         rejections,
     )
--- a/libs/dispatch/tests/steps/random_days.py
+++ b/libs/dispatch/tests/steps/random_days.py
@@ -42,13 +42,12 @@
 FIRST_EVENT_SECONDS = 0.05
 TICK_SECONDS = 0.05
 DAY_SECONDS = 40.0
-USUAL_PER_SECOND = 9.0
+USUAL_PER_SECOND = 13.0
 ACCOUNTS = 8
 SESSIONS = 40
 HOT_FACTOR = 6
 # Tokens that a usual request is charged, for the contracts.
 USUAL_TOKENS = 4100
-CONTRACT_FACTOR = 2.0
 PATIENCE_SHARE = 1 / 3
 DEADLINE_SECONDS = 14.0
 SECOND_REJECTION_COST = 0.3
@@ -200,10 +199,17 @@
     return found
 
 
-def run_day(policy: str, seed: int, mix: str) -> Result:
-    """Run a day with a queue policy and return its measure."""
+def run_day(policy: str, seed: int, mix: str, contract: float) -> Result:
+    """Run a day with a queue policy and return its measure.
+
+    Args:
+        policy: The queue policy.
+        seed: Determines the arrivals.
+        mix: Name of the kinds in `MIXES`.
+        contract: Rate of each account as a multiple of its usual load.
+    """
     kinds = MIXES[mix]
-    day = _start(policy, kinds, seed)
+    day = _start(policy, kinds, contract)
     callers = arrivals(seed, kinds)
     for caller in callers:
         day.schedule(caller.arrived_at, _arrival(day, caller))
@@ -215,7 +221,7 @@
     return measure(callers, kinds)
 
 
-def _start(policy: str, kinds: tuple[Kind, ...], seed: int) -> Day:
+def _start(policy: str, kinds: tuple[Kind, ...], contract: float) -> Day:
     settings = DispatchSettings(
         queue_policy=policy,
         overdraft_tokens=140_000,
@@ -224,7 +230,7 @@
         prefill_tokens_per_ms=PREFILL_TOKENS_PER_MS,
     )
     day = Day(SchedulerState(settings), kinds)
-    rate = USUAL_PER_SECOND * USUAL_TOKENS / ACCOUNTS * CONTRACT_FACTOR
+    rate = USUAL_PER_SECOND * USUAL_TOKENS / ACCOUNTS * contract
     limits = [
         AccountLimits(f'account-{number}', rate, rate * 2)
         for number in range(ACCOUNTS)
@@ -232,8 +238,14 @@
     service = ServiceLimits(SERVICE, memory_tokens=MEMORY_TOKENS)
     apply_configuration(day.scheduler, [service], limits, 0)
     pool = [
-        *(upstream(number, Phase.prefill, 64) for number in range(2)),
-        *(upstream(number, Phase.decode, 64) for number in range(5)),
+        *(
+            upstream(number, Phase.prefill, 64)
+            for number in range(PREFILL_UPSTREAMS)
+        ),
+        *(
+            upstream(number, Phase.decode, 64)
+            for number in range(DECODE_UPSTREAMS)
+        ),
     ]
     apply_upstreams(day.scheduler, pool, 0)
     return day
--- a/libs/fairness/src/gypsumrelay_fairness/__init__.py
+++ b/libs/fairness/src/gypsumrelay_fairness/__init__.py
@@ -27,9 +27,7 @@
     claimed_promise,
     due_promises,
     expire,
-    latest_retry,
     promise_retry,
-    promised_tokens,
 )
 from gypsumrelay_fairness.shares import (
     Shares,
@@ -65,12 +63,10 @@
     'groups_of',
     'is_late',
     'is_nearly_late',
-    'latest_retry',
     'observe_cost',
     'observe_outcome',
     'order_key',
     'promise_retry',
-    'promised_tokens',
     'reserves_capacity',
     'share',
     'starved_kinds',
--- a/libs/fairness/src/gypsumrelay_fairness/retries.py
+++ b/libs/fairness/src/gypsumrelay_fairness/retries.py
@@ -51,7 +51,6 @@
         caller: Digest of the request's content and its client account, since
             each try of a caller has a new request id.
         rank: Rank of the request.
-        cost_tokens: Tokens that its account is charged.
         retry_at: The promised instant.
         rejections: How often the caller has been rejected.
         has_capacity: Whether capacity was promised for that instant.
@@ -60,7 +59,6 @@
     service: str
     caller: CallerKey
     rank: int
-    cost_tokens: int
     retry_at: float
     rejections: int = 1
     has_capacity: bool = True
@@ -102,7 +100,6 @@
         service: Service of the request.
         caller: Digest of its content and its client account.
         rank: Rank of the request.
-        cost_tokens: Tokens that its account is charged.
         deadline: Instant at which the request times out.
         rejections: How often the caller has been rejected, with this time.
     """
@@ -110,7 +107,6 @@
     service: str
     caller: CallerKey
     rank: int
-    cost_tokens: int
     deadline: float
     rejections: int = 1
 
@@ -174,7 +170,6 @@
         rejected.service,
         rejected.caller,
         rejected.rank,
-        rejected.cost_tokens,
         retry_at,
         rejected.rejections,
         has_capacity,
@@ -228,16 +223,6 @@
     )
 
 
-def promised_tokens(ledger: Ledger, account: str, until: float) -> int:
-    """Return the tokens of an account's callers that return by an instant."""
-    return sum(
-        promise.cost_tokens
-        for kept in ledger.promises.values()
-        for promise in kept
-        if promise.caller[1] == account and promise.retry_at <= until
-    )
-
-
 def expire(ledger: Ledger, now: float) -> int:
     """Drop promises whose callers did not return; return their number."""
     dropped = 0
