--- a/libs/fairness/src/gypsumrelay_fairness/outcomes.py
+++ b/libs/fairness/src/gypsumrelay_fairness/outcomes.py
@@ -33,7 +33,7 @@
 # Share of the reference's served part below which a group counts as starved.
 # The rules demand a quarter for kinds and accounts, and half for sizes; the
 # distance leaves time for the correction to take effect. Higher thresholds cost
-# answers in time: 0.75 for sizes made 8 in 100 of a busy day late.
+# answers in time: 0.75 for sizes made 5 in 100 of a busy random day late.
 _THRESHOLDS: Final = {
     GroupKind.rank: 0.35,
     GroupKind.account: 0.3,
