--- a/libs/dispatch/src/gypsumrelay_dispatch/fair_queueing.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/fair_queueing.py
@@ -68,9 +68,8 @@
     promise = fairness.claimed_promise(
         scheduler.fairness.ledger, request.request_id
     )
-    queued.has_returned = promise is not None and promise.has_capacity
-    queued.cost_ratio = cost / max(1, scheduler.mean_cost) if cost else 0
-    queued.groups = _groups(scheduler, request)
+    has_returned = promise is not None and promise.has_capacity
+    queued.waiting = _waiting(scheduler, queued, has_returned=has_returned)
     if cost and request.attempt == 1:
         fairness.observe_cost(
             scheduler.fairness.outcomes, request.service, request.priority, cost
@@ -87,7 +86,7 @@
         _policy(scheduler),
         state.shares,
         state.outcomes,
-        _waiting(scheduler, queued),
+        _described(scheduler, queued),
         now,
     )
 
@@ -97,7 +96,7 @@
 ) -> bool:
     """Return whether later prompts leave capacity for a queued one."""
     return fairness.reserves_capacity(
-        _policy(scheduler), _waiting(scheduler, queued), now
+        _policy(scheduler), _described(scheduler, queued), now
     )
 
 
@@ -135,23 +134,23 @@
         return NO_URGENCY
     request = queued.request
     state = scheduler.fairness
+    waiting = _described(scheduler, queued)
     if request.attempt == 1 and not request.read:
         fairness.consume(
             state.shares, request.client_account, request.cost_tokens, now
         )
         fairness.observe_outcome(
-            state.outcomes, queued.groups, now, served=True
+            state.outcomes, waiting.groups, now, served=True
         )
-        state.counts.kept += queued.has_returned
+        state.counts.kept += waiting.has_returned
     if not request.prompt_tokens:
         return NO_URGENCY
-    waiting = _waiting(scheduler, queued)
     policy = _policy(scheduler)
     is_pressing = fairness.is_nearly_late(policy, waiting, now)
     return fairness.urgency(
         request.priority,
         has_begun=waiting.has_begun,
-        is_pressing=is_pressing or queued.has_returned,
+        is_pressing=is_pressing or waiting.has_returned,
     )
 
 
@@ -243,7 +242,7 @@
 
 
 def _waiting(
-    scheduler: SchedulerState, queued: QueuedRequest
+    scheduler: SchedulerState, queued: QueuedRequest, *, has_returned: bool
 ) -> fairness.Waiting:
     request = queued.request
     bucket = scheduler.accounts.buckets.get(request.client_account)
@@ -255,14 +254,23 @@
         request.priority,
         queued.requested_at,
         request.objective_at,
-        queued.cost_ratio,
+        _cost(request) / max(1, scheduler.mean_cost),
         has_begun,
         queued.overdrawn,
-        queued.has_returned,
-        queued.groups,
+        has_returned,
+        _groups(scheduler, request),
     )
 
 
+def _described(
+    scheduler: SchedulerState, queued: QueuedRequest
+) -> fairness.Waiting:
+    """Return what the order needs; also if the policy changed meanwhile."""
+    if queued.waiting is None:
+        describe(scheduler, queued)
+    return queued.waiting or _waiting(scheduler, queued, has_returned=False)
+
+
 def _groups(
     scheduler: SchedulerState, request: PlacementRequest
 ) -> tuple[fairness.Group, ...]:
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
@@ -6,7 +6,7 @@
 
 import attrs
 from gypsumrelay_attribution import CrashHistory, PendingLosses
-from gypsumrelay_fairness import Fairness, Group
+from gypsumrelay_fairness import Fairness, Waiting
 
 from gypsumrelay_dispatch.accounts import Accounts, set_accounts
 from gypsumrelay_dispatch.crashes import confirm
@@ -65,20 +65,15 @@
             are served after all others.
         delay: Seconds added to its latency objective in the queue order
             because of its cost.
-        cost_ratio: Its cost relative to the mean; 0 without a prompt. This and
-            the following are set for the queue policy `weighted` only.
-        has_returned: Whether its caller was rejected with a retry time.
-        groups: Groups of requests that it belongs to and that must not be
-            starved.
+        waiting: What the queue policy `weighted` orders it by; None with
+            `strict`.
     """
 
     request: PlacementRequest
     requested_at: float
     overdrawn: bool = False
     delay: float = 0
-    cost_ratio: float = 0
-    has_returned: bool = False
-    groups: tuple[Group, ...] = ()
+    waiting: Waiting | None = None
 
 
 @attrs.define
--- a/libs/fairness/src/gypsumrelay_fairness/order.py
+++ b/libs/fairness/src/gypsumrelay_fairness/order.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import Final, NamedTuple
 
 import attrs
 
@@ -23,8 +23,7 @@
 MAX_COST_RATIO: Final = 3.0
 
 
-@attrs.frozen(order=True)
-class OrderKey:
+class OrderKey(NamedTuple):
     """Sort key of a waiting request, compared by its fields in their order.
 
     Attributes:
