--- a/libs/dispatch/src/gypsumrelay_dispatch/fair_queueing.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/fair_queueing.py
@@ -68,9 +68,8 @@
     promise = fairness.claimed_promise(
         scheduler.fairness.ledger, request.request_id
     )
-    queued.has_returned = promise is not None and promise.has_capacity
-    queued.cost_ratio = cost / max(1, scheduler.mean_cost) if cost else 0
-    queued.groups = _groups(scheduler, request)
+    has_returned = promise is not None and promise.has_capacity
+    queued.waiting = _waiting(scheduler, queued, has_returned=has_returned)
     if cost and request.attempt == 1:
         fairness.observe_cost(
             scheduler.fairness.outcomes, request.service, request.priority, cost
@@ -87,7 +86,7 @@
         _policy(scheduler),
         state.shares,
         state.outcomes,
-        _waiting(scheduler, queued),
+        _described(scheduler, queued),
         now,
     )
 
@@ -97,7 +96,7 @@
 ) -> bool:
     """Return whether later prompts leave capacity for a queued one."""
     return fairness.reserves_capacity(
-        _policy(scheduler), _waiting(scheduler, queued), now
+        _policy(scheduler), _described(scheduler, queued), now
     )
 
 
@@ -127,21 +126,6 @@
     )
 
 
-def reserved_tokens(
-    scheduler: SchedulerState, request: PlacementRequest, now: float
-) -> int:
-    """Return the tokens that other requests of an account leave unused.
-
-    They are for callers of the account that are due to return.
-    """
-    if not is_weighted(scheduler):
-        return 0
-    ledger = scheduler.fairness.ledger
-    if fairness.claimed_promise(ledger, request.request_id) is not None:
-        return 0
-    return fairness.promised_tokens(ledger, request.client_account, now)
-
-
 def note_granted(
     scheduler: SchedulerState, queued: QueuedRequest, now: float
 ) -> int:
@@ -150,23 +134,23 @@
         return NO_URGENCY
     request = queued.request
     state = scheduler.fairness
+    waiting = _described(scheduler, queued)
     if request.attempt == 1 and not request.read:
         fairness.consume(
             state.shares, request.client_account, request.cost_tokens, now
         )
         fairness.observe_outcome(
-            state.outcomes, queued.groups, now, served=True
+            state.outcomes, waiting.groups, now, served=True
         )
-        state.counts.kept += queued.has_returned
+        state.counts.kept += waiting.has_returned
     if not request.prompt_tokens:
         return NO_URGENCY
-    waiting = _waiting(scheduler, queued)
     policy = _policy(scheduler)
     is_pressing = fairness.is_nearly_late(policy, waiting, now)
     return fairness.urgency(
         request.priority,
         has_begun=waiting.has_begun,
-        is_pressing=is_pressing or queued.has_returned,
+        is_pressing=is_pressing or waiting.has_returned,
     )
 
 
@@ -197,37 +181,20 @@
     )
 
 
-def promise_tokens(
-    scheduler: SchedulerState,
-    request: PlacementRequest,
-    retry_at: float,
-    now: float,
-) -> float:
-    """Return when an account has tokens for one more of its callers.
-
-    Callers that were rejected before get theirs first.
+def note_rate_exceeded(
+    scheduler: SchedulerState, request: PlacementRequest, retry_at: float
+) -> None:
+    """Keep the retry time of a request beyond its account's rate.
 
-    Args:
-        scheduler: The coordinator's state.
-        request: The request that was rejected for its account's rate.
-        retry_at: Instant at which the bucket admits a request.
-        now: The present instant.
+    Its caller is recognised when it returns. It gets no precedence: its account
+    has consumed its contract, and is charged in the order of the arrivals.
     """
     if not is_weighted(scheduler):
-        return retry_at
+        return
     state = scheduler.fairness
     rejected = _rejected(scheduler, request)
     state.counts.promised += 1
-    bucket = scheduler.accounts.buckets.get(request.client_account)
-    if bucket is not None and bucket.size.rate > 0:
-        latest = fairness.latest_retry(request.deadline, now)
-        promised = fairness.promised_tokens(
-            state.ledger, request.client_account, latest
-        )
-        shifted = retry_at + promised / bucket.size.rate
-        retry_at = max(retry_at, min(latest, shifted))
-    fairness.add_promise(state.ledger, rejected, retry_at)
-    return retry_at
+    fairness.add_promise(state.ledger, rejected, retry_at, has_capacity=False)
 
 
 def rejection_count(
@@ -275,7 +242,7 @@
 
 
 def _waiting(
-    scheduler: SchedulerState, queued: QueuedRequest
+    scheduler: SchedulerState, queued: QueuedRequest, *, has_returned: bool
 ) -> fairness.Waiting:
     request = queued.request
     bucket = scheduler.accounts.buckets.get(request.client_account)
@@ -287,14 +254,23 @@
         request.priority,
         queued.requested_at,
         request.objective_at,
-        queued.cost_ratio,
+        _cost(request) / max(1, scheduler.mean_cost),
         has_begun,
         queued.overdrawn,
-        queued.has_returned,
-        queued.groups,
+        has_returned,
+        _groups(scheduler, request),
     )
 
 
+def _described(
+    scheduler: SchedulerState, queued: QueuedRequest
+) -> fairness.Waiting:
+    """Return what the order needs; also if the policy changed meanwhile."""
+    if queued.waiting is None:
+        describe(scheduler, queued)
+    return queued.waiting or _waiting(scheduler, queued, has_returned=False)
+
+
 def _groups(
     scheduler: SchedulerState, request: PlacementRequest
 ) -> tuple[fairness.Group, ...]:
@@ -324,7 +300,6 @@
         request.service,
         _caller(request),
         request.priority,
-        request.cost_tokens,
         request.deadline,
         rejections,
     )
