--- a/libs/dispatch/tests/steps/rollouts.py
+++ b/libs/dispatch/tests/steps/rollouts.py
@@ -50,6 +50,7 @@
 ROUTES: Final = ('usual', 'usual', 'usual', 'usual', 'rare')
 SINGLE: Final = 'plain-102'
 TICK: Final = 0.05
+LIST_SECONDS: Final = 0.4
 MEMORY: Final = 60_000
 START: Final = 100.0
 PLAIN_SECONDS: Final = 0.06
@@ -117,6 +118,7 @@
     left_running: int = -1
     rejected: int = 0
     leave_at: float = float('inf')
+    listed_at: float = START
 
     def version_of(self, name: str) -> str:
         """Return the version of an upstream."""
@@ -343,12 +345,14 @@
         world.running.clear()
         begin_term(world)
         scheduler = world.scheduler
-    if world.now >= world.leave_at:
-        world.leave_at = float('inf')
-        leaving = [
-            attrs.evolve(one, leaving=one.version == OLD) for one in world.pool
+    if world.now >= world.listed_at + LIST_SECONDS:
+        world.listed_at = world.now
+        has_left = world.now >= world.leave_at
+        pool = [
+            attrs.evolve(one, leaving=has_left and one.version == OLD)
+            for one in world.pool
         ]
-        apply_upstreams(scheduler, leaving, world.now)
+        apply_upstreams(scheduler, pool, world.now)
     rollouts = scheduler.rollouts
     known = {
         order.service: order for at, order in world.orders if at <= world.now
