--- a/libs/dispatch/src/gypsumrelay_dispatch/rollouts.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/rollouts.py
@@ -360,3 +360,4 @@
         is_given_up,
     )
     observe(rollout.evidence, answer, now)
+    observe(rollout.failures, attrs.evolve(answer, seconds=None), now)
--- a/libs/rollouts/src/gypsumrelay_rollouts/decision.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/decision.py
@@ -110,15 +110,14 @@
         granted: Requests since the last change, all and new.
         exposure: Requests since the order.
         evidence: Answers since the order.
+        failures: The same without times, whose noise may hide failures.
         summary: The evidence at the last judgement.
-        suspects: New upstreams that get nothing more, since only they are
-            worse than the old version.
+        suspects: New upstreams that alone are bad, and get nothing more.
         in_doubt: Whether the new version may be worse than the old one.
         judged_at: Instant of the last judgement.
         longest_seconds: Longest request at the old version.
         is_paused: Whether the canary waits for its allowance.
-        is_trusted: Whether the ordered version is the one in force, so that the
-            order takes back a former one.
+        is_trusted: Whether the order takes back one on trial.
         former: The roll-out that the order replaced before its end, until the
             order is checked.
         refusal: Why the order was refused, or a later one.
@@ -134,6 +133,7 @@
     granted: tuple[int, int] = (0, 0)
     exposure: Exposure = attrs.field(factory=Exposure)
     evidence: Evidence = attrs.field(factory=Evidence)
+    failures: Evidence = attrs.field(factory=Evidence)
     summary: Summary = attrs.field(factory=Summary)
     suspects: frozenset[str] = frozenset()
     in_doubt: bool = False
@@ -271,7 +271,9 @@
     rollout.suspects = suspects(rollout.summary) & situation.alternatives
     rollout.in_doubt = _worst(rollout).score >= SUSPICION_SCORE
     if not rollout.is_trusted:
-        bad = find_bad(rollout.summary, situation.alternatives)
+        failures = summarize(rollout.failures)
+        names = situation.alternatives
+        bad = find_bad(rollout.summary, names) or find_bad(failures, names)
         if bad is not None:
             return move(rollout, Stage.reverted, 'bad answers', now, bad)
     if rollout.stage is Stage.canary:
--- a/libs/rollouts/src/gypsumrelay_rollouts/state.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/state.py
@@ -99,6 +99,7 @@
     for rollout in rollouts.current.values():
         # In the next term, the instances report these answers.
         rollout.evidence = Evidence(references=rollout.evidence.references)
+        rollout.failures = Evidence()
         rollout.summary = Summary()
 
 
