State measured figures only in the note on roll-outs

Cause: a threshold was explained by a value that no run had shown. Change: the note and the comment name the trial's value. Result: no change of behaviour; libs/rollouts/tests pass.

--- a/libs/rollouts/src/gypsumrelay_rollouts/evidence.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/evidence.py
@@ -35,7 +35,7 @@
 # Minimum bad answers before a version is judged bad.
 MIN_BAD: Final = 5
 # Standard deviations above the expectation from which a version is bad. The
-# test is repeated after each answer, so that three would be reached by chance.
+# test is repeated, and a good version reached 2.7 by chance in a trial.
 BAD_SCORE: Final = 4.0
 # The same for the upstreams beside the worst one, which have to confirm it.
 CONFIRMING_SCORE: Final = 1.5
