Forecast the pressure on decode by the measured pace of each upstream

The split of engines used one pace for all of them in its forecast of memory, while placements already used the measured ones. A test of the split also called a function without the instant that it needs since the split follows the last seconds.

--- a/libs/dispatch/src/gypsumrelay_dispatch/load_following.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/load_following.py
@@ -11,6 +11,7 @@
 from gypsumrelay_dispatch.forecast import peak_tokens
 from gypsumrelay_dispatch.loads import Load, placement_memory
 from gypsumrelay_dispatch.models import Phase
+from gypsumrelay_dispatch.upstream_performance import pace_ms
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -166,7 +167,7 @@
 
 def _peak(scheduler: SchedulerState, load: Load, now: float) -> float:
     return peak_tokens(
-        placement_memory(placement, scheduler.pace_ms, now)
+        placement_memory(placement, pace_ms(scheduler, load), now)
         for placement in load.running.values()
     )
 
--- a/libs/dispatch/tests/steps/performance.py
+++ b/libs/dispatch/tests/steps/performance.py
@@ -300,7 +300,7 @@
 def _wanted(scheduler: Any) -> int:
     for number in range(300):
         request = new_request(f'o{number}', 0, **token_counts(3300, 840))
-        observe_request(scheduler, request)
+        observe_request(scheduler, request, 0)
     workload = scheduler.workloads[SERVICE]
     weight = scheduler.settings.prefill_weight
     return wanted_prefill(workload, len(scheduler.loads), weight)
