--- a/libs/relay/src/gypsumrelay_relay/context.py
+++ b/libs/relay/src/gypsumrelay_relay/context.py
@@ -10,8 +10,8 @@
 from gypsumrelay_relay.draining import Shutdown
 from gypsumrelay_relay.startup import (
     StartPhases,
-    WaitingRoom,
-    new_waiting_room,
+    WaitLimit,
+    new_wait_limit,
 )
 
 if TYPE_CHECKING:
@@ -39,7 +39,7 @@
         shutdown: The instants of the shutdown.
         draining: Set when the shutdown starts.
         phases: The phases that the start of the process has reached.
-        waiting_room: Requests that wait for the first configuration.
+        wait_limit: Requests that wait for the first configuration.
     """
 
     settings: RelaySettings
@@ -54,9 +54,9 @@
     shutdown: Shutdown = attrs.field(factory=Shutdown)
     draining: threading.Event = attrs.field(factory=threading.Event)
     phases: StartPhases = attrs.field(factory=StartPhases)
-    waiting_room: WaitingRoom = attrs.field(
+    wait_limit: WaitLimit = attrs.field(
         default=attrs.Factory(
-            lambda relay: new_waiting_room(relay.settings), takes_self=True
+            lambda relay: new_wait_limit(relay.settings), takes_self=True
         )
     )
 
--- a/libs/relay/src/gypsumrelay_relay/startup/__init__.py
+++ b/libs/relay/src/gypsumrelay_relay/startup/__init__.py
@@ -19,9 +19,9 @@
     handle_signals,
 )
 from .waiting import (
-    WaitingRoom,
+    WaitLimit,
     first_configuration,
-    new_waiting_room,
+    new_wait_limit,
     wait_seconds,
 )
 
@@ -29,12 +29,12 @@
     'Phase',
     'StartPhases',
     'Startup',
-    'WaitingRoom',
+    'WaitLimit',
     'defer',
     'first_configuration',
     'follow_phases',
     'handle_signals',
-    'new_waiting_room',
+    'new_wait_limit',
     'report_start',
     'resume_collection',
     'wait_seconds',
--- a/libs/relay/src/gypsumrelay_relay/startup/waiting.py
+++ b/libs/relay/src/gypsumrelay_relay/startup/waiting.py
@@ -37,8 +37,8 @@
 
 
 @attrs.define(eq=False)
-class WaitingRoom:
-    """Requests that wait, counted by number and bytes.
+class WaitLimit:
+    """Limit on waiting requests, by number and bytes.
 
     Attributes:
         max_count: Maximum number of requests.
@@ -54,14 +54,14 @@
     waiting_bytes: int = 0
     lock: threading.Lock = attrs.field(factory=threading.Lock)
 
-    def enter(self, size: int) -> bool:
-        """Count a request in, unless there is no room for it.
+    def acquire(self, size: int) -> bool:
+        """Count a request that starts to wait, within the limit.
 
         Args:
             size: Bytes of its body.
 
         Returns:
-            Whether it may wait; it then has to leave.
+            Whether it may wait; it has to be released afterwards.
         """
         with self.lock:
             fits = self.waiting_bytes + size <= self.max_bytes
@@ -71,17 +71,17 @@
             self.waiting_bytes += size
         return True
 
-    def leave(self, size: int) -> None:
-        """Count a request out."""
+    def release(self, size: int) -> None:
+        """Count a request that no longer waits."""
         with self.lock:
             self.count -= 1
             self.waiting_bytes -= size
 
 
-def new_waiting_room(settings: RelaySettings) -> WaitingRoom:
-    """Return the room for waiting requests that an instance has."""
+def new_wait_limit(settings: RelaySettings) -> WaitLimit:
+    """Return the limit on waiting requests of an instance."""
     memory_mb = settings.capacity.memory_mb or SMALLEST_MEMORY_MB
-    return WaitingRoom(
+    return WaitLimit(
         max(1, int(settings.max_open_requests * THREAD_SHARE)),
         memory_mb * BYTES_PER_MB * MEMORY_SHARE,
     )
@@ -118,12 +118,12 @@
     operator_records = relay.operator_records
     if operator_records.state is not None:
         return operator_records.state
-    room = relay.waiting_room
-    if not room.enter(size):
+    limit = relay.wait_limit
+    if not limit.acquire(size):
         return None
     try:
         return wait_for_configuration(
             operator_records, arrived_at + wait_seconds(wait_ms)
         )
     finally:
-        room.leave(size)
+        limit.release(size)
--- a/libs/relay/tests/steps/starting.py
+++ b/libs/relay/tests/steps/starting.py
@@ -16,7 +16,7 @@
 from gypsumrelay_relay.admission import admit
 from gypsumrelay_relay.operator_records import OperatorRecords, apply_records
 from gypsumrelay_relay.read_intervals import ReadIntervals
-from gypsumrelay_relay.startup import WaitingRoom
+from gypsumrelay_relay.startup import WaitLimit
 from gypsumrelay_relay.store_follower import StoreFollower
 from gypsumrelay_relay.topics import (
     Changes,
@@ -51,7 +51,7 @@
                 wait_ms=environ.get('wait_ms')
             )
         ),
-        waiting_room=WaitingRoom(2, 1000),
+        wait_limit=WaitLimit(2, 1000),
     )
     context.environ = dict(ENVIRON)
 
@@ -85,7 +85,7 @@
         threading.Thread(
             target=admit, args=(context.relay, environ, monotonic())
         ).start()
-    room = context.relay.waiting_room
+    room = context.relay.wait_limit
     deadline = monotonic() + 1
     while room.count < count:
         assert monotonic() < deadline, room
@@ -93,7 +93,7 @@
 
 @then('nothing is counted as waiting')
 def check_room(context: Any) -> None:
-    room = context.relay.waiting_room
+    room = context.relay.wait_limit
     assert (room.count, room.waiting_bytes) == (0, 0), room
 
 
