--- a/libs/settings/src/gypsumrelay_settings/models.py
+++ b/libs/settings/src/gypsumrelay_settings/models.py
@@ -267,13 +267,10 @@
         ready_by_load: Whether an instance near its limits fails readiness
             probes, so that it gets fewer new connections.
         memory_mb: Memory of the instance in MB; 0 if unknown.
-        buffer_share: Maximum part of this memory for requests and answers
-            that wait for slow readers; 0 for no limit.
     """
 
     ready_by_load: bool = False
     memory_mb: float = bounded(0, 100_000_000, default=0)
-    buffer_share: float = bounded(0, 1, default=0)
 
 
 @attrs.frozen
