--- a/libs/dispatch/tests/steps/engines.py
+++ b/libs/dispatch/tests/steps/engines.py
@@ -36,7 +36,7 @@
 STEP_SECONDS: Final = 0.01
 TICK_STEPS: Final = 5
 TRANSFER_SECONDS: Final = 0.03
-# Figures of the deployment `kumasi-lots-grown`.
+# Figures of a deployment whose engines differ in speed.
 MEMORY_TOKENS: Final = 30_971
 PREFILL_TOKENS_PER_MS: Final = 33
 DECODE_MS: Final = 3.27
--- a/libs/relay/tests/steps/starting.py
+++ b/libs/relay/tests/steps/starting.py
@@ -85,16 +85,16 @@
         threading.Thread(
             target=admit, args=(context.relay, environ, monotonic())
         ).start()
-    room = context.relay.wait_limit
+    limit = context.relay.wait_limit
     deadline = monotonic() + 1
-    while room.count < count:
-        assert monotonic() < deadline, room
+    while limit.count < count:
+        assert monotonic() < deadline, limit
 
 
 @then('nothing is counted as waiting')
-def check_room(context: Any) -> None:
-    room = context.relay.wait_limit
-    assert (room.count, room.waiting_bytes) == (0, 0), room
+def check_limit(context: Any) -> None:
+    limit = context.relay.wait_limit
+    assert (limit.count, limit.waiting_bytes) == (0, 0), limit
 
 
 @when('a request arrives and the configuration {seconds:f} seconds later')
