Group the modules of the coordinator and of log events into packages

Change: the coordinator's modules, the log events and the parts of a process are in subpackages; what a relay reports of its own requests is a module of its own. A relay without a coordinator keeps its placement requests until one is chosen: its own coordinator granted plain requests while the fleet started, without knowing what other relays had granted (recovery.feature showed a placement granted 124 ms before the coordinator was known).

--- a/libs/relay/src/gypsumrelay_relay/__init__.py
+++ b/libs/relay/src/gypsumrelay_relay/__init__.py
@@ -6,9 +6,6 @@
 from .process import (
     run,
 )
-from .process_parts import (
-    PlatformAdapter,
-)
 from .protocol import (
     AddedHeaders,
     CallerHeaders,
@@ -27,6 +24,9 @@
     Route,
     Target,
 )
+from .startup.parts import (
+    PlatformAdapter,
+)
 from .store_epoch import (
     StoreEpoch,
     epoch_of,
--- a/libs/relay/src/gypsumrelay_relay/admission.py
+++ b/libs/relay/src/gypsumrelay_relay/admission.py
@@ -19,7 +19,6 @@
     TokensOutOfRange,
 )
 
-from gypsumrelay_relay import request_events
 from gypsumrelay_relay.cancellation import Cancellation
 from gypsumrelay_relay.digests import (
     content_digest,
@@ -27,6 +26,7 @@
     part_digests,
     short_digest,
 )
+from gypsumrelay_relay.events import requests as request_events
 from gypsumrelay_relay.exchange import (
     Admitted,
     Chunks,
--- a/libs/relay/src/gypsumrelay_relay/answer_statements.py
+++ b/libs/relay/src/gypsumrelay_relay/answer_statements.py
@@ -15,11 +15,12 @@
 )
 from logbook import Logger
 
-from gypsumrelay_relay import coordinator_events as messages
-from gypsumrelay_relay import state_events, upstream_events
+from gypsumrelay_relay.coordination import messages
+from gypsumrelay_relay.events import state as state_events
+from gypsumrelay_relay.events import upstreams as upstream_events
 
 if TYPE_CHECKING:
-    from gypsumrelay_relay.coordination import Coordination
+    from gypsumrelay_relay.coordination.client import Coordination
 
 log = Logger('upstreams')
 
--- a/libs/relay/src/gypsumrelay_relay/attempts.py
+++ b/libs/relay/src/gypsumrelay_relay/attempts.py
@@ -17,7 +17,6 @@
     UpstreamFailed,
 )
 
-from gypsumrelay_relay import request_events
 from gypsumrelay_relay.answer_statements import (
     must_not_use,
     report_leaving,
@@ -25,7 +24,9 @@
     start_of,
 )
 from gypsumrelay_relay.cancellation import CancelCause
+from gypsumrelay_relay.coordination.reports import report_end, report_rate_limit
 from gypsumrelay_relay.draining import reject_draining
+from gypsumrelay_relay.events import requests as request_events
 from gypsumrelay_relay.placement import Placement
 from gypsumrelay_relay.protocol import UpstreamRequest
 from gypsumrelay_relay.sending import Reply, SendFailed, send
@@ -106,10 +107,10 @@
     if isinstance(answer, Placement):
         log_granted(exchange, answer)
     elif isinstance(answer, DeadlinePassed):
-        coordination.report_end(request, Ending.cancelled)
+        report_end(coordination, request, Ending.cancelled)
         return timeout_failure(exchange)
     elif isinstance(answer, Draining):
-        coordination.report_end(request, Ending.cancelled)
+        report_end(coordination, request, Ending.cancelled)
     return answer
 
 
@@ -202,7 +203,7 @@
         report_pause(coordination, upstream, headers.pause_seconds, key)
     limit = headers.rate_limit
     if not isinstance(limit, Failure):
-        coordination.report_rate_limit(upstream, limit, key)
+        report_rate_limit(coordination, upstream, limit, key)
 
 
 def classify_reply(exchange: Exchange, reply: Reply) -> AttemptResult:
@@ -258,7 +259,8 @@
     """Release the placement of an attempt and log how it ended."""
     request = placement.request
     ending = ending_at(exchange, result, placement.address)
-    exchange.relay.coordination.report_end(
+    report_end(
+        exchange.relay.coordination,
         request,
         ending,
         began=result.began,
--- a/libs/relay/src/gypsumrelay_relay/building.py
+++ b/libs/relay/src/gypsumrelay_relay/building.py
@@ -15,8 +15,8 @@
 from gypsumrelay_relay.cancellation import RequestWatcher
 from gypsumrelay_relay.connections import Connections
 from gypsumrelay_relay.context import Relay
-from gypsumrelay_relay.coordination import Coordination, do_nothing
-from gypsumrelay_relay.coordinator import Coordinator
+from gypsumrelay_relay.coordination.actor import Coordinator
+from gypsumrelay_relay.coordination.client import Coordination, do_nothing
 from gypsumrelay_relay.fairness import fairness_gauges
 from gypsumrelay_relay.heartbeats import Heartbeats, open_socket
 from gypsumrelay_relay.membership import (
@@ -26,10 +26,10 @@
     Members,
 )
 from gypsumrelay_relay.operator_records import OperatorRecords
-from gypsumrelay_relay.process_parts import PlatformAdapter, Process
 from gypsumrelay_relay.rollouts import bounds_of
 from gypsumrelay_relay.rollouts.keeper import RolloutKeeper
 from gypsumrelay_relay.startup import defer
+from gypsumrelay_relay.startup.parts import PlatformAdapter, Process
 from gypsumrelay_relay.stream_log import StreamLog
 from gypsumrelay_relay.stream_messages import StartKeeper
 
--- a/libs/relay/src/gypsumrelay_relay/capacity/events.py
+++ b/libs/relay/src/gypsumrelay_relay/capacity/events.py
@@ -7,7 +7,7 @@
 import attrs
 from gypsumrelay_dispatch import TransferChange
 
-from gypsumrelay_relay.state_events import StateChange
+from gypsumrelay_relay.events.state import StateChange
 
 
 @attrs.frozen
--- a/libs/relay/src/gypsumrelay_relay/capacity/watching.py
+++ b/libs/relay/src/gypsumrelay_relay/capacity/watching.py
@@ -27,8 +27,8 @@
     update,
     zone_view,
 )
+from gypsumrelay_relay.events.state import report
 from gypsumrelay_relay.membership import alive
-from gypsumrelay_relay.state_events import report
 
 if TYPE_CHECKING:
     from gypsumrelay_settings import RelaySettings
--- a/libs/relay/src/gypsumrelay_relay/context.py
+++ b/libs/relay/src/gypsumrelay_relay/context.py
@@ -23,7 +23,7 @@
 
     from gypsumrelay_relay.cancellation import RequestWatcher
     from gypsumrelay_relay.connections import Connections
-    from gypsumrelay_relay.coordination import Coordination
+    from gypsumrelay_relay.coordination.client import Coordination
     from gypsumrelay_relay.metrics import RelayMetrics
     from gypsumrelay_relay.operator_records import OperatorRecords
     from gypsumrelay_relay.protocol import HttpProtocol
--- a/libs/relay/src/gypsumrelay_relay/coordinator.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination/actor.py
@@ -14,13 +14,15 @@
 from gypsumrelay_wire import to_retry_ms
 from logbook import Logger
 
-from gypsumrelay_relay import coordinator_events as messages
 from gypsumrelay_relay.capacity.events import transfer_event
+from gypsumrelay_relay.coordination import messages
 from gypsumrelay_relay.crash_reports import (
     crash_event,
     report_causes,
 )
 from gypsumrelay_relay.digests import short_digest
+from gypsumrelay_relay.events.state import report
+from gypsumrelay_relay.events.upstreams import PlacementRejected
 from gypsumrelay_relay.performance.events import report_limits
 from gypsumrelay_relay.performance.messages import (
     MeasurementsReported,
@@ -32,7 +34,6 @@
     apply_rollout_message,
     take_rollout_work,
 )
-from gypsumrelay_relay.state_events import report
 from gypsumrelay_relay.store_epoch import epoch_of, offset_of
 from gypsumrelay_relay.stream_messages import (
     SavedStartsLost,
@@ -42,7 +43,6 @@
     apply_saved_starts,
     apply_streams_report,
 )
-from gypsumrelay_relay.upstream_events import PlacementRejected
 
 if TYPE_CHECKING:
     from gypsumrelay_dispatch import (
--- a/libs/relay/src/gypsumrelay_relay/coordination.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination/client.py
@@ -9,14 +9,11 @@
 import attrs
 from gypsumrelay_clock import monotonic
 from gypsumrelay_dispatch import (
-    UNMEASURED,
     Decision,
     Departures,
-    Ending,
     Pauses,
     PlacementRequest,
     Rejection,
-    StreamPace,
 )
 from gypsumrelay_errors import Failure, LinkClosed, RequestQuarantined
 from gypsumrelay_settings import DispatchSettings
@@ -33,15 +30,15 @@
 )
 from logbook import Logger
 
-from gypsumrelay_relay import coordinator_events as messages
-from gypsumrelay_relay import state_events
-from gypsumrelay_relay.coordinator_links import (
+from gypsumrelay_relay.coordination import messages
+from gypsumrelay_relay.coordination.conversion import from_wire, to_wire
+from gypsumrelay_relay.coordination.links import (
     complete_report,
     link_heartbeat,
     open_link,
 )
-from gypsumrelay_relay.coordinator_messages import from_wire, to_wire
 from gypsumrelay_relay.crash_reports import crash_to_wire
+from gypsumrelay_relay.events import state as state_events
 from gypsumrelay_relay.known_crashes import KnownCrashes
 from gypsumrelay_relay.membership import (
     Members,
@@ -153,94 +150,19 @@
     on_granted: Callable[[], None] = do_nothing
 
     def request_placement(self, request: PlacementRequest) -> PendingRequest:
-        """Request a placement; the answer is put into the returned queue."""
+        """Request a placement; the answer is put into the returned queue.
+
+        Without a coordinator the request waits until one is chosen. This
+        relay's own coordinator knows neither what other relays' callers have
+        used of their contracts nor what runs at the upstreams.
+        """
         pending = PendingRequest(request)
         with self.lock:
             self.pending[request.key] = pending
-            self.tell(messages.PlacementRequested(request))
+            if self.leader:
+                self.tell(messages.PlacementRequested(request))
         return pending
 
-    def report_prefill(self, placement: Placement, ending: Ending) -> None:
-        """Report to the coordinator that a prefill ended or failed."""
-        key = placement.request.key
-        with self.lock:
-            self.measured.record_prefill(placement, ending, monotonic())
-            self.tell(messages.PrefillEnded(key, ending))
-
-    def report_end(
-        self,
-        request: PlacementRequest,
-        ending: Ending,
-        *,
-        began: bool = False,
-        pace: StreamPace = UNMEASURED,
-        transfer_ms: int = -1,
-    ) -> None:
-        """Report that a placement is free, or that its request is cancelled.
-
-        Args:
-            request: The placement request.
-            ending: How the attempt ended.
-            began: Whether the upstream had sent an event of the answer.
-            pace: Events after the first ones, and the time they took.
-            transfer_ms: Time in milliseconds from the end of the prefill to
-                the first event; -1 if unknown.
-        """
-        with self.lock:
-            self.pending.pop(request.key, None)
-            placement = self.active.pop(request.key, None)
-            if placement is not None:
-                now = monotonic()
-                self.uses.rollouts.record_end(placement, ending)
-                self.known_crashes.record_end(
-                    placement, ending, now, began=began
-                )
-                self.measured.record_end(placement, ending, pace, now)
-            self.tell(
-                messages.PlacementEnded(
-                    request.key,
-                    ending,
-                    began,
-                    pace.events,
-                    pace.stream_ms,
-                    transfer_ms,
-                )
-            )
-
-    def report_rate_limit(
-        self, upstream: str, per_second: float | None, key: tuple[str, int]
-    ) -> None:
-        """Report the rate limit that the answer to an attempt states.
-
-        Args:
-            upstream: Name of the upstream that answered.
-            per_second: The limit in requests per second; None if the answer
-                states none.
-            key: Request id and number of the attempt.
-        """
-        with self.lock:
-            limits = self.stated_limits
-            if not limits.record_answer(upstream, per_second, monotonic()):
-                return
-            if per_second is None:
-                self.tell(messages.RateLimitEndReported(upstream, key))
-            else:
-                self.tell(
-                    messages.RateLimitReported(
-                        upstream, per_second, is_new=True
-                    )
-                )
-
-    def report_stream(self, digest: bytes, version: str) -> None:
-        """Report that an upstream of a software version began a stream.
-
-        Args:
-            digest: Digest of the start of the stream.
-            version: The version.
-        """
-        with self.lock:
-            self.tell(self.streams.record(digest, version, monotonic()))
-
     def deliver_answer(self, decision: Decision) -> None:
         """Send an answer of the own coordinator to the requesting relay."""
         request = decision.request
--- a/libs/relay/src/gypsumrelay_relay/coordinator_messages.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination/conversion.py
@@ -28,7 +28,7 @@
     UpstreamPaused,
 )
 
-from gypsumrelay_relay import coordinator_events as messages
+from gypsumrelay_relay.coordination import messages
 from gypsumrelay_relay.crash_reports import crash_from_wire, crash_to_wire
 from gypsumrelay_relay.performance.messages import (
     MeasurementsReported,
--- a/libs/relay/src/gypsumrelay_relay/coordinator_links.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination/links.py
@@ -9,11 +9,11 @@
 from gypsumrelay_wire import Heartbeat, Link, dial
 from logbook import Logger
 
-from gypsumrelay_relay import coordinator_events as messages
+from gypsumrelay_relay.coordination import messages
 from gypsumrelay_relay.membership import alive, mark_unreachable
 
 if TYPE_CHECKING:
-    from gypsumrelay_relay.coordination import Coordination
+    from gypsumrelay_relay.coordination.client import Coordination
 
 log = Logger('coordination')
 
--- a/libs/relay/src/gypsumrelay_relay/crash_reports.py
+++ b/libs/relay/src/gypsumrelay_relay/crash_reports.py
@@ -9,8 +9,8 @@
 from gypsumrelay_wire import UpstreamCrashed
 
 from gypsumrelay_relay.digests import short_digest
-from gypsumrelay_relay.state_events import report
-from gypsumrelay_relay.upstream_events import (
+from gypsumrelay_relay.events.state import report
+from gypsumrelay_relay.events.upstreams import (
     CauseCleared,
     CauseFound,
     CrashConfirmed,
--- a/libs/relay/src/gypsumrelay_relay/draining.py
+++ b/libs/relay/src/gypsumrelay_relay/draining.py
@@ -11,7 +11,7 @@
     from gypsumrelay_dispatch import PlacementRequest
     from gypsumrelay_settings import ShutdownSettings
 
-    from gypsumrelay_relay.coordination import Coordination
+    from gypsumrelay_relay.coordination.client import Coordination
 
 # Time in seconds before the end of the process by which the last answers have
 # to be complete, so that they reach their callers.
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/events/__init__.py
@@ -0,0 +1,1 @@
+"""Log events of a relay."""
--- a/libs/relay/src/gypsumrelay_relay/exchange.py
+++ b/libs/relay/src/gypsumrelay_relay/exchange.py
@@ -18,13 +18,13 @@
 from gypsumrelay_errors import Failure
 from gypsumrelay_wire import to_remaining_ms
 
-from gypsumrelay_relay import request_events
 from gypsumrelay_relay.cancellation import CancelCause, Cancellation
 from gypsumrelay_relay.digests import (
     content_digest,
     part_digests,
     stream_digest,
 )
+from gypsumrelay_relay.events import requests as request_events
 from gypsumrelay_relay.startup import Phase
 
 if TYPE_CHECKING:
--- a/libs/relay/src/gypsumrelay_relay/heartbeats.py
+++ b/libs/relay/src/gypsumrelay_relay/heartbeats.py
@@ -11,6 +11,7 @@
 from gypsumrelay_clock import monotonic
 from logbook import Logger
 
+from gypsumrelay_relay.events.state import PeerDiscovered, report
 from gypsumrelay_relay.membership import (
     DEFAULT_TIMEOUT_MS,
     HEARTBEAT_SECONDS,
@@ -24,7 +25,6 @@
     record_heartbeat,
     with_timeout,
 )
-from gypsumrelay_relay.state_events import PeerDiscovered, report
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/libs/relay/src/gypsumrelay_relay/known_crashes.py
+++ b/libs/relay/src/gypsumrelay_relay/known_crashes.py
@@ -21,7 +21,7 @@
     is_completion,
 )
 
-from gypsumrelay_relay.coordinator_events import (
+from gypsumrelay_relay.coordination.messages import (
     CompletionsReported,
     CrashReported,
 )
--- a/libs/relay/src/gypsumrelay_relay/model_requests.py
+++ b/libs/relay/src/gypsumrelay_relay/model_requests.py
@@ -9,7 +9,6 @@
 from gypsumrelay_dispatch import Ending
 from gypsumrelay_errors import Failure, StreamNotResumable
 
-from gypsumrelay_relay import request_events
 from gypsumrelay_relay.attempts import (
     AttemptResult,
     end_attempt,
@@ -17,6 +16,8 @@
     has_disconnected,
 )
 from gypsumrelay_relay.cancellation import CancelCause
+from gypsumrelay_relay.coordination.reports import report_stream
+from gypsumrelay_relay.events import requests as request_events
 from gypsumrelay_relay.exchange import CompleteAnswer, answer_complete
 from gypsumrelay_relay.performance.stream_meter import StreamMeter
 from gypsumrelay_relay.sending import IO_ERRORS
@@ -122,7 +123,7 @@
         return
     if exchange.admitted.route.resumable:
         digest = exchange.stream_digest(exchange.request_id)
-        exchange.relay.coordination.report_stream(digest, run.version)
+        report_stream(exchange.relay.coordination, digest, run.version)
 
 
 def _resume(
--- a/libs/relay/src/gypsumrelay_relay/operator_records.py
+++ b/libs/relay/src/gypsumrelay_relay/operator_records.py
@@ -11,7 +11,7 @@
 from gypsumrelay_errors import Failure
 from logbook import Logger
 
-from gypsumrelay_relay.state_events import (
+from gypsumrelay_relay.events.state import (
     ConfigurationApplied,
     ConfigurationKept,
     report,
--- a/libs/relay/src/gypsumrelay_relay/pending_requests.py
+++ b/libs/relay/src/gypsumrelay_relay/pending_requests.py
@@ -10,13 +10,14 @@
 from gypsumrelay_errors import Failure
 from logbook import Logger
 
-from gypsumrelay_relay import coordinator_events as messages
-from gypsumrelay_relay import state_events, upstream_events
 from gypsumrelay_relay.answer_statements import must_not_use
+from gypsumrelay_relay.coordination import messages
+from gypsumrelay_relay.events import state as state_events
+from gypsumrelay_relay.events import upstreams as upstream_events
 from gypsumrelay_relay.placement import Placement
 
 if TYPE_CHECKING:
-    from gypsumrelay_relay.coordination import Coordination
+    from gypsumrelay_relay.coordination.client import Coordination
 
 log = Logger('coordination')
 
--- a/libs/relay/src/gypsumrelay_relay/performance/events.py
+++ b/libs/relay/src/gypsumrelay_relay/performance/events.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from gypsumrelay_relay.state_events import StateChange, report
+from gypsumrelay_relay.events.state import StateChange, report
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/libs/relay/src/gypsumrelay_relay/performance/gauges.py
+++ b/libs/relay/src/gypsumrelay_relay/performance/gauges.py
@@ -6,10 +6,10 @@
 
 import pykka
 
-from gypsumrelay_relay.coordinator_events import GetLimits
+from gypsumrelay_relay.coordination.messages import GetLimits
 
 if TYPE_CHECKING:
-    from gypsumrelay_relay.coordination import Coordination
+    from gypsumrelay_relay.coordination.client import Coordination
     from gypsumrelay_relay.metrics import RelayMetrics
 
 # Longest time in seconds for which the thread that sends heartbeats waits.
--- a/libs/relay/src/gypsumrelay_relay/periodic/heartbeats.py
+++ b/libs/relay/src/gypsumrelay_relay/periodic/heartbeats.py
@@ -11,7 +11,7 @@
 from gypsumrelay_relay.startup import report_start
 
 if TYPE_CHECKING:
-    from gypsumrelay_relay.process_parts import Process
+    from gypsumrelay_relay.startup.parts import Process
 
 # Interval in seconds between heartbeats on a link. They bound the time until a
 # silent link breaks, together with the time for an acknowledgement.
--- a/libs/relay/src/gypsumrelay_relay/phase_switching.py
+++ b/libs/relay/src/gypsumrelay_relay/phase_switching.py
@@ -11,12 +11,12 @@
 from gypsumrelay_errors import Failure
 from logbook import Logger
 
-from gypsumrelay_relay import coordinator_events as messages
 from gypsumrelay_relay.cancellation import Cancellation
+from gypsumrelay_relay.coordination import messages
+from gypsumrelay_relay.events.state import report
+from gypsumrelay_relay.events.upstreams import PhaseSwitchOrdered
 from gypsumrelay_relay.sending import IO_ERRORS, Reply, SendFailed, send
-from gypsumrelay_relay.state_events import report
 from gypsumrelay_relay.topics import Topic, TopicCopy, refresh
-from gypsumrelay_relay.upstream_events import PhaseSwitchOrdered
 
 if TYPE_CHECKING:
     from gypsumrelay_relay.context import Relay
--- a/libs/relay/src/gypsumrelay_relay/prefill.py
+++ b/libs/relay/src/gypsumrelay_relay/prefill.py
@@ -9,7 +9,6 @@
 from gypsumrelay_dispatch import Ending
 from gypsumrelay_errors import Failure
 
-from gypsumrelay_relay import request_events
 from gypsumrelay_relay.answer_statements import must_not_use
 from gypsumrelay_relay.attempts import (
     MISDIRECTED,
@@ -20,6 +19,8 @@
     send_request,
 )
 from gypsumrelay_relay.cancellation import Cancellation
+from gypsumrelay_relay.coordination.reports import report_prefill
+from gypsumrelay_relay.events import requests as request_events
 from gypsumrelay_relay.protocol import AddedHeaders, UpstreamRequest
 from gypsumrelay_relay.sending import (
     IO_ERRORS,
@@ -179,7 +180,7 @@
         else outcome
     )
     ending = ending_at(exchange, result, placement.prefill_address)
-    exchange.relay.coordination.report_prefill(placement, ending)
+    report_prefill(exchange.relay.coordination, placement, ending)
     exchange.log(
         request_events.PrefillWorkEnded(
             exchange.request_id,
--- a/libs/relay/src/gypsumrelay_relay/probes/answers.py
+++ b/libs/relay/src/gypsumrelay_relay/probes/answers.py
@@ -7,14 +7,14 @@
 
 from gypsumrelay_clock import monotonic
 
-from gypsumrelay_relay import coordinator_events as messages
 from gypsumrelay_relay.capacity import allows_ready
+from gypsumrelay_relay.coordination import messages
 from gypsumrelay_relay.store_epoch import epoch_of, offset_of
 
 if TYPE_CHECKING:
     from gypsumrelay_relay.context import Relay
-    from gypsumrelay_relay.coordination import Coordination
-    from gypsumrelay_relay.process_parts import Process
+    from gypsumrelay_relay.coordination.client import Coordination
+    from gypsumrelay_relay.startup.parts import Process
 
 
 def is_ready(process: Process) -> bool:
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -12,8 +12,6 @@
 from gypsumrelay_wire import listen
 from logbook import Logger
 
-from gypsumrelay_relay import coordinator_events as messages
-from gypsumrelay_relay import state_events
 from gypsumrelay_relay.building import build
 from gypsumrelay_relay.caller_server import (
     close_to_new_requests,
@@ -24,7 +22,9 @@
 )
 from gypsumrelay_relay.caller_timeouts import CallerTimeouts
 from gypsumrelay_relay.capacity.watching import start_watch
+from gypsumrelay_relay.coordination import messages
 from gypsumrelay_relay.draining import plan_shutdown, reject_waiting
+from gypsumrelay_relay.events import state as state_events
 from gypsumrelay_relay.heartbeats import SUSPENSION_SECONDS
 from gypsumrelay_relay.membership import (
     add_hosts,
@@ -33,7 +33,6 @@
 from gypsumrelay_relay.periodic import send_link_heartbeats
 from gypsumrelay_relay.phase_switching import PhaseSwitcher
 from gypsumrelay_relay.probes import is_ready, status_page
-from gypsumrelay_relay.process_parts import PlatformAdapter, Process
 from gypsumrelay_relay.read_intervals import ReadIntervals, read_intervals
 from gypsumrelay_relay.records_exchange import request_records
 from gypsumrelay_relay.registration import (
@@ -49,6 +48,7 @@
     handle_signals,
     resume_collection,
 )
+from gypsumrelay_relay.startup.parts import PlatformAdapter, Process
 from gypsumrelay_relay.store_follower import StoreFollower
 
 if TYPE_CHECKING:
--- a/libs/relay/src/gypsumrelay_relay/records_exchange.py
+++ b/libs/relay/src/gypsumrelay_relay/records_exchange.py
@@ -15,7 +15,7 @@
 )
 
 if TYPE_CHECKING:
-    from gypsumrelay_relay.coordination import Coordination
+    from gypsumrelay_relay.coordination.client import Coordination
     from gypsumrelay_relay.membership import Member
 
 # Delay in seconds before records that have not arrived are requested again.
--- a/libs/relay/src/gypsumrelay_relay/registration.py
+++ b/libs/relay/src/gypsumrelay_relay/registration.py
@@ -10,19 +10,19 @@
 from gypsumrelay_errors import Failure
 from logbook import Logger
 
-from gypsumrelay_relay.membership import UNRANKED, add_hosts, is_address
-from gypsumrelay_relay.state_events import (
+from gypsumrelay_relay.events.state import (
     Registered,
     RegistrationRestored,
     StoreRestored,
     report,
 )
+from gypsumrelay_relay.membership import UNRANKED, add_hosts, is_address
 from gypsumrelay_relay.topics import Snapshot, Topic
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from gypsumrelay_relay.process_parts import Process
+    from gypsumrelay_relay.startup.parts import Process
 
 log = Logger('registration')
 
--- a/libs/relay/src/gypsumrelay_relay/rollouts/events.py
+++ b/libs/relay/src/gypsumrelay_relay/rollouts/events.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from gypsumrelay_relay.state_events import StateChange
+from gypsumrelay_relay.events.state import StateChange
 
 if TYPE_CHECKING:
     from gypsumrelay_rollouts import Change
--- a/libs/relay/src/gypsumrelay_relay/rollouts/keeper.py
+++ b/libs/relay/src/gypsumrelay_relay/rollouts/keeper.py
@@ -11,9 +11,9 @@
 from gypsumrelay_errors import Failure
 from logbook import Logger
 
+from gypsumrelay_relay.events.state import report
 from gypsumrelay_relay.rollouts import messages
 from gypsumrelay_relay.rollouts.events import StatusNotWritten, change_event
-from gypsumrelay_relay.state_events import report
 from gypsumrelay_relay.topics import Topic, TopicCopy, refresh
 
 if TYPE_CHECKING:
--- a/libs/relay/src/gypsumrelay_relay/startup/report.py
+++ b/libs/relay/src/gypsumrelay_relay/startup/report.py
@@ -7,11 +7,11 @@
 from gypsumrelay_clock import monotonic
 from logbook import Logger
 
+from gypsumrelay_relay.events.state import StartTimed, report
 from gypsumrelay_relay.startup.phases import Phase
-from gypsumrelay_relay.state_events import StartTimed, report
 
 if TYPE_CHECKING:
-    from gypsumrelay_relay.process_parts import Process
+    from gypsumrelay_relay.startup.parts import Process
     from gypsumrelay_relay.startup.phases import StartPhases
 
 log = Logger('startup')
--- a/libs/relay/src/gypsumrelay_relay/state_reports.py
+++ b/libs/relay/src/gypsumrelay_relay/state_reports.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from gypsumrelay_relay import coordinator_events as messages
+from gypsumrelay_relay.coordination import messages
 from gypsumrelay_relay.placement import own_placement
 from gypsumrelay_relay.quarantine import drop_expired
 from gypsumrelay_relay.usage_history import (
@@ -19,7 +19,7 @@
 )
 
 if TYPE_CHECKING:
-    from gypsumrelay_relay.coordination import Coordination
+    from gypsumrelay_relay.coordination.client import Coordination
 
 
 def state_reports(coordination: Coordination, now: float) -> Iterator[Any]:
--- a/libs/relay/src/gypsumrelay_relay/stated_limits.py
+++ b/libs/relay/src/gypsumrelay_relay/stated_limits.py
@@ -9,7 +9,8 @@
 from gypsumrelay_dispatch import UNLISTED_SECONDS
 from logbook import Logger
 
-from gypsumrelay_relay import state_events, upstream_events
+from gypsumrelay_relay.events import state as state_events
+from gypsumrelay_relay.events import upstreams as upstream_events
 
 if TYPE_CHECKING:
     from collections.abc import Set as AbstractSet
--- a/libs/relay/src/gypsumrelay_relay/store_follower.py
+++ b/libs/relay/src/gypsumrelay_relay/store_follower.py
@@ -11,8 +11,8 @@
 from gypsumrelay_errors import Failure
 from logbook import Logger
 
-from gypsumrelay_relay import state_events
-from gypsumrelay_relay.coordinator_events import ListRead, UpstreamsChanged
+from gypsumrelay_relay.coordination.messages import ListRead, UpstreamsChanged
+from gypsumrelay_relay.events import state as state_events
 from gypsumrelay_relay.membership import becomes_stale
 from gypsumrelay_relay.operator_check import OperatorCheck
 from gypsumrelay_relay.operator_records import OperatorRecords, apply_records
--- a/libs/relay/src/gypsumrelay_relay/stream_start.py
+++ b/libs/relay/src/gypsumrelay_relay/stream_start.py
@@ -20,6 +20,7 @@
     timeout_failure,
     wait_for_placement,
 )
+from gypsumrelay_relay.coordination.reports import report_end
 from gypsumrelay_relay.eventstream import EventSplitter
 from gypsumrelay_relay.exchange import CompleteAnswer
 from gypsumrelay_relay.prefill import MS_PER_SECOND, Cache, run_prefill
@@ -216,8 +217,8 @@
         outcome = run_prefill(exchange, placement)
         if isinstance(outcome, AttemptResult):
             exchange.excluded.add(placement.prefill)
-            exchange.relay.coordination.report_end(
-                placement.request, Ending.cancelled
+            report_end(
+                exchange.relay.coordination, placement.request, Ending.cancelled
             )
             return AttemptResult(Ending.rejected, outcome.reason)
         run.cache = outcome
@@ -230,8 +231,8 @@
 def _leave_unused(run: StreamRun, placement: Placement) -> AttemptResult:
     """Give a placement back, since the silent upstream goes on."""
     drop_cache(run)
-    run.exchange.relay.coordination.report_end(
-        placement.request, Ending.cancelled
+    report_end(
+        run.exchange.relay.coordination, placement.request, Ending.cancelled
     )
     return AttemptResult(Ending.rejected, RESUMED)
 
--- a/libs/relay/src/gypsumrelay_relay/substitution.py
+++ b/libs/relay/src/gypsumrelay_relay/substitution.py
@@ -12,6 +12,7 @@
 from gypsumrelay_errors import Draining
 
 from gypsumrelay_relay.attempts import log_granted
+from gypsumrelay_relay.coordination.reports import report_end
 from gypsumrelay_relay.placement import Placement
 
 if TYPE_CHECKING:
@@ -80,8 +81,10 @@
     def withdraw(self) -> None:
         """Withdraw the pending request, and free its placement if granted."""
         if self.pending is not None:
-            self.exchange.relay.coordination.report_end(
-                self.pending.request, Ending.cancelled
+            report_end(
+                self.exchange.relay.coordination,
+                self.pending.request,
+                Ending.cancelled,
             )
             self.pending = None
 
--- a/libs/relay/tests/membership.feature
+++ b/libs/relay/tests/membership.feature
@@ -127,6 +127,14 @@
     When it switches to a coordinator on another relay
     Then it reports its placement, then the end of its report, and then requests
 
+  Scenario: A relay without a coordinator requests no placement
+    Guards against grants beyond a contract: at a start of the whole fleet each
+    relay's own coordinator would grant the full contract.
+    Given a relay that waits for a placement and has no coordinator yet
+    Then its own coordinator gets no request
+    When it switches to a coordinator on another relay
+    Then the new coordinator gets the request
+
   Scenario: A relay opens a silent link to a sound coordinator again
     Guards against relays that choose another coordinator because their link
     broke, while the coordinator itself is sound.
--- a/libs/relay/tests/steps/capacity.py
+++ b/libs/relay/tests/steps/capacity.py
@@ -32,8 +32,8 @@
 )
 from gypsumrelay_relay.capacity.readiness import LOADED_SHARES
 from gypsumrelay_relay.capacity.watching import CapacityWatch
-from gypsumrelay_relay.coordinator_events import PlacementEnded
-from gypsumrelay_relay.coordinator_messages import from_wire, to_wire
+from gypsumrelay_relay.coordination.conversion import from_wire, to_wire
+from gypsumrelay_relay.coordination.messages import PlacementEnded
 from gypsumrelay_relay.heartbeats import pack, unpack
 from gypsumrelay_relay.membership import (
     Member,
--- a/libs/relay/tests/steps/changes.py
+++ b/libs/relay/tests/steps/changes.py
@@ -17,11 +17,11 @@
     restore_retries,
 )
 from gypsumrelay_errors import LinkClosed, Overloaded, PlatformUnavailable
-from gypsumrelay_relay import coordinator as coordinator_module
-from gypsumrelay_relay import coordinator_links as module
-from gypsumrelay_relay.coordination import Coordination
-from gypsumrelay_relay.coordinator import Coordinator
-from gypsumrelay_relay.coordinator_events import (
+from gypsumrelay_relay.coordination import actor as coordinator_module
+from gypsumrelay_relay.coordination import links as module
+from gypsumrelay_relay.coordination.actor import Coordinator
+from gypsumrelay_relay.coordination.client import Coordination
+from gypsumrelay_relay.coordination.messages import (
     ChargesReported,
     GetFigures,
     RateLimitReported,
@@ -255,6 +255,30 @@
     context.coordination = coordination
 
 
+@given('a relay that waits for a placement and has no coordinator yet')
+def give_waiting(context: Any) -> None:
+    give_place(context)
+    coordination = context.coordination
+    context.told = []
+    coordination.actor = SimpleNamespace(tell=context.told.append)
+    coordination.request_placement(new_request('first'))
+
+
+@then('its own coordinator gets no request')
+def check_no_request(context: Any) -> None:
+    assert not context.told, context.told
+
+
+@then('the new coordinator gets the request')
+def check_requested(context: Any) -> None:
+    requested = [
+        message.request_id
+        for message in context.sent
+        if isinstance(message, PlaceRequest)
+    ]
+    assert 'first' in requested, requested
+
+
 @when('it switches to a coordinator on another relay')
 def switch_to_other(context: Any) -> None:
     coordination = context.coordination
--- a/libs/relay/tests/steps/crash_reports.py
+++ b/libs/relay/tests/steps/crash_reports.py
@@ -13,8 +13,9 @@
 from gypsumrelay_attribution import Content, Crash
 from gypsumrelay_clock import monotonic
 from gypsumrelay_dispatch import Ending, SchedulerState, restore_crash
-from gypsumrelay_relay import coordinator_events as messages
-from gypsumrelay_relay.coordinator import Coordinator
+from gypsumrelay_relay.coordination import messages
+from gypsumrelay_relay.coordination.actor import Coordinator
+from gypsumrelay_relay.coordination.reports import report_end
 from gypsumrelay_relay.crash_reports import crash_from_wire, crash_to_wire
 from gypsumrelay_relay.placement import Placement
 from gypsumrelay_settings import DispatchSettings
@@ -74,7 +75,7 @@
     )
     coordination.active[request.key] = placement
     began = ending is Ending.answered
-    coordination.report_end(request, ending, began=began)
+    report_end(coordination, request, ending, began=began)
 
 
 @then('it reports the crashes of "{first}" and "{second}" before it requests')
--- a/libs/relay/tests/steps/draining.py
+++ b/libs/relay/tests/steps/draining.py
@@ -8,7 +8,7 @@
 
 from behave import given, then, when
 from gypsumrelay_errors import Outcome
-from gypsumrelay_relay.coordination import PendingRequest
+from gypsumrelay_relay.coordination.client import PendingRequest
 from gypsumrelay_relay.draining import (
     may_pass_on,
     plan_shutdown,
--- a/libs/relay/tests/steps/fleets.py
+++ b/libs/relay/tests/steps/fleets.py
@@ -7,7 +7,7 @@
 
 import attrs
 from behave import given, then, when
-from gypsumrelay_relay.coordinator_links import DIAL_SECONDS
+from gypsumrelay_relay.coordination.links import DIAL_SECONDS
 from gypsumrelay_relay.membership import (
     Member,
     Members,
--- a/libs/relay/tests/steps/performance.py
+++ b/libs/relay/tests/steps/performance.py
@@ -30,8 +30,9 @@
     prefill_ms,
     service_seconds,
 )
-from gypsumrelay_relay.coordination import Coordination
-from gypsumrelay_relay.coordinator_messages import from_wire, to_wire
+from gypsumrelay_relay.coordination.client import Coordination
+from gypsumrelay_relay.coordination.conversion import from_wire, to_wire
+from gypsumrelay_relay.coordination.reports import report_end
 from gypsumrelay_relay.membership import Member, Members
 from gypsumrelay_relay.metrics import RelayMetrics
 from gypsumrelay_relay.operator_records import OperatorRecords
@@ -201,7 +202,8 @@
     placement = _placement('one', 3200)
     coordination = context.coordination
     coordination.active[placement.request.key] = placement
-    coordination.report_end(
+    report_end(
+        coordination,
         placement.request,
         Ending.answered,
         began=True,
--- a/libs/relay/tests/steps/reading.py
+++ b/libs/relay/tests/steps/reading.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 from gypsumrelay_clock import monotonic
 from gypsumrelay_errors import PlatformUnavailable
-from gypsumrelay_relay.coordination import Coordination
+from gypsumrelay_relay.coordination.client import Coordination
 from gypsumrelay_relay.membership import Member, Members, record_heartbeat
 from gypsumrelay_relay.operator_records import OperatorRecords
 from gypsumrelay_relay.read_intervals import ReadIntervals, read_intervals
--- a/libs/relay/tests/steps/refusing.py
+++ b/libs/relay/tests/steps/refusing.py
@@ -22,8 +22,8 @@
 from gypsumrelay_errors import Failure
 from gypsumrelay_relay.admission import admit, token_failure
 from gypsumrelay_relay.connections import Connections
-from gypsumrelay_relay.coordinator import Coordinator
-from gypsumrelay_relay.coordinator_events import PlacementRequested
+from gypsumrelay_relay.coordination.actor import Coordinator
+from gypsumrelay_relay.coordination.messages import PlacementRequested
 from gypsumrelay_relay.protocol import CallerHeaders
 from gypsumrelay_settings import DispatchSettings
 from urllib3.connection import HTTPConnection
--- a/libs/relay/tests/steps/restored_lists.py
+++ b/libs/relay/tests/steps/restored_lists.py
@@ -27,7 +27,7 @@
     Topic,
     position_at,
 )
-from gypsumrelay_relay.coordinator_events import UpstreamsChanged
+from gypsumrelay_relay.coordination.messages import UpstreamsChanged
 from gypsumrelay_relay.operator_records import OperatorRecords
 from gypsumrelay_relay.read_intervals import ReadIntervals
 from gypsumrelay_relay.store_follower import StoreFollower
--- a/libs/relay/tests/steps/restored_store.py
+++ b/libs/relay/tests/steps/restored_store.py
@@ -13,7 +13,7 @@
 from gypsumrelay_clock import monotonic
 from gypsumrelay_errors import Failure, PlatformUnavailable
 from gypsumrelay_relay import operator_records as records_module
-from gypsumrelay_relay.coordination import Coordination
+from gypsumrelay_relay.coordination.client import Coordination
 from gypsumrelay_relay.heartbeats import pack, unpack
 from gypsumrelay_relay.membership import Member, Members, record_heartbeat
 from gypsumrelay_relay.operator_records import (
--- a/libs/relay/tests/steps/silent_upstreams.py
+++ b/libs/relay/tests/steps/silent_upstreams.py
@@ -15,6 +15,7 @@
 from gypsumrelay_errors import Draining, Overloaded
 from gypsumrelay_relay.cancellation import Cancellation
 from gypsumrelay_relay.connections import Connections
+from gypsumrelay_relay.coordination.messages import PlacementEnded
 from gypsumrelay_relay.pending_requests import PendingRequest
 from gypsumrelay_relay.protocol import UpstreamRequest
 from gypsumrelay_relay.sending import Reply, send
@@ -76,13 +77,17 @@
         context.requested.append(PendingRequest(request))
         return context.requested[-1]
 
-    context.coordination = mock.Mock(request_placement=request_placement)
+    context.coordination = mock.MagicMock(request_placement=request_placement)
+    context.coordination.pending = {}
+    context.coordination.active = {}
     context.exchange = SimpleNamespace(
         relay=SimpleNamespace(coordination=context.coordination),
         reset_wait=lambda now: None,
         excluded={'silent'},
     )
-    context.substitution = Substitution(context.exchange, lambda: 'request')
+    context.substitution = Substitution(
+        context.exchange, lambda: SimpleNamespace(key=('request', 1))
+    )
 
 
 def reject(context: Any, failure: Any) -> None:
@@ -112,9 +117,11 @@
 
 @then('the placement request is withdrawn')
 def check_withdrawn(context: Any) -> None:
-    context.coordination.report_end.assert_called_once_with(
-        'request', Ending.cancelled
-    )
+    context.coordination.tell.assert_called_once()
+    (told,) = context.coordination.tell.call_args.args
+    assert isinstance(told, PlacementEnded), told
+    assert told.key == ('request', 1)
+    assert told.ending is Ending.cancelled
     assert context.substitution.pending is None
 
 
--- a/libs/relay/tests/steps/statements.py
+++ b/libs/relay/tests/steps/statements.py
@@ -16,9 +16,12 @@
     ending_for,
     send_request,
 )
-from gypsumrelay_relay.coordination import Coordination
-from gypsumrelay_relay.coordinator_events import LeavingReported, PauseReported
-from gypsumrelay_relay.coordinator_messages import from_wire, to_wire
+from gypsumrelay_relay.coordination.client import Coordination
+from gypsumrelay_relay.coordination.conversion import from_wire, to_wire
+from gypsumrelay_relay.coordination.messages import (
+    LeavingReported,
+    PauseReported,
+)
 from gypsumrelay_relay.membership import Member, Members
 from gypsumrelay_relay.operator_records import OperatorRecords
 from gypsumrelay_relay.placement import Placement, answer_message
--- a/libs/relay/tests/steps/stream_logs.py
+++ b/libs/relay/tests/steps/stream_logs.py
@@ -12,7 +12,7 @@
 from changes import new_request
 from gypsumrelay_clock import monotonic
 from gypsumrelay_dispatch import SchedulerState, take_unsaved
-from gypsumrelay_relay.coordinator_messages import from_wire, to_wire
+from gypsumrelay_relay.coordination.conversion import from_wire, to_wire
 from gypsumrelay_relay.digests import fraction_of, stream_digest
 from gypsumrelay_relay.routes import RetryPolicy, Route, Target, choose_target
 from gypsumrelay_relay.stream_history import StreamHistory
--- a/tools/write_reference.py
+++ b/tools/write_reference.py
@@ -11,7 +11,8 @@
 import attrs
 import gypsumrelay_configuration as configuration
 import gypsumrelay_settings as settings
-from gypsumrelay_relay import request_events, state_events
+from gypsumrelay_relay.events import requests as request_events
+from gypsumrelay_relay.events import state as state_events
 
 FOLDER = Path(__file__).resolve().parent.parent / 'docs' / 'operators'
 TYPE_NAMES = {str: 'string', int: 'integer', float: 'number', bool: 'boolean'}
