Save the compiled methods of attrs classes at the build

Cause: attrs generates and compiles the methods of 304 classes at each start; the compilation alone is 134 of 440 ms of processor time here. An earlier trial with a file keyed by source missed on each start, since the generated __hash__ contains the hash of the class's name, which differs from one process to the next.

Change: deploy/build.sh writes the compiled methods into one file; a start takes a class's methods if the whole source matches, apart from that hash, and compiles them otherwise. Modules are compiled with unchecked hashes, since a copy of the deployment that changes times would make each start compile all of them.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -14,4 +14,8 @@
         *) cp -R "$package" target/deps/ ;;
     esac
 done
-python3 -m compileall -q target/deps
+# Without times: a copy of the folder may change those of the sources, and then
+# each start would compile every module.
+python3 -m compileall -q -f --invalidation-mode unchecked-hash target/deps
+# A start without this file compiles the methods of all attrs classes.
+PYTHONPATH=target/deps python3 -m gypsumrelay_adapter.method_cache
