Pass on to all relays which upstreams leave

Cause: a new coordinator grants plain requests at once, before the other relays have reported. An upstream's statement that it leaves was known to the relay that got it and to the coordinator only. Traced in platform/tests/leaving_replicas.feature:23: the coordinator was killed, the next one was chosen at 832.450 and granted the leaving upstream from 832.453 on; the relay that knew of the statement reported at 832.468. Change: the coordinator passes each new statement on to all relays, and all known ones to a relay that completes its report. Relays return grants at these upstreams, and whoever coordinates next knows them. Streams that go on are requested first once a coordinator is chosen.

--- a/libs/relay/src/gypsumrelay_relay/coordination/client.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination/client.py
@@ -27,15 +27,21 @@
     RecordsCopy,
     RecordsRequest,
     UpstreamCrashed,
+    UpstreamLeaving,
 )
 from logbook import Logger
 
+from gypsumrelay_relay.answer_statements import (
+    learn_leaving,
+    send_departures,
+)
 from gypsumrelay_relay.coordination import messages
 from gypsumrelay_relay.coordination.conversion import from_wire, to_wire
 from gypsumrelay_relay.coordination.links import (
     complete_report,
     link_heartbeat,
     open_link,
+    report_state,
 )
 from gypsumrelay_relay.crash_reports import crash_to_wire
 from gypsumrelay_relay.events import state as state_events
@@ -61,7 +67,6 @@
 )
 from gypsumrelay_relay.quarantine import Quarantine, record_rejection
 from gypsumrelay_relay.records_exchange import exchange_records
-from gypsumrelay_relay.state_reports import state_reports
 from gypsumrelay_relay.stated_limits import StatedLimits
 from gypsumrelay_relay.stream_history import StreamHistory
 from gypsumrelay_relay.usage_history import (
@@ -227,8 +232,12 @@
             case UpstreamCrashed() if link is self.link:
                 with self.lock:
                     self.known_crashes.merge(message, now)
+            case UpstreamLeaving():
+                learn_leaving(self, message, link)
             case Heartbeat(places_told=1):
                 complete_report(self, sender, now)
+                # A relay that started later got no earlier statement.
+                send_departures(self, [link])
             case RecordsRequest() | RecordsCopy():
                 exchange_records(self.operator_records, link, message)
             case _:
@@ -307,25 +316,15 @@
             )
             state_events.report(log, change)
             self.on_coordinated()
-            self._report_state(now)
+            report_state(self, now)
         self.on_coordinated()
         if is_self:
+            send_departures(self, list(self.incoming.values()))
             self.on_elected()
         if old is not None and not old.closed.is_set():
             old.close(LinkClosed('switched to another coordinator'))
         return False
 
-    def _report_state(self, now: float) -> None:
-        """Report what this relay knows, and resend pending requests."""
-        for message in state_reports(self, now):
-            self.tell(message)
-        if self.link is None:
-            complete_report(self, self.name, now)
-        else:
-            self.link.send(link_heartbeat(self, places_told=1))
-        for pending in list(self.pending.values()):
-            self.tell(messages.PlacementRequested(pending.request))
-
     def tell(self, message: Any) -> None:
         """Tell the coordinator, here or on another relay; needs `lock`."""
         if self.link is None:
--- a/libs/relay/src/gypsumrelay_relay/coordination/links.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination/links.py
@@ -11,8 +11,11 @@
 
 from gypsumrelay_relay.coordination import messages
 from gypsumrelay_relay.membership import alive, mark_unreachable
+from gypsumrelay_relay.state_reports import state_reports
 
 if TYPE_CHECKING:
+    from gypsumrelay_dispatch import PlacementRequest
+
     from gypsumrelay_relay.coordination.client import Coordination
 
 log = Logger('coordination')
@@ -41,6 +44,28 @@
     return link
 
 
+def report_state(coordination: Coordination, now: float) -> None:
+    """Report what this relay knows, and resend its pending requests.
+
+    Requests that go on with a stream come first: their callers already have a
+    part of the answer. Needs the lock of `coordination`.
+    """
+    for message in state_reports(coordination, now):
+        coordination.tell(message)
+    if coordination.link is None:
+        complete_report(coordination, coordination.name, now)
+    else:
+        coordination.link.send(link_heartbeat(coordination, places_told=1))
+    requests = [pending.request for pending in coordination.pending.values()]
+    for request in sorted(requests, key=goes_on, reverse=True):
+        coordination.tell(messages.PlacementRequested(request))
+
+
+def goes_on(request: PlacementRequest) -> bool:
+    """Return whether a request goes on with a stream that was interrupted."""
+    return request.resumed or bool(request.resumes)
+
+
 def complete_report(
     coordination: Coordination,
     entry: str,
--- a/libs/relay/tests/membership.feature
+++ b/libs/relay/tests/membership.feature
@@ -135,6 +135,14 @@
     When it switches to a coordinator on another relay
     Then the new coordinator gets the request
 
+  Scenario: Streams that go on are requested before new ones
+    Guards against interrupted streams that find the capacity taken by new ones
+    once a coordinator is chosen.
+    Given a relay that waits for a placement and has no coordinator yet
+    And a stream that goes on waits there, too
+    When it switches to a coordinator on another relay
+    Then the stream that goes on is requested first
+
   Scenario: A relay opens a silent link to a sound coordinator again
     Guards against relays that choose another coordinator because their link
     broke, while the coordinator itself is sound.
--- a/libs/relay/tests/statements.feature
+++ b/libs/relay/tests/statements.feature
@@ -52,6 +52,36 @@
     When it becomes its own coordinator
     Then it tells itself first that "up" of start 5 is leaving
 
+  Scenario: The coordinator passes on to all relays who leaves
+    Guards against requests to a leaving upstream after the coordinator was
+    killed: the next one grants plain requests before it has the report of the
+    relay that knows.
+    Given a relay that coordinates two others, "left" and "right"
+    When "left" reports twice that "up" of start 5 is leaving
+    Then "right" is told once that "up" of start 5 is leaving, and "left" never
+    When upstream "mine" of start 6 states to it that it is leaving
+    Then both are told that "mine" of start 6 is leaving
+
+  Scenario: A relay that starts later learns who leaves
+    Guards against a relay that becomes the coordinator without having been
+    sent earlier statements.
+    Given a relay that coordinates two others, "left" and "right"
+    When "left" reports twice that "up" of start 5 is leaving
+    And "late" completes its report
+    Then "late" is told once that "up" of start 5 is leaving
+
+  Scenario: A relay uses no grant at an upstream that leaves, as others learned
+    Given a relay with a link to its coordinator
+    When its coordinator passes on that "up" of start 5 is leaving
+    And a request is granted upstream "up" of start 5
+    Then the grant is returned and the request is sent again unchanged
+
+  Scenario: A new coordinator knows what the relays were told
+    Given a relay that has a placement and waits for another
+    And its coordinator passed on that "up" of start 5 is leaving
+    When it becomes its own coordinator
+    Then it tells itself first that "up" of start 5 is leaving
+
   Scenario: The coordinator is told once
     Guards against a message for each of the thousands of answers of an upstream.
     Given a relay with a link to its coordinator
--- a/libs/relay/tests/steps/changes.py
+++ b/libs/relay/tests/steps/changes.py
@@ -264,6 +264,23 @@
     coordination.request_placement(new_request('first'))
 
 
+@given('a stream that goes on waits there, too')
+def give_stream_that_goes_on(context: Any) -> None:
+    request = attrs.evolve(new_request('stream'), resumes=b'start')
+    context.coordination.request_placement(request)
+
+
+@then('the stream that goes on is requested first')
+def check_goes_on_first(context: Any) -> None:
+    requested = [
+        message.request_id
+        for message in context.sent
+        if isinstance(message, PlaceRequest)
+    ]
+    assert requested[0] == 'stream', requested
+    assert 'first' in requested, requested
+
+
 @then('its own coordinator gets no request')
 def check_no_request(context: Any) -> None:
     assert not context.told, context.told
--- a/libs/relay/tests/steps/statements.py
+++ b/libs/relay/tests/steps/statements.py
@@ -29,6 +29,7 @@
 from gypsumrelay_relay.sending import SendFailed
 from gypsumrelay_relay.topics import RecordReader
 from gypsumrelay_wire import (
+    Heartbeat,
     PlaceEnded,
     PlaceGranted,
     PlaceRequest,
@@ -58,6 +59,7 @@
 
 
 @given('upstream "{name}" of start {born:d} states to it that it is leaving')
+@when('upstream "{name}" of start {born:d} states to it that it is leaving')
 def state_leaving(context: Any, name: str, born: int) -> None:
     coordination = context.coordination
     placement = Placement(
@@ -176,6 +178,74 @@
     assert context.sent == [UpstreamLeaving('up', born)], context.sent
 
 
+@given('a relay that coordinates two others, "{left}" and "{right}"')
+def give_coordinating(context: Any, left: str, right: str) -> None:
+    give_linked(context)
+    coordination = context.coordination
+    coordination.link = None
+    coordination.actor = SimpleNamespace(tell=lambda message: None)
+    context.passed_on = {}
+    for name in (left, right):
+        give_link_of(context, name)
+
+
+def give_link_of(context: Any, name: str) -> Any:
+    """Return the link that a relay opened to the coordinator."""
+    link = silent_link(name)
+    context.passed_on[name] = []
+    link.send = context.passed_on[name].append
+    context.coordination.on_link(link)
+    return link
+
+
+@when('"{name}" reports twice that "{upstream}" of start {born:d} is leaving')
+def report_twice(context: Any, name: str, upstream: str, born: int) -> None:
+    link = context.coordination.incoming[name]
+    for _ in range(2):
+        context.coordination.on_message(link, UpstreamLeaving(upstream, born))
+
+
+@when('"{name}" completes its report')
+def complete_report(context: Any, name: str) -> None:
+    link = give_link_of(context, name)
+    context.coordination.on_message(link, Heartbeat(0, 0, 0, 1))
+
+
+@then('"{name}" is told once that "{upstream}" of start {born:d} is leaving')
+def check_passed_on(context: Any, name: str, upstream: str, born: int) -> None:
+    assert context.passed_on[name] == [UpstreamLeaving(upstream, born)]
+
+
+@then(
+    '"{right}" is told once that "{upstream}" of start {born:d} is leaving, and'
+    ' "{left}" never'
+)
+def check_passed_on_to(
+    context: Any, right: str, upstream: str, born: int, left: str
+) -> None:
+    check_passed_on(context, right, upstream, born)
+    assert not context.passed_on[left]
+
+
+@then('both are told that "{upstream}" of start {born:d} is leaving')
+def check_both(context: Any, upstream: str, born: int) -> None:
+    for passed_on in context.passed_on.values():
+        assert passed_on[-1] == UpstreamLeaving(upstream, born)
+
+
+@when(
+    'its coordinator passes on that "{upstream}" of start {born:d} is leaving'
+)
+@given(
+    'its coordinator passed on that "{upstream}" of start {born:d} is leaving'
+)
+def pass_on(context: Any, upstream: str, born: int) -> None:
+    coordination = context.coordination
+    coordination.actor = SimpleNamespace(tell=lambda message: None)
+    link = coordination.link or silent_link('earlier')
+    coordination.on_message(link, UpstreamLeaving(upstream, born))
+
+
 @given('a grant of an upstream whose start time has {digits:d} digits')
 def give_long_start(context: Any, digits: int) -> None:
     started_ms = 10**digits - 1
