Choose the coordinator of a starting fleet as soon as it is known

Cause: a starting relay chose by rank among those it had heard of, or itself after 0.2 s. It followed relays that did not coordinate, whose own coordinator granted from full budgets; on a busy machine it elected itself beside the present one, whose answer came late. Registration and discovery ran one after the other, and the list counted as read only at the next check. Change: heartbeats state the coordinator that their sender uses, and whether it has had one since its start. A starting relay follows a relay that states that it coordinates. It elects itself once it is registered, has the list, and each known address has been heard of or refuses a connection; at the latest after 0.2 s, or 0.7 s while a running relay has not answered. A new coordinator does not await reports of relays that have had no coordinator. Registration and discovery run in parallel; a heartbeat that may change the choice is applied at once.

--- a/libs/relay/src/gypsumrelay_relay/building.py
+++ b/libs/relay/src/gypsumrelay_relay/building.py
@@ -127,4 +127,5 @@
         # would make this relay the coordinator of a fleet that only starts.
         is_stale=True,
         availability_zone=instance.availability_zone,
+        is_new=True,
     )
--- a/libs/relay/src/gypsumrelay_relay/coordination/client.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination/client.py
@@ -38,6 +38,7 @@
 from gypsumrelay_relay.coordination import messages
 from gypsumrelay_relay.coordination.conversion import from_wire, to_wire
 from gypsumrelay_relay.coordination.links import (
+    awaits_others,
     complete_report,
     link_heartbeat,
     open_link,
@@ -123,6 +124,7 @@
         stopped: Ends the thread that follows the coordinator.
         on_coordinated: Called when the coordinator is known.
         on_granted: Called with each placement that is granted to this relay.
+        announce: Sends a heartbeat at once.
     """
 
     name: str
@@ -153,6 +155,7 @@
     stopped: threading.Event = attrs.field(factory=threading.Event)
     on_coordinated: Callable[[], None] = do_nothing
     on_granted: Callable[[], None] = do_nothing
+    announce: Callable[[], None] = do_nothing
 
     def request_placement(self, request: PlacementRequest) -> PendingRequest:
         """Request a placement; the answer is put into the returned queue.
@@ -296,6 +299,9 @@
             if chosen.name == self.leader:
                 return False
             is_self = chosen.name == self.name
+            is_first = not self.leader_id
+        if is_first and awaits_others(self, chosen, now):
+            return False
         link = None if is_self else open_link(self, chosen.host, chosen.name)
         if link is None and not is_self:
             return True
@@ -308,6 +314,9 @@
                 self.actor.tell(messages.RelayUnreachable(self.name))
             self.leader = chosen.name
             self.leader_id = f'{chosen.name}/{chosen.incarnation}'
+            self.members.own = attrs.evolve(
+                self.members.own, leader=chosen.name, is_new=False
+            )
             change = state_events.CoordinatorChanged(
                 chosen.name,
                 chosen.seniority,
@@ -318,6 +327,8 @@
             self.on_coordinated()
             report_state(self, now)
         self.on_coordinated()
+        if is_self or is_first:
+            self.announce()
         if is_self:
             send_departures(self, list(self.incoming.values()))
             self.on_elected()
--- a/libs/relay/src/gypsumrelay_relay/coordination/links.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination/links.py
@@ -10,13 +10,16 @@
 from logbook import Logger
 
 from gypsumrelay_relay.coordination import messages
-from gypsumrelay_relay.membership import alive, mark_unreachable
+from gypsumrelay_relay.membership import alive, coordinator, mark_unreachable
+from gypsumrelay_relay.startup.election import hosts_to_probe, may_follow
+from gypsumrelay_relay.startup.probing import probe
 from gypsumrelay_relay.state_reports import state_reports
 
 if TYPE_CHECKING:
     from gypsumrelay_dispatch import PlacementRequest
 
     from gypsumrelay_relay.coordination.client import Coordination
+    from gypsumrelay_relay.membership import Member
 
 log = Logger('coordination')
 
@@ -25,6 +28,29 @@
 DIAL_SECONDS: Final = 0.6
 
 
+def awaits_others(
+    coordination: Coordination, chosen: Member, now: float
+) -> bool:
+    """Return whether a starting relay may not follow its choice yet.
+
+    It is asked again as soon as a heartbeat may change the answer.
+    """
+    members = coordination.members
+    election = members.election
+    with coordination.lock:
+        hosts = hosts_to_probe(members, chosen, now)
+    found = probe(hosts, coordination.link_port) if hosts else {}
+    running = frozenset(host for host, runs in found.items() if runs)
+    now = monotonic()
+    with coordination.lock:
+        election.probed |= hosts
+        election.running |= running
+        election.absent |= frozenset(found) - running
+        choice = coordinator(members, now)
+        is_same = choice.name == chosen.name
+        return not is_same or not may_follow(members, choice, now)
+
+
 def open_link(
     coordination: Coordination,
     host: str,
@@ -71,9 +97,17 @@
     entry: str,
     now: float,
 ) -> None:
-    """Report to this relay's coordinator that a relay's report is complete."""
+    """Report to this relay's coordinator that a relay's report is complete.
+
+    A relay that has had no coordinator since its start has no placements, and
+    its report need not be awaited.
+    """
     with coordination.lock:
-        live = [member.name for member in alive(coordination.members, now)]
+        live = [
+            member.name
+            for member in alive(coordination.members, now)
+            if not member.is_new
+        ]
     completed = messages.ReportCompleted(
         entry, frozenset((*live, coordination.name))
     )
--- a/libs/relay/src/gypsumrelay_relay/heartbeats.py
+++ b/libs/relay/src/gypsumrelay_relay/heartbeats.py
@@ -19,6 +19,7 @@
     Members,
     add_hosts,
     alive,
+    changes_choice,
     heartbeat_interval,
     heartbeat_targets,
     is_address,
@@ -48,7 +49,7 @@
     type(default) for default in attrs.astuple(Member('', '', ''))
 )
 # Values of the fields that older relays do not send.
-_LATER_DEFAULTS: Final = (DEFAULT_TIMEOUT_MS, -1, '', False)
+_LATER_DEFAULTS: Final = (DEFAULT_TIMEOUT_MS, -1, '', False, '', False)
 
 
 @attrs.define(eq=False)
@@ -58,8 +59,8 @@
     Attributes:
         members: View of the fleet; guarded by `lock`.
         port: UDP port, the same on all relays.
-        on_change: Called after each check for due heartbeats and for each new
-            member.
+        on_change: Called after each check for due heartbeats, for each new
+            member, and if a heartbeat may change the choice of the coordinator.
         on_suspension: Called after this process was suspended.
         lock: Guards `members`.
         sock: The bound UDP socket.
@@ -137,16 +138,37 @@
         member, hosts = unpacked
         now = monotonic()
         with self.lock:
+            previous = self.members.known.get(member.name)
             is_new = record_heartbeat(self.members, member, now)
+            unknown = self._unknown_hosts(hosts, now)
             add_hosts(self.members, hosts, now)
         if is_new:
             discovered = PeerDiscovered(
                 member.name, member.host, member.seniority
             )
             report(log, discovered)
-            self._send(self._own_payload(), member.host)
+            for host in (member.host, *unknown):
+                self._send(self._own_payload(), host)
+        if is_new or changes_choice(previous, member):
             self.on_change()
 
+    def _unknown_hosts(self, hosts: list[str], now: float) -> list[str]:
+        """Return the addresses that a relay without a coordinator learns of.
+
+        One of them may be the coordinator, whose answer must not wait for the
+        next heartbeat. Each gets one heartbeat for this reason; needs `lock`.
+        """
+        own = self.members.own
+        if not own.is_new:
+            return []
+        unknown = [
+            host
+            for host in hosts
+            if host != own.host and host not in self.members.hosts
+        ]
+        self.members.probed_at.update(dict.fromkeys(unknown, now))
+        return unknown
+
     def _is_due(self, now: float) -> bool:
         """Return whether to send; a new candidate sends without delay."""
         with self.lock:
--- a/libs/relay/src/gypsumrelay_relay/membership.py
+++ b/libs/relay/src/gypsumrelay_relay/membership.py
@@ -81,6 +81,10 @@
         availability_zone: Its availability zone; empty if it is of an older
             version.
         is_loaded: Whether it is near its instance's capacity.
+        leader: Name of the coordinator that it uses; empty if it has none or
+            is of an older version.
+        is_new: Whether it has had no coordinator since its start, so that it
+            has no placements; not stated by older versions.
     """
 
     name: str
@@ -95,6 +99,8 @@
     version: int = -1
     availability_zone: str = ''
     is_loaded: bool = False
+    leader: str = ''
+    is_new: bool = False
 
     @property
     def rank(self) -> tuple[bool, bool, int, str]:
@@ -106,6 +112,28 @@
         return (self.is_stale, self.is_small, self.seniority, self.name)
 
 
+@attrs.define
+class Election:
+    """What a relay knows of the others before its first coordinator.
+
+    Attributes:
+        started_at: Instant at which it began to send heartbeats; negative
+            infinity for a relay that follows its choice at once.
+        is_registered: Whether it is registered and has read the registrations
+            of the others after that. Of two relays that start together, at
+            least one then knows of the other.
+        absent: Addresses that refused a connection, where no relay runs.
+        running: Addresses that accepted a connection.
+        probed: Addresses that were probed; some answer neither way.
+    """
+
+    started_at: float = float('-inf')
+    is_registered: bool = False
+    absent: frozenset[str] = frozenset()
+    running: frozenset[str] = frozenset()
+    probed: frozenset[str] = frozenset()
+
+
 @attrs.define
 class Members:
     """A relay's view of the fleet.
@@ -120,6 +148,7 @@
             answer.
         unreachable_until: Unreachable members, with the instant until which
             they are not chosen as the coordinator.
+        election: What this relay knows before its first coordinator.
     """
 
     own: Member
@@ -128,6 +157,7 @@
     hosts: dict[str, float] = attrs.field(factory=dict)
     probed_at: dict[str, float] = attrs.field(factory=dict)
     unreachable_until: dict[str, float] = attrs.field(factory=dict)
+    election: Election = attrs.field(factory=Election)
 
 
 def record_heartbeat(members: Members, member: Member, now: float) -> bool:
@@ -141,6 +171,24 @@
     return previous is None or previous.incarnation != member.incarnation
 
 
+def changes_choice(previous: Member | None, member: Member) -> bool:
+    """Return whether a heartbeat may change the choice of the coordinator."""
+    if previous is None:
+        return True
+    return (previous.rank, previous.leaving, previous.leader) != (
+        member.rank,
+        member.leaving,
+        member.leader,
+    )
+
+
+def stated_leader(members: Members, now: float) -> str:
+    """Return the live member that coordinates as it states, else nothing."""
+    leaders = [one for one in alive(members, now) if one.leader == one.name]
+    leaders.sort(key=lambda member: member.rank)
+    return leaders[0].name if leaders else ''
+
+
 def add_hosts(members: Members, hosts: Iterable[str], now: float) -> None:
     """Add addresses at which members may be running, up to `MAX_HOSTS`."""
     for host in hosts:
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -29,6 +29,7 @@
 from gypsumrelay_relay.membership import (
     add_hosts,
     must_give_up_rank,
+    stated_leader,
 )
 from gypsumrelay_relay.periodic import send_link_heartbeats
 from gypsumrelay_relay.phase_switching import PhaseSwitcher
@@ -62,6 +63,11 @@
 # Interval in seconds of the coordinator's ticks and of the checks in the main
 # loop.
 TICK_SECONDS: Final = 0.05
+# Interval in seconds of the checks in the main loop until the first coordinator
+# is known, and for how many seconds after the start at most: the relay may be
+# chosen as soon as its list is read.
+START_TICK_SECONDS: Final = 0.01
+START_CHECKS_SECONDS: Final = 1.0
 # Time in seconds for reading requests that had arrived when the listener
 # closed.
 LATE_READ_SECONDS: Final = 0.3
@@ -93,7 +99,7 @@
     resume_collection()
     process.checked_at = monotonic()
     state_events.report(log, state_events.Started(settings.instance.name))
-    while not stopping.wait(TICK_SECONDS):
+    while not stopping.wait(_check_seconds(process)):
         update_staleness(process)
         if reloading.is_set():
             reloading.clear()
@@ -101,6 +107,17 @@
     stop(process, startup.stop_signals[0])
 
 
+def _check_seconds(process: Process) -> float:
+    """Return the time in seconds until the next check in the main loop."""
+    coordination = process.relay.coordination
+    if not coordination.members.own.is_new:
+        return TICK_SECONDS
+    coordination.changed.set()
+    started_at = coordination.members.election.started_at
+    is_late = monotonic() > started_at + START_CHECKS_SECONDS
+    return TICK_SECONDS if is_late else START_TICK_SECONDS
+
+
 def start(process: Process, startup: Startup) -> None:
     """Start all parts of a relay."""
     relay = process.relay
@@ -141,6 +158,8 @@
         add_hosts(coordination.members, hosts, monotonic())
     follower = _new_follower(process)
     process.follower = follower
+    coordination.members.election.started_at = monotonic()
+    coordination.announce = lambda: process.heartbeats.send_round(monotonic())
     coordination.on_elected = lambda: follower.read_now(monotonic())
     process.heartbeats.on_change = lambda: _after_heartbeats(process, follower)
     process.phase_switcher = PhaseSwitcher(relay, process.adapter.store)
@@ -180,7 +199,9 @@
     )
     coordination = process.relay.coordination
     with coordination.lock:
-        gives_up = must_give_up_rank(coordination.members, coordination.leader)
+        members = coordination.members
+        leader = coordination.leader or stated_leader(members, now)
+        gives_up = must_give_up_rank(members, leader)
     if is_stale or not gives_up:
         update_own_member(process, is_stale=is_stale)
         return
--- a/libs/relay/src/gypsumrelay_relay/registration.py
+++ b/libs/relay/src/gypsumrelay_relay/registration.py
@@ -62,10 +62,26 @@
 
 
 def register_and_discover(process: Process) -> None:
-    """Register in the store and read the addresses of the other members."""
+    """Register in the store and read the addresses of the other members.
+
+    They are read while the registration is written, so that the coordinator is
+    found early, and once more if that read may lack relays which registered
+    before this one.
+    """
+    found: list[int] = []
+    reading = threading.Thread(
+        target=lambda: found.append(_discover_and_greet(process)), daemon=True
+    )
+    reading.start()
     _register_with_retries(process)
-    if _discover(process) is not None:
-        process.heartbeats.send_round(monotonic())
+    coordination = process.relay.coordination
+    reading.join()
+    if max(found, default=-1) < coordination.members.own.seniority:
+        position = _discover_and_greet(process)
+        if position < 0:
+            return
+    coordination.members.election.is_registered = True
+    coordination.changed.set()
 
 
 def follow_restores(process: Process) -> None:
@@ -123,7 +139,26 @@
     return True
 
 
+def _discover_and_greet(process: Process) -> int:
+    """Read the members' addresses and send them a heartbeat.
+
+    Returns:
+        Position up to which the registrations were read; -1 if the store fails.
+    """
+    snapshot = _read_members(process)
+    if snapshot is None:
+        return -1
+    process.heartbeats.send_round(monotonic())
+    return snapshot.position
+
+
 def _discover(process: Process) -> Mapping[str, bytes] | None:
+    """Read the members' addresses; return None if the store fails."""
+    snapshot = _read_members(process)
+    return None if snapshot is None else snapshot.records
+
+
+def _read_members(process: Process) -> Snapshot | None:
     """Read the members' addresses; return None if the store fails."""
     snapshot = process.adapter.store.snapshot(Topic.members)
     if not isinstance(snapshot, Snapshot):
@@ -132,7 +167,7 @@
     found = [record.decode('latin-1') for record in snapshot.records.values()]
     with coordination.lock:
         add_hosts(coordination.members, filter(is_address, found), monotonic())
-    return snapshot.records
+    return snapshot
 
 
 def _register_with_retries(process: Process) -> None:
--- a/libs/relay/tests/steps/odd_records.py
+++ b/libs/relay/tests/steps/odd_records.py
@@ -97,7 +97,9 @@
 @when('a relay registers')
 def register(context: Any) -> None:
     members = Members(Member('own', 'a', '127.0.0.2'))
-    coordination = SimpleNamespace(members=members, lock=threading.RLock())
+    coordination = SimpleNamespace(
+        members=members, lock=threading.RLock(), changed=threading.Event()
+    )
     store = Store(
         lambda topic: Snapshot(1, context.records),
         lambda topic, position, wait: None,
--- a/libs/relay/tests/steps/registrations.py
+++ b/libs/relay/tests/steps/registrations.py
@@ -39,6 +39,7 @@
             coordination=SimpleNamespace(
                 members=Members(Member(name, 'a', host)),
                 lock=threading.RLock(),
+                changed=threading.Event(),
             ),
         ),
     )
--- a/libs/wire/src/gypsumrelay_wire/link.py
+++ b/libs/wire/src/gypsumrelay_wire/link.py
@@ -231,6 +231,9 @@
 
     def _serve(self, connection: socket.socket) -> None:
         connection.settimeout(HANDSHAKE_TIMEOUT_SECONDS)
+        if _is_probe(connection):
+            _close_socket(connection)
+            return
         link = _handshake(connection, self.endpoint, is_dialer=False)
         if isinstance(link, Failure):
             log.warning('Rejected an incoming link: {}.', link.sentence)
@@ -250,6 +253,17 @@
     return Listener(endpoint, server, on_link)
 
 
+def _is_probe(connection: socket.socket) -> bool:
+    """Return whether the peer closed the connection without sending anything.
+
+    A relay that starts finds out in this way which others run.
+    """
+    try:
+        return not connection.recv(1, socket.MSG_PEEK)
+    except OSError:
+        return False
+
+
 def _handshake(
     connection: socket.socket,
     endpoint: Endpoint,
