Let a starting relay give up the rank that would replace its first coordinator

Cause: the relay that registers first is not always the first to decide. Change: a relay that has had no coordinator since its start ranks behind the others, and gives up its rank when it follows a coordinator of lower rank.

--- a/libs/relay/src/gypsumrelay_relay/coordination/client.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination/client.py
@@ -52,6 +52,7 @@
     coordinator,
     is_heard,
     mark_unreachable,
+    note_followed,
 )
 from gypsumrelay_relay.operator_records import OperatorRecords
 from gypsumrelay_relay.pending_requests import (
@@ -314,9 +315,7 @@
                 self.actor.tell(messages.RelayUnreachable(self.name))
             self.leader = chosen.name
             self.leader_id = f'{chosen.name}/{chosen.incarnation}'
-            self.members.own = attrs.evolve(
-                self.members.own, leader=chosen.name, is_new=False
-            )
+            note_followed(self.members, chosen.name)
             change = state_events.CoordinatorChanged(
                 chosen.name,
                 chosen.seniority,
--- a/libs/relay/src/gypsumrelay_relay/membership.py
+++ b/libs/relay/src/gypsumrelay_relay/membership.py
@@ -103,13 +103,21 @@
     is_new: bool = False
 
     @property
-    def rank(self) -> tuple[bool, bool, int, str]:
+    def rank(self) -> tuple[bool, bool, bool, int, str]:
         """Return the sort key of the election; the lowest coordinates.
 
         A member that cannot read the list of upstreams ranks last, because it
-        would go on sending work to upstreams that are leaving.
+        would go on sending work to upstreams that are leaving. One without a
+        coordinator since its start ranks after the others, so that a relay
+        which starts a little later does not replace the first coordinator.
         """
-        return (self.is_stale, self.is_small, self.seniority, self.name)
+        return (
+            self.is_stale,
+            self.is_small,
+            self.is_new,
+            self.seniority,
+            self.name,
+        )
 
 
 @attrs.define
@@ -291,10 +299,26 @@
     current = members.known.get(leader)
     if current is None:
         return False
-    fresh = attrs.evolve(members.own, is_stale=False)
+    fresh = attrs.evolve(members.own, is_stale=False, is_new=False)
     return fresh.rank < current.rank
 
 
+def note_followed(members: Members, leader: str) -> None:
+    """Record the coordinator that this relay follows from now on.
+
+    A relay that starts gives up the rank with which it would replace its first
+    coordinator as soon as it is no longer new.
+    """
+    own = members.own
+    gives_up = own.is_new and must_give_up_rank(members, leader)
+    members.own = attrs.evolve(
+        own,
+        leader=leader,
+        is_new=False,
+        seniority=UNRANKED if gives_up else own.seniority,
+    )
+
+
 def is_among_first(members: Members, now: float, count: int) -> bool:
     """Return whether this relay is among the first in rank."""
     ahead = [
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -27,6 +27,7 @@
 from gypsumrelay_relay.events import state as state_events
 from gypsumrelay_relay.heartbeats import SUSPENSION_SECONDS
 from gypsumrelay_relay.membership import (
+    UNRANKED,
     add_hosts,
     must_give_up_rank,
     stated_leader,
@@ -39,6 +40,7 @@
 from gypsumrelay_relay.registration import (
     follow_restores,
     give_up_rank,
+    register_again,
     register_and_discover,
     update_own_member,
 )
@@ -159,7 +161,7 @@
     follower = _new_follower(process)
     process.follower = follower
     coordination.members.election.started_at = monotonic()
-    coordination.announce = lambda: process.heartbeats.send_round(monotonic())
+    coordination.announce = lambda: _announce(process)
     coordination.on_elected = lambda: follower.read_now(monotonic())
     process.heartbeats.on_change = lambda: _after_heartbeats(process, follower)
     process.phase_switcher = PhaseSwitcher(relay, process.adapter.store)
@@ -290,6 +292,14 @@
     )
 
 
+def _announce(process: Process) -> None:
+    """State the coordinator; register again if the rank was given up."""
+    members = process.relay.coordination.members
+    process.heartbeats.send_round(monotonic())
+    if members.election.is_registered and members.own.seniority == UNRANKED:
+        register_again(process)
+
+
 def _after_heartbeats(process: Process, follower: StoreFollower) -> None:
     """Check for a new coordinator, and for what has to be read."""
     coordination = process.relay.coordination
--- a/libs/relay/src/gypsumrelay_relay/registration.py
+++ b/libs/relay/src/gypsumrelay_relay/registration.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from gypsumrelay_relay.membership import Members
     from gypsumrelay_relay.startup.parts import Process
 
 log = Logger('registration')
@@ -52,13 +53,15 @@
     register_again(process)
 
 
-def register_again(process: Process) -> None:
-    """Start a thread that registers this relay again."""
-    threading.Thread(
+def register_again(process: Process) -> threading.Thread:
+    """Start and return a thread that registers this relay again."""
+    thread = threading.Thread(
         target=_register_with_retries,
         args=(process,),
         daemon=True,
-    ).start()
+    )
+    thread.start()
+    return thread
 
 
 def register_and_discover(process: Process) -> None:
@@ -187,6 +190,17 @@
     if isinstance(position, Failure):
         log.warning('Registration in the store failed: {}.', position.sentence)
         return False
+    if _is_ahead_of_leader(process.relay.coordination.members, position):
+        return False
     update_own_member(process, seniority=position)
     report(log, Registered(position))
     return True
+
+
+def _is_ahead_of_leader(members: Members, position: int) -> bool:
+    """Return whether a rank would replace a coordinator that took over since.
+
+    The store orders two registrations before either relay has its answer.
+    """
+    leader = members.known.get(members.own.leader)
+    return leader is not None and position < leader.seniority < UNRANKED
--- a/libs/relay/tests/election.feature
+++ b/libs/relay/tests/election.feature
@@ -63,6 +63,20 @@
     When 0.2 seconds of its start pass
     Then it follows that relay
 
+  Scenario: A relay starts a little later than the first coordinator
+    Guards against a second change of the coordinator at each start of a fleet,
+    since the relay that registers first is not always the first to decide.
+    Given a starting relay that knows the addresses of 2 others
+    When it is registered and has read the list of upstreams
+    And it hears "late", a junior relay that coordinates
+    Then it follows "late"
+    And its rank is behind that of "late" from then on
+
+  Scenario: A registration is answered after another relay has taken over
+    Given a starting relay that follows a coordinator with seniority 7
+    When the store answers its registrations with 5 and 9
+    Then its seniority is 9
+
   Scenario: The first coordinator of a fleet awaits no reports of new relays
     Guards against model requests that wait for reports of relays which have
     had no coordinator since their start.
--- a/libs/relay/tests/steps/election.py
+++ b/libs/relay/tests/steps/election.py
@@ -17,8 +17,10 @@
     add_hosts,
     changes_choice,
     coordinator,
+    note_followed,
     record_heartbeat,
 )
+from gypsumrelay_relay.registration import register_again
 from gypsumrelay_relay.startup.election import hosts_to_probe, may_follow
 from gypsumrelay_relay.startup.probing import probe
 from gypsumrelay_wire import Endpoint, Identity, Link, dial, listen
@@ -150,6 +152,50 @@
     hear(context, name, 1, leader=name)
 
 
+@when('it hears "{name}", a junior relay that coordinates')
+def hear_junior(context: Any, name: str) -> None:
+    hear(context, name, SENIORITY + 1, leader=name)
+
+
+@then('its rank is behind that of "{name}" from then on')
+def check_behind(context: Any, name: str) -> None:
+    members = context.members
+    note_followed(members, name)
+    assert not members.own.is_new
+    assert members.own.leader == name
+    assert coordinator(members, context.now).name == name
+
+
+@given('a starting relay that follows a coordinator with seniority {rank:d}')
+def give_following(context: Any, rank: int) -> None:
+    give_starting(context, 1)
+    hear(context, 'first', rank, leader='first')
+    note_followed(context.members, 'first')
+
+
+@when('the store answers its registrations with {first:d} and {second:d}')
+def answer_registrations(context: Any, first: int, second: int) -> None:
+    answers = [first, second]
+    process: Any = SimpleNamespace(
+        stopped=threading.Event(),
+        adapter=SimpleNamespace(
+            store=SimpleNamespace(append=lambda *_: answers.pop(0))
+        ),
+        heartbeats=SimpleNamespace(send_round=lambda now: None),
+        relay=SimpleNamespace(
+            coordination=SimpleNamespace(
+                members=context.members, lock=threading.RLock()
+            )
+        ),
+    )
+    register_again(process).join()
+
+
+@then('its seniority is {rank:d}')
+def check_seniority(context: Any, rank: int) -> None:
+    assert context.members.own.seniority == rank
+
+
 @when('it hears a senior relay that names no coordinator')
 def hear_older(context: Any) -> None:
     hear(context, 'senior', 2)
@@ -246,7 +292,8 @@
 @when('its address is probed and then dialled')
 def probe_and_dial(context: Any) -> None:
     host, port = context.address
-    with TestHandler() as handler:
+    handler = TestHandler()
+    with handler:
         context.found = probe([host], port)
         link = dial(context.address, context.endpoint)
         assert context.accepted.wait(1)
