--- a/libs/relay/src/gypsumrelay_relay/coordination/client.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination/client.py
@@ -27,15 +27,22 @@
     RecordsCopy,
     RecordsRequest,
     UpstreamCrashed,
+    UpstreamLeaving,
 )
 from logbook import Logger
 
+from gypsumrelay_relay.answer_statements import (
+    learn_leaving,
+    send_departures,
+)
 from gypsumrelay_relay.coordination import messages
 from gypsumrelay_relay.coordination.conversion import from_wire, to_wire
 from gypsumrelay_relay.coordination.links import (
+    awaits_others,
     complete_report,
     link_heartbeat,
     open_link,
+    report_state,
 )
 from gypsumrelay_relay.crash_reports import crash_to_wire
 from gypsumrelay_relay.events import state as state_events
@@ -45,6 +52,7 @@
     coordinator,
     is_heard,
     mark_unreachable,
+    note_followed,
 )
 from gypsumrelay_relay.operator_records import OperatorRecords
 from gypsumrelay_relay.pending_requests import (
@@ -61,7 +69,6 @@
 )
 from gypsumrelay_relay.quarantine import Quarantine, record_rejection
 from gypsumrelay_relay.records_exchange import exchange_records
-from gypsumrelay_relay.state_reports import state_reports
 from gypsumrelay_relay.stated_limits import StatedLimits
 from gypsumrelay_relay.stream_history import StreamHistory
 from gypsumrelay_relay.usage_history import (
@@ -118,6 +125,7 @@
         stopped: Ends the thread that follows the coordinator.
         on_coordinated: Called when the coordinator is known.
         on_granted: Called with each placement that is granted to this relay.
+        announce: Sends a heartbeat at once.
     """
 
     name: str
@@ -148,6 +156,7 @@
     stopped: threading.Event = attrs.field(factory=threading.Event)
     on_coordinated: Callable[[], None] = do_nothing
     on_granted: Callable[[], None] = do_nothing
+    announce: Callable[[], None] = do_nothing
 
     def request_placement(self, request: PlacementRequest) -> PendingRequest:
         """Request a placement; the answer is put into the returned queue.
@@ -227,8 +236,12 @@
             case UpstreamCrashed() if link is self.link:
                 with self.lock:
                     self.known_crashes.merge(message, now)
+            case UpstreamLeaving():
+                learn_leaving(self, message, link)
             case Heartbeat(places_told=1):
                 complete_report(self, sender, now)
+                # A relay that started later got no earlier statement.
+                send_departures(self, [link])
             case RecordsRequest() | RecordsCopy():
                 exchange_records(self.operator_records, link, message)
             case _:
@@ -287,6 +300,9 @@
             if chosen.name == self.leader:
                 return False
             is_self = chosen.name == self.name
+            is_first = not self.leader_id
+        if is_first and awaits_others(self, chosen, now):
+            return False
         link = None if is_self else open_link(self, chosen.host, chosen.name)
         if link is None and not is_self:
             return True
@@ -299,6 +315,7 @@
                 self.actor.tell(messages.RelayUnreachable(self.name))
             self.leader = chosen.name
             self.leader_id = f'{chosen.name}/{chosen.incarnation}'
+            note_followed(self.members, chosen.name)
             change = state_events.CoordinatorChanged(
                 chosen.name,
                 chosen.seniority,
@@ -307,25 +324,17 @@
             )
             state_events.report(log, change)
             self.on_coordinated()
-            self._report_state(now)
+            report_state(self, now)
         self.on_coordinated()
+        if is_self or is_first:
+            self.announce()
         if is_self:
+            send_departures(self, list(self.incoming.values()))
             self.on_elected()
         if old is not None and not old.closed.is_set():
             old.close(LinkClosed('switched to another coordinator'))
         return False
 
-    def _report_state(self, now: float) -> None:
-        """Report what this relay knows, and resend pending requests."""
-        for message in state_reports(self, now):
-            self.tell(message)
-        if self.link is None:
-            complete_report(self, self.name, now)
-        else:
-            self.link.send(link_heartbeat(self, places_told=1))
-        for pending in list(self.pending.values()):
-            self.tell(messages.PlacementRequested(pending.request))
-
     def tell(self, message: Any) -> None:
         """Tell the coordinator, here or on another relay; needs `lock`."""
         if self.link is None:
--- a/libs/relay/src/gypsumrelay_relay/membership.py
+++ b/libs/relay/src/gypsumrelay_relay/membership.py
@@ -81,6 +81,10 @@
         availability_zone: Its availability zone; empty if it is of an older
             version.
         is_loaded: Whether it is near its instance's capacity.
+        leader: Name of the coordinator that it uses; empty if it has none or
+            is of an older version.
+        is_new: Whether it has had no coordinator since its start, so that it
+            has no placements; not stated by older versions.
     """
 
     name: str
@@ -95,15 +99,47 @@
     version: int = -1
     availability_zone: str = ''
     is_loaded: bool = False
+    leader: str = ''
+    is_new: bool = False
 
     @property
-    def rank(self) -> tuple[bool, bool, int, str]:
+    def rank(self) -> tuple[bool, bool, bool, int, str]:
         """Return the sort key of the election; the lowest coordinates.
 
         A member that cannot read the list of upstreams ranks last, because it
-        would go on sending work to upstreams that are leaving.
+        would go on sending work to upstreams that are leaving. One without a
+        coordinator since its start ranks after the others, so that a relay
+        which starts a little later does not replace the first coordinator.
         """
-        return (self.is_stale, self.is_small, self.seniority, self.name)
+        return (
+            self.is_stale,
+            self.is_small,
+            self.is_new,
+            self.seniority,
+            self.name,
+        )
+
+
+@attrs.define
+class Election:
+    """What a relay knows of the others before its first coordinator.
+
+    Attributes:
+        started_at: Instant at which it began to send heartbeats; negative
+            infinity for a relay that follows its choice at once.
+        is_registered: Whether it is registered and has read the registrations
+            of the others after that. Of two relays that start together, at
+            least one then knows of the other.
+        absent: Addresses that refused a connection, where no relay runs.
+        running: Addresses that accepted a connection.
+        probed: Addresses that were probed; some answer neither way.
+    """
+
+    started_at: float = float('-inf')
+    is_registered: bool = False
+    absent: frozenset[str] = frozenset()
+    running: frozenset[str] = frozenset()
+    probed: frozenset[str] = frozenset()
 
 
 @attrs.define
@@ -120,6 +156,7 @@
             answer.
         unreachable_until: Unreachable members, with the instant until which
             they are not chosen as the coordinator.
+        election: What this relay knows before its first coordinator.
     """
 
     own: Member
@@ -128,6 +165,7 @@
     hosts: dict[str, float] = attrs.field(factory=dict)
     probed_at: dict[str, float] = attrs.field(factory=dict)
     unreachable_until: dict[str, float] = attrs.field(factory=dict)
+    election: Election = attrs.field(factory=Election)
 
 
 def record_heartbeat(members: Members, member: Member, now: float) -> bool:
@@ -141,6 +179,24 @@
     return previous is None or previous.incarnation != member.incarnation
 
 
+def changes_choice(previous: Member | None, member: Member) -> bool:
+    """Return whether a heartbeat may change the choice of the coordinator."""
+    if previous is None:
+        return True
+    return (previous.rank, previous.leaving, previous.leader) != (
+        member.rank,
+        member.leaving,
+        member.leader,
+    )
+
+
+def stated_leader(members: Members, now: float) -> str:
+    """Return the live member that coordinates as it states, else nothing."""
+    leaders = [one for one in alive(members, now) if one.leader == one.name]
+    leaders.sort(key=lambda member: member.rank)
+    return leaders[0].name if leaders else ''
+
+
 def add_hosts(members: Members, hosts: Iterable[str], now: float) -> None:
     """Add addresses at which members may be running, up to `MAX_HOSTS`."""
     for host in hosts:
@@ -243,10 +299,26 @@
     current = members.known.get(leader)
     if current is None:
         return False
-    fresh = attrs.evolve(members.own, is_stale=False)
+    fresh = attrs.evolve(members.own, is_stale=False, is_new=False)
     return fresh.rank < current.rank
 
 
+def note_followed(members: Members, leader: str) -> None:
+    """Record the coordinator that this relay follows from now on.
+
+    A relay that starts gives up the rank with which it would replace its first
+    coordinator as soon as it is no longer new.
+    """
+    own = members.own
+    gives_up = own.is_new and must_give_up_rank(members, leader)
+    members.own = attrs.evolve(
+        own,
+        leader=leader,
+        is_new=False,
+        seniority=UNRANKED if gives_up else own.seniority,
+    )
+
+
 def is_among_first(members: Members, now: float, count: int) -> bool:
     """Return whether this relay is among the first in rank."""
     ahead = [
--- a/libs/relay/src/gypsumrelay_relay/registration.py
+++ b/libs/relay/src/gypsumrelay_relay/registration.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from gypsumrelay_relay.membership import Members
     from gypsumrelay_relay.startup.parts import Process
 
 log = Logger('registration')
@@ -52,20 +53,38 @@
     register_again(process)
 
 
-def register_again(process: Process) -> None:
-    """Start a thread that registers this relay again."""
-    threading.Thread(
+def register_again(process: Process) -> threading.Thread:
+    """Start and return a thread that registers this relay again."""
+    thread = threading.Thread(
         target=_register_with_retries,
         args=(process,),
         daemon=True,
-    ).start()
+    )
+    thread.start()
+    return thread
 
 
 def register_and_discover(process: Process) -> None:
-    """Register in the store and read the addresses of the other members."""
+    """Register in the store and read the addresses of the other members.
+
+    They are read while the registration is written, so that the coordinator is
+    found early, and once more if that read may lack relays which registered
+    before this one.
+    """
+    found: list[int] = []
+    reading = threading.Thread(
+        target=lambda: found.append(_discover_and_greet(process)), daemon=True
+    )
+    reading.start()
     _register_with_retries(process)
-    if _discover(process) is not None:
-        process.heartbeats.send_round(monotonic())
+    coordination = process.relay.coordination
+    reading.join()
+    if max(found, default=-1) < coordination.members.own.seniority:
+        position = _discover_and_greet(process)
+        if position < 0:
+            return
+    coordination.members.election.is_registered = True
+    coordination.changed.set()
 
 
 def follow_restores(process: Process) -> None:
@@ -123,7 +142,26 @@
     return True
 
 
+def _discover_and_greet(process: Process) -> int:
+    """Read the members' addresses and send them a heartbeat.
+
+    Returns:
+        Position up to which the registrations were read; -1 if the store fails.
+    """
+    snapshot = _read_members(process)
+    if snapshot is None:
+        return -1
+    process.heartbeats.send_round(monotonic())
+    return snapshot.position
+
+
 def _discover(process: Process) -> Mapping[str, bytes] | None:
+    """Read the members' addresses; return None if the store fails."""
+    snapshot = _read_members(process)
+    return None if snapshot is None else snapshot.records
+
+
+def _read_members(process: Process) -> Snapshot | None:
     """Read the members' addresses; return None if the store fails."""
     snapshot = process.adapter.store.snapshot(Topic.members)
     if not isinstance(snapshot, Snapshot):
@@ -132,7 +170,7 @@
     found = [record.decode('latin-1') for record in snapshot.records.values()]
     with coordination.lock:
         add_hosts(coordination.members, filter(is_address, found), monotonic())
-    return snapshot.records
+    return snapshot
 
 
 def _register_with_retries(process: Process) -> None:
@@ -152,6 +190,17 @@
     if isinstance(position, Failure):
         log.warning('Registration in the store failed: {}.', position.sentence)
         return False
+    if _is_ahead_of_leader(process.relay.coordination.members, position):
+        return False
     update_own_member(process, seniority=position)
     report(log, Registered(position))
     return True
+
+
+def _is_ahead_of_leader(members: Members, position: int) -> bool:
+    """Return whether a rank would replace a coordinator that took over since.
+
+    The store orders two registrations before either relay has its answer.
+    """
+    leader = members.known.get(members.own.leader)
+    return leader is not None and position < leader.seniority < UNRANKED
