Limit the memory of bodies and unsent answers by one budget

Cause: a relay kept two copies of each body, answers without bound in idle connections, and stopped to read an upstream once 1 MB of a slow reader's answer was unsent. Change: gypsumrelay_relay.buffers has one budget from capacity.memory_mb. Not measured yet.

--- a/libs/errors/src/gypsumrelay_errors/__init__.py
+++ b/libs/errors/src/gypsumrelay_errors/__init__.py
@@ -3,6 +3,7 @@
 from gypsumrelay_errors.failures import (
     BodyMalformed,
     BodyTooLarge,
+    BuffersFull,
     ClaimUnavailable,
     ConfigurationMissing,
     ConfigurationStale,
@@ -40,6 +41,7 @@
 __all__ = (
     'BodyMalformed',
     'BodyTooLarge',
+    'BuffersFull',
     'ClaimUnavailable',
     'ConfigurationMissing',
     'ConfigurationStale',
--- a/libs/errors/src/gypsumrelay_errors/failures.py
+++ b/libs/errors/src/gypsumrelay_errors/failures.py
@@ -109,6 +109,13 @@
     http_status: ClassVar[int] = 413
 
 
+class BuffersFull(Failure):
+    """The instance has no memory for the request body now."""
+
+    code: ClassVar[str] = 'buffers_full'
+    http_status: ClassVar[int] = 503
+
+
 class HeadersTooLarge(Failure):
     """The request headers exceed the size limit of the settings."""
 
--- a/libs/http/src/gypsumrelay_http/server.py
+++ b/libs/http/src/gypsumrelay_http/server.py
@@ -22,7 +22,7 @@
 def start_server(
     application: Application,
     address: tuple[str, int],
-    channel_class: type[Any] | None = None,
+    channel_class: Callable[..., Any] | None = None,
     bound: socket.socket | None = None,
     **options: Any,
 ) -> Any:
@@ -31,7 +31,8 @@
     Args:
         application: WSGI application.
         address: Host and port to listen on.
-        channel_class: Class of the connections, or None for the default.
+        channel_class: Class of the connections, or what makes one; None for
+            the default.
         bound: Socket that listens already, used in place of the address.
         options: Options of waitress; `threads` is the maximum number of
             worker threads.
--- a/libs/relay/src/gypsumrelay_relay/admission.py
+++ b/libs/relay/src/gypsumrelay_relay/admission.py
@@ -11,6 +11,7 @@
 from gypsumrelay_errors import (
     BodyMalformed,
     BodyTooLarge,
+    BuffersFull,
     ConfigurationMissing,
     Failure,
     KeyMissing,
@@ -19,6 +20,7 @@
     TokensOutOfRange,
 )
 
+from gypsumrelay_relay.buffers import holds_of, take_body
 from gypsumrelay_relay.cancellation import Cancellation
 from gypsumrelay_relay.digests import (
     content_digest,
@@ -28,6 +30,7 @@
 )
 from gypsumrelay_relay.events import requests as request_events
 from gypsumrelay_relay.exchange import (
+    RETRY_DECIMALS,
     Admitted,
     Chunks,
     Exchange,
@@ -93,7 +96,9 @@
         start_response: StartResponse,
     ) -> Chunks:
         arrived_at = monotonic()
-        admitted = admit(relay, environ, arrived_at)
+        admitted = refuse_unheld(relay, environ) or admit(
+            relay, environ, arrived_at
+        )
         if isinstance(admitted, Failure):
             return _reject(relay, admitted, environ, start_response)
         deadline = _deadline(admitted, arrived_at)
@@ -119,6 +124,15 @@
     return respond
 
 
+def refuse_unheld(relay: Relay, environ: dict[str, Any]) -> Failure | None:
+    """Return the failure of a request for whose body there was no memory."""
+    size = holds_of(environ).body.refused
+    if not size:
+        return None
+    retry_at = relay.memory.retry_at(size)
+    return BuffersFull('no memory for the body now', retry_at=retry_at)
+
+
 def admit(
     relay: Relay,
     environ: dict[str, Any],
@@ -147,7 +161,7 @@
     account = _account(configuration, route, headers)
     if isinstance(account, Failure):
         return account
-    body = environ['wsgi.input'].read()
+    body = take_body(environ)
     if len(body) > configuration.limits.body_bytes:
         return BodyTooLarge('the body is larger than allowed')
     # A request that goes on with a stream gets the service that began it.
@@ -260,5 +274,6 @@
     relay.metrics.count_refused(failure.code)
     headers = [('Content-Type', 'application/json')]
     if failure.retry_at is not None:
-        headers.append(('Retry-After', str(CONFIGURATION_RETRY_SECONDS)))
+        seconds = max(0, failure.retry_at - monotonic())
+        headers.append(('Retry-After', str(round(seconds, RETRY_DECIMALS))))
     return respond_with(start_response, failure, headers)
--- /dev/null
+++ b/libs/relay/src/gypsumrelay_relay/buffers/__init__.py
@@ -0,0 +1,17 @@
+"""Memory for the bodies of requests and the unsent parts of answers."""
+
+from gypsumrelay_relay.buffers.budget import Budget, Kind
+from gypsumrelay_relay.buffers.holds import Holds, Memory, holds_of, new_memory
+from gypsumrelay_relay.buffers.reading import pass_on, read_whole, take_body
+
+__all__ = (
+    'Budget',
+    'Holds',
+    'Kind',
+    'Memory',
+    'holds_of',
+    'new_memory',
+    'pass_on',
+    'read_whole',
+    'take_body',
+)
--- a/libs/relay/src/gypsumrelay_relay/caller_server.py
+++ b/libs/relay/src/gypsumrelay_relay/caller_server.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-import math
 import select
 import threading
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Final
 
-from gypsumrelay_clock import monotonic
 from gypsumrelay_http import start_server
-from waitress.channel import HTTPChannel
-from waitress.task import WSGITask
 
 from gypsumrelay_relay.admission import application
+from gypsumrelay_relay.buffers.channel import BufferedChannel, BufferedTask
 
 if TYPE_CHECKING:
     import socket
@@ -25,15 +22,12 @@
 # Size in bytes up to which bodies and answers are buffered in memory; the
 # instances have no disk.
 MEMORY_BUFFER_BYTES: Final = 67_108_864
-# Unsent bytes of an answer beyond which its sender waits, so that a slow caller
-# does not use up the process's memory.
-ANSWER_BUFFER_BYTES: Final = 1_048_576
 # Maximum number of connections from callers, each of which takes a file
 # descriptor.
 CONNECTION_LIMIT: Final = 2000
 
 
-class DrainingTask(WSGITask):  # type: ignore[misc]
+class DrainingTask(BufferedTask):
     """Closes the connection after its answer once the relay is draining."""
 
     def build_response_header(self) -> bytes:
@@ -48,32 +42,16 @@
         return bytes(super().build_response_header())
 
 
-class CallerChannel(HTTPChannel):  # type: ignore[misc]
+class CallerChannel(BufferedChannel):
     """A connection from a caller.
 
     Attributes:
         closes_when_idle: Whether it closes as soon as its request has ended and
             its answer is sent.
-        active_at: Instant at which bytes were last read or sent, or a request
-            ended.
     """
 
     task_class = DrainingTask
     closes_when_idle = False
-    active_at: float = 0
-
-    @property
-    def last_activity(self) -> float:
-        """Return infinity, so that the server closes no idle connection.
-
-        It would decide by the wall clock, which may be stepped, and without
-        looking for bytes that were not read yet.
-        """
-        return math.inf
-
-    @last_activity.setter
-    def last_activity(self, _: float) -> None:
-        self.active_at = monotonic()
 
     def readable(self) -> bool:
         """Return whether to wait for bytes; called after each request."""
@@ -91,10 +69,14 @@
             address in the settings.
     """
     settings = relay.settings
+
+    def open_channel(*given: Any, **options: Any) -> CallerChannel:
+        return CallerChannel(*given, memory=relay.memory, **options)
+
     server = start_server(
         application(relay),
         split_address(settings.instance.caller_address),
-        CallerChannel,
+        open_channel,
         bound,
         threads=settings.max_open_requests,
         backlog=BACKLOG,
@@ -102,7 +84,6 @@
         channel_request_lookahead=1,
         inbuf_overflow=MEMORY_BUFFER_BYTES,
         outbuf_overflow=MEMORY_BUFFER_BYTES,
-        outbuf_high_watermark=ANSWER_BUFFER_BYTES,
         send_bytes=1,
         ident=None,
         clear_untrusted_proxy_headers=False,
@@ -153,6 +134,7 @@
 
     def respond(environ: dict[str, Any], start_response: Any) -> list[bytes]:
         if environ['PATH_INFO'] == '/metrics':
+            relay.metrics.show_memory(relay.memory)
             return _reply(start_response, '200 OK', relay.metrics.page())
         if environ['PATH_INFO'] == '/status':
             return _reply(start_response, '200 OK', status())
--- a/libs/relay/src/gypsumrelay_relay/caller_timeouts.py
+++ b/libs/relay/src/gypsumrelay_relay/caller_timeouts.py
@@ -10,6 +10,7 @@
 from gypsumrelay_clock import monotonic
 from logbook import Logger
 
+from gypsumrelay_relay.buffers.channel import UNREAD_SECONDS
 from gypsumrelay_relay.caller_server import apply_size_limits, is_idle
 from gypsumrelay_relay.routes import CallerLimits
 
@@ -19,9 +20,6 @@
 CHECK_SECONDS: Final = 0.5
 # Time in seconds for which a connection may be idle beyond the limit.
 IDLE_MARGIN_SECONDS: Final = 2.0
-# Time in seconds after which a connection is closed if its caller reads
-# nothing of an answer.
-UNREAD_SECONDS: Final = 30.0
 # Time in seconds after a new configuration in which callers may still go by the
 # one before.
 KNOWN_SECONDS: Final = 3.0
--- a/libs/relay/src/gypsumrelay_relay/context.py
+++ b/libs/relay/src/gypsumrelay_relay/context.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from gypsumrelay_relay.buffers import Memory, new_memory
 from gypsumrelay_relay.draining import Shutdown
 from gypsumrelay_relay.startup import (
     StartPhases,
@@ -40,6 +41,7 @@
         draining: Set when the shutdown starts.
         phases: The phases that the start of the process has reached.
         wait_limit: Requests that wait for the first configuration.
+        memory: Memory for the bodies of requests and for unsent answers.
     """
 
     settings: RelaySettings
@@ -59,6 +61,12 @@
             lambda relay: new_wait_limit(relay.settings), takes_self=True
         )
     )
+    memory: Memory = attrs.field(
+        default=attrs.Factory(
+            lambda relay: new_memory(relay.settings.capacity.memory_mb),
+            takes_self=True,
+        )
+    )
 
     @property
     def metrics(self) -> RelayMetrics:
--- a/libs/relay/src/gypsumrelay_relay/exchange.py
+++ b/libs/relay/src/gypsumrelay_relay/exchange.py
@@ -18,6 +18,7 @@
 from gypsumrelay_errors import Failure
 from gypsumrelay_wire import to_remaining_ms
 
+from gypsumrelay_relay.buffers import holds_of, pass_on
 from gypsumrelay_relay.cancellation import CancelCause, Cancellation
 from gypsumrelay_relay.digests import (
     content_digest,
@@ -273,19 +274,36 @@
 
 @attrs.frozen
 class CompleteAnswer:
-    """A complete answer of an upstream."""
+    """A complete answer of an upstream.
+
+    Attributes:
+        status: Status code.
+        headers: Headers for the caller.
+        pieces: The body.
+    """
 
     status: int
     headers: list[tuple[str, str]]
-    body: bytes
+    pieces: tuple[bytes, ...]
+
+    @property
+    def size(self) -> int:
+        """Return the number of bytes of the body."""
+        return sum(map(len, self.pieces))
+
+
+def drop_body(exchange: Exchange) -> None:
+    """Free the body of a request that is sent to no upstream any more."""
+    exchange.admitted = attrs.evolve(exchange.admitted, body=b'')
+    holds_of(exchange.environ).body.release()
 
 
 def answer_complete(exchange: Exchange, answer: CompleteAnswer) -> Chunks:
     """Answer with a complete answer of an upstream."""
-    length = ('Content-Length', str(len(answer.body)))
+    length = ('Content-Length', str(answer.size))
     exchange.start_answer(answer.status, [*answer.headers, length])
     exchange.log_answered(answer.status)
-    return [answer.body]
+    return pass_on(answer.pieces)
 
 
 def respond_with(
--- a/libs/relay/src/gypsumrelay_relay/metrics.py
+++ b/libs/relay/src/gypsumrelay_relay/metrics.py
@@ -18,6 +18,8 @@
 
     from gypsumrelay_telemetry import Metrics
 
+    from gypsumrelay_relay.buffers import Memory
+
 # Histogram buckets in seconds, from a fast plain answer to the longest stream.
 BUCKETS: Final = (0.02, 0.05, 0.1, 0.2, 0.4, 0.9, 2, 4, 8, 14)
 
@@ -103,6 +105,12 @@
         for upstream, limit in limits.items():
             self.limits.labels(upstream).set(limit)
 
+    def show_memory(self, memory: Memory) -> None:
+        """Set what bodies and answers hold."""
+        for kind, held in memory.budget.held.items():
+            self.gauges.labels(f'{kind.value}_bytes').set(held)
+        self.gauges.labels('rejected_bodies').set(memory.rejected)
+
     def observe_answer(self, kind: str, seconds: float) -> None:
         """Record the latency of a request that was answered in full."""
         self.answered.labels(kind).observe(seconds)
--- a/libs/relay/src/gypsumrelay_relay/model_requests.py
+++ b/libs/relay/src/gypsumrelay_relay/model_requests.py
@@ -18,7 +18,11 @@
 from gypsumrelay_relay.cancellation import CancelCause
 from gypsumrelay_relay.coordination.reports import report_stream
 from gypsumrelay_relay.events import requests as request_events
-from gypsumrelay_relay.exchange import CompleteAnswer, answer_complete
+from gypsumrelay_relay.exchange import (
+    CompleteAnswer,
+    answer_complete,
+    drop_body,
+)
 from gypsumrelay_relay.performance.stream_meter import StreamMeter
 from gypsumrelay_relay.sending import IO_ERRORS
 from gypsumrelay_relay.stream_runs import (
@@ -61,6 +65,7 @@
     if isinstance(opened, Failure):
         return exchange.reject(final_failure(exchange, opened))
     if isinstance(opened, CompleteAnswer):
+        drop_body(exchange)
         return answer_complete(exchange, opened)
     exchange.start_answer(
         opened.reply.status,
@@ -83,6 +88,8 @@
     """Yield events; resume at another upstream if that is allowed."""
     exchange = run.exchange
     run.has_started = True
+    if not exchange.admitted.route.resumable:
+        drop_body(exchange)
     run.version = opened.placement.version
     _report_start(run, opened)
     current: OpenStream | CompleteAnswer | Failure = opened
--- a/libs/relay/src/gypsumrelay_relay/plain_requests.py
+++ b/libs/relay/src/gypsumrelay_relay/plain_requests.py
@@ -21,11 +21,21 @@
     timeout_failure,
     wait_for_placement,
 )
-from gypsumrelay_relay.exchange import CompleteAnswer, answer_complete
+from gypsumrelay_relay.buffers import holds_of, read_whole
+from gypsumrelay_relay.exchange import (
+    CompleteAnswer,
+    answer_complete,
+    drop_body,
+)
 from gypsumrelay_relay.protocol import AddedHeaders
 from gypsumrelay_relay.read_limits import Silence
 from gypsumrelay_relay.routes import RetryPolicy
-from gypsumrelay_relay.sending import IO_ERRORS, Reply, SendFailed
+from gypsumrelay_relay.sending import (
+    ANSWER_BYTES,
+    IO_ERRORS,
+    Reply,
+    SendFailed,
+)
 from gypsumrelay_relay.substitution import Substitution
 
 if TYPE_CHECKING:
@@ -65,6 +75,7 @@
 def answer_plain(exchange: Exchange) -> Chunks:
     """Run a plain request and answer it."""
     outcome = run(exchange)
+    drop_body(exchange)
     if has_disconnected(exchange):
         return exchange.abort_disconnected()
     if isinstance(outcome, Failure):
@@ -84,7 +95,10 @@
             return last or placement
         attempted = attempt(state, placement)
         exchange.excluded.add(placement.upstream)
-        last = attempted.answer or last
+        if attempted.answer is not None:
+            if last is not None:
+                holds_of(exchange.environ).answer.drop_ahead(last.size)
+            last = attempted.answer
         is_replaced = state.granted is not None
         if not is_replaced and not may_retry(exchange, attempted.result.ending):
             return last or _failure(exchange, attempted.result)
@@ -141,7 +155,13 @@
         reply.close()
         return PlainAttempt(result)
     try:
-        body = reply.read(exchange.deadline)
+        body = read_whole(
+            reply,
+            ANSWER_BYTES,
+            exchange.deadline,
+            holds_of(exchange.environ).answer,
+            lambda: exchange.cancellation.cause is not None,
+        )
     except IO_ERRORS as error:
         reply.close()
         return PlainAttempt(
@@ -149,6 +169,7 @@
         )
     reply.return_connection()
     if result.ending in NOT_RUN_ENDINGS:
+        holds_of(exchange.environ).answer.drop_ahead(sum(map(len, body)))
         return PlainAttempt(result)
     headers = exchange.relay.protocol.caller_headers(reply.headers.items())
     return PlainAttempt(result, CompleteAnswer(reply.status, headers, body))
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -297,3 +297,4 @@
     actor = process.relay.coordination.actor
     while not process.stopped.wait(TICK_SECONDS):
         actor.tell(messages.Tick())
+        process.relay.memory.check()
--- a/libs/relay/src/gypsumrelay_relay/stream_start.py
+++ b/libs/relay/src/gypsumrelay_relay/stream_start.py
@@ -358,7 +358,7 @@
     if result.ending not in ERROR_ENDINGS:
         return None
     headers = exchange.relay.protocol.caller_headers(reply.headers.items())
-    return CompleteAnswer(reply.status, headers, body)
+    return CompleteAnswer(reply.status, headers, (body,))
 
 
 def _may_retry(
