--- a/libs/relay/src/gypsumrelay_relay/buffers/holds.py
+++ b/libs/relay/src/gypsumrelay_relay/buffers/holds.py
@@ -19,7 +19,7 @@
 log = Logger('buffers')
 
 # Interval in seconds at which an answer that waits asks for memory again.
-RECHECK_SECONDS: Final = 0.05
+RECHECK_SECONDS: Final = 0.1
 # Key of the WSGI environment under which a request finds its holds.
 HOLDS: Final = 'gypsumrelay.holds'
 
@@ -206,10 +206,35 @@
             TimeoutError: There was no memory in time.
         """
         while not self.memory.may_read(self, self.held, size):
-            if is_cancelled() or monotonic() >= deadline:
-                raise TimeoutError('no memory for the answer in time')
-            self.memory.note_pressure()
-            time.sleep(RECHECK_SECONDS)
+            self._pause(deadline, is_cancelled)
+
+    def wait_to_pass_on(
+        self, deadline: float, is_cancelled: Callable[[], bool]
+    ) -> None:
+        """Wait until more of a stream may be read.
+
+        Events that are partly read could all wait for one another; one of
+        them at a time is read on.
+
+        Args:
+            deadline: Instant until which to wait.
+            is_cancelled: Returns whether the request was cancelled.
+
+        Raises:
+            TimeoutError: There was no memory in time.
+        """
+        if self.unsent:
+            self.memory.end_read(self)
+        while not self.memory.may_grow(self.held):
+            if not self.unsent and self.memory.may_read(self, self.held, 0):
+                return
+            self._pause(deadline, is_cancelled)
+
+    def _pause(self, deadline: float, is_cancelled: Callable[[], bool]) -> None:
+        if is_cancelled() or monotonic() >= deadline:
+            raise TimeoutError('no memory for the answer in time')
+        self.memory.note_pressure()
+        time.sleep(RECHECK_SECONDS)
 
 
 @attrs.frozen
--- a/libs/relay/src/gypsumrelay_relay/model_requests.py
+++ b/libs/relay/src/gypsumrelay_relay/model_requests.py
@@ -15,6 +15,7 @@
     final_failure,
     has_disconnected,
 )
+from gypsumrelay_relay.buffers import wait_for_caller
 from gypsumrelay_relay.cancellation import CancelCause
 from gypsumrelay_relay.coordination.reports import report_stream
 from gypsumrelay_relay.events import requests as request_events
@@ -185,6 +186,9 @@
             run.last_event = found.last_id or run.last_event
             meter.count(found.count, monotonic())
             yield found.raw
+            # Its bytes are in the buffer of the caller's connection now.
+            del found
+            wait_for_caller(run.exchange)
             meter.resume(monotonic())
             run.substitution.renew(opened.placement.upstream)
             limit_next_event(run, opened.placement, opened.reply)
@@ -198,8 +202,11 @@
 
 
 def _complete_events(opened: OpenStream) -> Iterator[EventBlock]:
-    if opened.first is not None:
-        yield opened.first
+    first = opened.first
+    opened.first = None
+    if first is not None:
+        yield first
+    first = None
     for piece in opened.pieces:
         found = opened.splitter.feed(piece)
         if found is not None:
--- a/libs/relay/src/gypsumrelay_relay/plain_requests.py
+++ b/libs/relay/src/gypsumrelay_relay/plain_requests.py
@@ -155,13 +155,7 @@
         reply.close()
         return PlainAttempt(result)
     try:
-        body = read_whole(
-            reply,
-            ANSWER_BYTES,
-            exchange.deadline,
-            holds_of(exchange.environ).answer,
-            lambda: exchange.cancellation.cause is not None,
-        )
+        body = read_whole(exchange, reply, ANSWER_BYTES)
     except IO_ERRORS as error:
         reply.close()
         return PlainAttempt(
--- a/libs/relay/src/gypsumrelay_relay/stream_start.py
+++ b/libs/relay/src/gypsumrelay_relay/stream_start.py
@@ -20,6 +20,7 @@
     timeout_failure,
     wait_for_placement,
 )
+from gypsumrelay_relay.buffers import held_pieces
 from gypsumrelay_relay.coordination.reports import report_end
 from gypsumrelay_relay.eventstream import EventSplitter
 from gypsumrelay_relay.exchange import CompleteAnswer
@@ -307,7 +308,7 @@
     started_at: float,
 ) -> OpenStream | AttemptResult:
     limit_next_event(run, placement, reply)
-    pieces = reply.pieces()
+    pieces = held_pieces(run.exchange, reply)
     splitter = EventSplitter()
     opened = OpenStream(placement, reply, started_at, splitter, None, pieces)
     try:
