--- a/libs/relay/tests/steps/buffers.py
+++ b/libs/relay/tests/steps/buffers.py
@@ -66,8 +66,8 @@
 
 @when('{count:d} answers of {size:d} bytes arrive at the same pace')
 def give_answers(context: Any, count: int, size: int) -> None:
-    context.held = [0] * count
-    context.produced = [0] * count
+    context.held = [0 for _ in range(count)]
+    context.produced = list(context.held)
     context.size = size
 
 
@@ -231,20 +231,18 @@
             yield b'x' * PIECE_BYTES
         raise ConnectionError('reset')
 
-    reply = SimpleNamespace(
+    reply: Any = SimpleNamespace(
         headers={'Content-Length': str(size)},
         pieces=pieces,
         set_limits=lambda *_: None,
     )
-    exchange = SimpleNamespace(
+    exchange: Any = SimpleNamespace(
         deadline=monotonic() + 1,
         cancellation=SimpleNamespace(cause=None),
         environ={HOLDS: Holds(BodyHold(context.memory), hold)},
     )
-    exchange_: Any = exchange
-    reply_: Any = reply
     try:
-        read_whole(exchange_, reply_, size)
+        read_whole(exchange, reply, size)
     except ConnectionError:
         assert set(held) == {size}
         return
--- a/tools/measure_buffers.py
+++ b/tools/measure_buffers.py
@@ -2,7 +2,8 @@
 
 Run it with the PYTHONPATH of the Makefile:
 
-    python tools/measure_buffers.py large_answer
+    python tools/measure_buffers.py large_answer 0
+    python tools/measure_buffers.py large_stream 12000
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 from typing import Any, Final
 from unittest.mock import patch
 
+from gypsumrelay_soak import unread_answers
 from gypsumrelay_soak.callers import HOST, KINDS
 from gypsumrelay_soak.world import RelayProcess, World, build_world
 
@@ -60,40 +62,67 @@
 
 
 def read_slowly(
-    world: World, links: list[socket.socket]
-) -> tuple[Counter[str], float, int]:
-    """Read a little at intervals; return statuses, peak memory and bytes."""
-    process = world.relays[0].process
-    assert process is not None  # noqa: S101
+    process_id: int, links: list[socket.socket]
+) -> tuple[Counter[str], float]:
+    """Read a little at intervals; return statuses and peak memory in MB."""
     statuses: Counter[str] = Counter()
     selector = selectors.DefaultSelector()
     for link in links:
-        selector.register(link, selectors.EVENT_READ)
-    seen: set[socket.socket] = set()
-    received = 0
+        selector.register(link, selectors.EVENT_READ, [])
     ends_at = time.monotonic() + SECONDS
-    while time.monotonic() < ends_at and process.poll() is None:
+    while time.monotonic() < ends_at:
         for key, _ in selector.select(0):
-            found: Any = key.fileobj
-            try:
-                piece = found.recv(READ_BYTES)
-            except OSError:
-                piece = b''
+            piece = receive(key.fileobj)
             if not piece:
-                selector.unregister(found)
+                selector.unregister(key.fileobj)
                 statuses['closed'] += 1
-                continue
-            received += len(piece)
-            if found not in seen:
-                seen.add(found)
+            elif not key.data:
+                key.data.append(piece)
                 statuses[piece[9:12].decode('latin-1')] += 1
         time.sleep(READ_INTERVAL)
-    peak = resident_mb(process.pid, 'VmHWM') if process.poll() is None else -1
-    return statuses, peak, received
+    return statuses, resident_mb(process_id, 'VmHWM')
+
+
+def receive(link: Any) -> bytes:
+    """Return a few bytes; none at the end and after a reset."""
+    try:
+        return bytes(link.recv(READ_BYTES))
+    except OSError:
+        return b''
 
 
-def measure(fault: str, folder: Path) -> dict[str, Any]:
-    """Return the figures of one run."""
+def measure(world: World, fault: str) -> dict[str, Any]:
+    """Return the figures of one run.
+
+    Raises:
+        ProcessLookupError: The relay has ended.
+    """
+    process = world.relays[0].process
+    if process is None:
+        raise ProcessLookupError('no relay')
+    idle = resident_mb(process.pid, 'VmRSS')
+    for replica in world.replicas:
+        replica.fault = fault
+    kind = KINDS[2 if fault == 'large_stream' else 0]
+    links = [connect(world, kind.path, kind.method) for _ in range(READERS)]
+    statuses, peak = read_slowly(process.pid, links)
+    return {
+        'fault': fault,
+        'idle_mb': round(idle, 1),
+        'peak_mb': round(peak, 1),
+        'statuses': dict(statuses),
+        'cut_off': len(world.ledger.unread),
+    }
+
+
+def main(fault: str, event_bytes: int, folder: Path) -> None:
+    """Measure and print the figures.
+
+    Args:
+        fault: `large_answer` or `large_stream`.
+        event_bytes: Size of each of the 24 events of a stream.
+        folder: Folder for the logs.
+    """
     build = RelayProcess._settings
 
     def settings(process: RelayProcess) -> dict[str, Any]:
@@ -101,32 +130,16 @@
         written['capacity'] = {'memory_mb': MEMORY_MB}
         return written
 
+    unread_answers.EVENT_BYTES = event_bytes  # type: ignore[misc]
     with patch.object(RelayProcess, '_settings', settings):
         world = build_world(1, 1, 0, folder)
         try:
             time.sleep(START_SECONDS)
-            process = world.relays[0].process
-            assert process is not None  # noqa: S101
-            before = resident_mb(process.pid, 'VmRSS')
-            for replica in world.replicas:
-                replica.fault = fault
-            kind = KINDS[2 if fault == 'large_stream' else 0]
-            links = [
-                connect(world, kind.path, kind.method) for _ in range(READERS)
-            ]
-            statuses, peak, received = read_slowly(world, links)
-            return {
-                'fault': fault,
-                'idle_mb': round(before, 1),
-                'peak_mb': round(peak, 1),
-                'statuses': dict(statuses),
-                'received_mb': round(received / KB_PER_MB**2, 1),
-                'cut_off': len(world.ledger.unread),
-            }
+            print(json.dumps(measure(world, fault)))
         finally:
             world.stop()
 
 
 if __name__ == '__main__':
     with tempfile.TemporaryDirectory(prefix='buffers-') as name:
-        print(json.dumps(measure(sys.argv[1], Path(name))))
+        main(sys.argv[1], int(sys.argv[2]), Path(name))
