Count what streams read ahead, and free events as they are passed on

Cause: with events of 700 kB, 128 threads held several copies of each event besides the budget, also while they waited.

--- a/libs/relay/src/gypsumrelay_relay/buffers/__init__.py
+++ b/libs/relay/src/gypsumrelay_relay/buffers/__init__.py
@@ -2,6 +2,7 @@
 
 from gypsumrelay_relay.buffers.budget import Budget, Kind
 from gypsumrelay_relay.buffers.holds import Holds, Memory, holds_of, new_memory
+from gypsumrelay_relay.buffers.queueing import split
 from gypsumrelay_relay.buffers.reading import (
     held_pieces,
     pass_on,
@@ -20,6 +21,7 @@
     'new_memory',
     'pass_on',
     'read_whole',
+    'split',
     'take_body',
     'wait_for_caller',
 )
--- a/libs/relay/src/gypsumrelay_relay/buffers/queueing.py
+++ b/libs/relay/src/gypsumrelay_relay/buffers/queueing.py
@@ -4,6 +4,7 @@
 
 import io
 from collections import deque
+from collections.abc import Iterator
 from typing import Final
 
 import attrs
@@ -15,6 +16,15 @@
 PIECE_BYTES: Final = 65_536
 
 
+def split(whole: bytes) -> Iterator[bytes]:
+    """Yield pieces of a limited size.
+
+    The server keeps the last piece that it was given while a sender waits.
+    """
+    for start in range(0, len(whole), PIECE_BYTES):
+        yield whole[start : start + PIECE_BYTES]
+
+
 @attrs.define(eq=False)
 class ByteQueue:
     """Queue of bytes, with the methods of the buffers of waitress.
@@ -39,10 +49,7 @@
         """Append bytes."""
         self.size += len(added)
         if len(added) > PIECE_BYTES:
-            self.pieces.extend(
-                added[start : start + PIECE_BYTES]
-                for start in range(0, len(added), PIECE_BYTES)
-            )
+            self.pieces.extend(split(added))
         elif self._may_join(added):
             self.pieces[-1] += added
         else:
--- a/libs/relay/src/gypsumrelay_relay/caller_server.py
+++ b/libs/relay/src/gypsumrelay_relay/caller_server.py
@@ -10,6 +10,7 @@
 from gypsumrelay_http import start_server
 
 from gypsumrelay_relay.admission import application
+from gypsumrelay_relay.buffers.allocator import use_one_heap
 from gypsumrelay_relay.buffers.channel import BufferedChannel, BufferedTask
 
 if TYPE_CHECKING:
@@ -69,6 +70,8 @@
             address in the settings.
     """
     settings = relay.settings
+    if settings.capacity.memory_mb:
+        use_one_heap()
 
     def open_channel(*given: Any, **options: Any) -> CallerChannel:
         return CallerChannel(*given, memory=relay.memory, **options)
--- a/libs/relay/src/gypsumrelay_relay/model_requests.py
+++ b/libs/relay/src/gypsumrelay_relay/model_requests.py
@@ -15,7 +15,7 @@
     final_failure,
     has_disconnected,
 )
-from gypsumrelay_relay.buffers import wait_for_caller
+from gypsumrelay_relay.buffers import split, wait_for_caller
 from gypsumrelay_relay.cancellation import CancelCause
 from gypsumrelay_relay.coordination.reports import report_stream
 from gypsumrelay_relay.events import requests as request_events
@@ -183,9 +183,11 @@
     meter = StreamMeter()
     try:
         for found in _complete_events(opened):
+            if found is None:
+                continue
             run.last_event = found.last_id or run.last_event
             meter.count(found.count, monotonic())
-            yield found.raw
+            yield from split(found.raw)
             # Its bytes are in the buffer of the caller's connection now.
             del found
             wait_for_caller(run.exchange)
@@ -201,16 +203,18 @@
     return AttemptResult(Ending.answered, began=began, pace=meter.pace())
 
 
-def _complete_events(opened: OpenStream) -> Iterator[EventBlock]:
+def _complete_events(opened: OpenStream) -> Iterator[EventBlock | None]:
+    """Yield the events of an answer, and keep none that was yielded."""
+    if opened.first is not None:
+        yield _take_first(opened)
+    for piece in opened.pieces:
+        yield opened.splitter.feed(piece)
+
+
+def _take_first(opened: OpenStream) -> EventBlock | None:
     first = opened.first
     opened.first = None
-    if first is not None:
-        yield first
-    first = None
-    for piece in opened.pieces:
-        found = opened.splitter.feed(piece)
-        if found is not None:
-            yield found
+    return first
 
 
 def _finish_attempt(
--- a/tools/measure_buffers.py
+++ b/tools/measure_buffers.py
@@ -76,9 +76,12 @@
             if not piece:
                 selector.unregister(key.fileobj)
                 statuses['closed'] += 1
-            elif not key.data:
+                continue
+            if not key.data:
                 key.data.append(piece)
                 statuses[piece[9:12].decode('latin-1')] += 1
+            # A stream ends with an empty chunk.
+            statuses['whole'] += piece.endswith(b'\r\n0\r\n\r\n')
         time.sleep(READ_INTERVAL)
     return statuses, resident_mb(process_id, 'VmHWM')
 
