--- a/libs/relay/src/gypsumrelay_relay/admission.py
+++ b/libs/relay/src/gypsumrelay_relay/admission.py
@@ -252,6 +252,9 @@
     """Answer a request that was not admitted."""
     state = relay.operator_records.state
     caller_headers = relay.protocol.read_caller(environ)
+    seconds = 0.0
+    if failure.retry_at is not None:
+        seconds = round(max(0, failure.retry_at - monotonic()), RETRY_DECIMALS)
     relay.output.decide(
         request_events.RequestRejected.event,
         attrs.asdict(
@@ -262,7 +265,7 @@
                 failure.code,
                 failure.http_status,
                 failure.outcome.value,
-                0,
+                int(seconds * MS_PER_SECOND),
                 0,
                 0,
                 state.configuration.version if state else 0,
@@ -274,6 +277,5 @@
     relay.metrics.count_refused(failure.code)
     headers = [('Content-Type', 'application/json')]
     if failure.retry_at is not None:
-        seconds = max(0, failure.retry_at - monotonic())
-        headers.append(('Retry-After', str(round(seconds, RETRY_DECIMALS))))
+        headers.append(('Retry-After', str(seconds)))
     return respond_with(start_response, failure, headers)
--- a/libs/settings/src/gypsumrelay_settings/models.py
+++ b/libs/settings/src/gypsumrelay_settings/models.py
@@ -266,7 +266,8 @@
     Attributes:
         ready_by_load: Whether an instance near its limits fails readiness
             probes, so that it gets fewer new connections.
-        memory_mb: Memory of the instance in MB; 0 if unknown.
+        memory_mb: Memory of the instance in MB, which bounds what bodies of
+            requests and unsent answers hold; 0 if unknown.
     """
 
     ready_by_load: bool = False
