--- a/libs/relay/src/gypsumrelay_relay/model_requests.py
+++ b/libs/relay/src/gypsumrelay_relay/model_requests.py
@@ -15,10 +15,15 @@
     final_failure,
     has_disconnected,
 )
+from gypsumrelay_relay.buffers import split, wait_for_caller
 from gypsumrelay_relay.cancellation import CancelCause
 from gypsumrelay_relay.coordination.reports import report_stream
 from gypsumrelay_relay.events import requests as request_events
-from gypsumrelay_relay.exchange import CompleteAnswer, answer_complete
+from gypsumrelay_relay.exchange import (
+    CompleteAnswer,
+    answer_complete,
+    drop_body,
+)
 from gypsumrelay_relay.performance.stream_meter import StreamMeter
 from gypsumrelay_relay.sending import io_errors
 from gypsumrelay_relay.stream_runs import (
@@ -61,6 +66,7 @@
     if isinstance(opened, Failure):
         return exchange.reject(final_failure(exchange, opened))
     if isinstance(opened, CompleteAnswer):
+        drop_body(exchange)
         return answer_complete(exchange, opened)
     exchange.start_answer(
         opened.reply.status,
@@ -83,6 +89,8 @@
     """Yield events; resume at another upstream if that is allowed."""
     exchange = run.exchange
     run.has_started = True
+    if not exchange.admitted.route.resumable:
+        drop_body(exchange)
     run.version = opened.placement.version
     _report_start(run, opened)
     current: OpenStream | CompleteAnswer | Failure = opened
@@ -176,9 +184,14 @@
     failures = io_errors()
     try:
         for found in _complete_events(opened):
+            if found is None:
+                continue
             run.last_event = found.last_id or run.last_event
             meter.count(found.count, monotonic())
-            yield found.raw
+            yield from split(found.raw)
+            # Its bytes are in the buffer of the caller's connection now.
+            del found
+            wait_for_caller(run.exchange)
             meter.resume(monotonic())
             run.substitution.renew(opened.placement.upstream)
             limit_next_event(run, opened.placement, opened.reply)
@@ -191,13 +204,18 @@
     return AttemptResult(Ending.answered, began=began, pace=meter.pace())
 
 
-def _complete_events(opened: OpenStream) -> Iterator[EventBlock]:
+def _complete_events(opened: OpenStream) -> Iterator[EventBlock | None]:
+    """Yield the events of an answer, and keep none that was yielded."""
     if opened.first is not None:
-        yield opened.first
+        yield _take_first(opened)
     for piece in opened.pieces:
-        found = opened.splitter.feed(piece)
-        if found is not None:
-            yield found
+        yield opened.splitter.feed(piece)
+
+
+def _take_first(opened: OpenStream) -> EventBlock | None:
+    first = opened.first
+    opened.first = None
+    return first
 
 
 def _finish_attempt(
