Keep accepting links after a connection could not be accepted

Cause: the listener of a process ended at the first error of accept() or of the start of a thread, for example without a free file descriptor. The process then took no new links until its restart. Found while tracing the intermittent failure of features/bad_input.feature. Change: the listener logs the error, waits 50 ms and goes on until it is closed. Result: the new scenario fails without the change (1 failed, 1 error) and passes with it (15 of 15 scenarios of libs/wire/tests/links.feature).

--- a/libs/wire/src/gypsumrelay_wire/link.py
+++ b/libs/wire/src/gypsumrelay_wire/link.py
@@ -59,6 +59,9 @@
 MICROSECONDS_PER_SECOND: Final = 1_000_000
 RECEIVE_BYTES: Final = 65536
 LISTEN_BACKLOG: Final = 512
+# Time after a failed accept until the next one, which would fail as well at
+# once while no descriptor or thread is free.
+ACCEPT_RETRY_SECONDS: Final = 0.05
 
 _INCOMPLETE: Final = object()
 
@@ -198,11 +201,13 @@
         endpoint: Identity, secret and callbacks of this process.
         server: Listening socket.
         on_link: Called with each accepted link.
+        closed: Set when the listener is closed.
     """
 
     endpoint: Endpoint
     server: socket.socket
     on_link: Callable[[Link], None]
+    closed: threading.Event = attrs.field(factory=threading.Event)
 
     def start(self) -> None:
         """Accept links in a new thread until the listener closes."""
@@ -213,22 +218,37 @@
         ).start()
 
     def run(self) -> None:
-        """Accept links until the listener closes."""
-        while True:
+        """Accept links until the listener closes.
+
+        A connection that cannot be accepted or served, for example because the
+        process has no file descriptor or thread left, ends no listener.
+        """
+        while not self.closed.is_set():
             try:
                 connection, _ = self.server.accept()
-            except OSError:
-                return
-            threading.Thread(
-                target=self._serve,
-                args=(connection,),
-                daemon=True,
-            ).start()
+            except OSError as error:
+                self._note_failure(error)
+                continue
+            try:
+                threading.Thread(
+                    target=self._serve,
+                    args=(connection,),
+                    daemon=True,
+                ).start()
+            except RuntimeError as error:
+                _close_socket(connection)
+                self._note_failure(error)
 
     def close(self) -> None:
         """Stop accepting links; open links stay open."""
+        self.closed.set()
         _close_socket(self.server)
 
+    def _note_failure(self, error: Exception) -> None:
+        """Log a failed accept and wait, unless the listener is closed."""
+        if not self.closed.wait(ACCEPT_RETRY_SECONDS):
+            log.warning('An incoming link was not accepted: {}.', error)
+
     def _serve(self, connection: socket.socket) -> None:
         connection.settimeout(HANDSHAKE_TIMEOUT_SECONDS)
         link = _handshake(connection, self.endpoint, is_dialer=False)
--- a/libs/wire/tests/links.feature
+++ b/libs/wire/tests/links.feature
@@ -70,3 +70,15 @@
     When a process with the secret "s3cret" dials it and sends a heartbeat
     Then the listener receives the same heartbeat
     And unacknowledged bytes break the link at both ends within 1 second
+
+  Scenario Outline: A listener goes on after it could not accept a connection
+    Guards against a process that is unreachable until its restart, because it
+    once had no file descriptor or thread left for a connection.
+    Given a listener with the secret "one" that once has no <resource> left
+    When a process with the secret "one" dials it and sends a heartbeat
+    Then the listener receives the same heartbeat
+
+    Examples:
+      | resource   |
+      | descriptor |
+      | thread     |
--- a/libs/wire/tests/steps/links.py
+++ b/libs/wire/tests/steps/links.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import errno
 import gc
 import queue
 import random
 import socket
+import threading
 from typing import Any
+from unittest.mock import patch
 
 import attrs
 import msgpack
@@ -34,6 +37,7 @@
 
 HEARTBEAT = Heartbeat(7, 1000, 2)
 FRAME_LIMIT = 1024
+_create_server = socket.create_server
 EXAMPLES: dict[str, Any] = {
     'str': 'text',
     'int': 3,
@@ -68,6 +72,46 @@
     context.address = context.listener.server.getsockname()
 
 
+class NoDescriptorOnce:
+    """Listening socket whose first accept finds no file descriptor left."""
+
+    def __init__(self, server: socket.socket) -> None:
+        """Wrap a listening socket."""
+        self.server = server
+        self.failed = False
+
+    def __getattr__(self, name: str) -> Any:
+        """Return an attribute of the socket."""
+        return getattr(self.server, name)
+
+    def accept(self) -> Any:
+        """Fail once, then accept connections."""
+        if self.failed:
+            return self.server.accept()
+        self.failed = True
+        raise OSError(errno.EMFILE, 'Too many open files')
+
+
+@given('a listener with the secret "{secret}" that once has no descriptor left')
+def start_without_descriptor(context: Any, secret: str) -> None:
+    with patch.object(socket, 'create_server', _failing_server):
+        start_listener(context, secret)
+
+
+def _failing_server(address: Any, **options: Any) -> Any:
+    return NoDescriptorOnce(_create_server(address, **options))
+
+
+@given('a listener with the secret "{secret}" that once has no thread left')
+def start_without_thread(context: Any, secret: str) -> None:
+    start_listener(context, secret)
+    exhausted = RuntimeError("can't start new thread")
+    with patch.object(threading.Thread, 'start', side_effect=exhausted):
+        first = socket.create_connection(context.address)
+        first.settimeout(5)
+        assert first.recv(1) == b''
+
+
 @when('a process with the secret "{secret}" dials it and sends a heartbeat')
 def dial_and_send(context: Any, secret: str) -> None:
     link = dial(context.address, new_endpoint(secret, queue.SimpleQueue()))
