Take no part of an answer for the whole one in entries and agents

Causes: urllib3 ignores a reset while it writes a request; the part of an answer without a length that had arrived then ends as if it were whole. The standard library takes the end of a connection inside a head as the end of the head. Statuses of 600 and above and interim ones were passed on, and 000 counted as a crash of the upstream. A caller with HTTP 1.0 could not see that an answer broke off, since its end is that of the connection. Decode streams and framed answers held before; their scenarios stay.

--- /dev/null
+++ b/features/broken_answers.feature
@@ -0,0 +1,37 @@
+Feature: No caller gets a part of an answer as the whole one
+
+  Guards against callers that take the beginning of an answer for all of it,
+  because the service reset its connection while the request was still being
+  written, and against statuses that no caller can interpret. Runs entry and
+  agent processes against a faulty service.
+
+  Scenario: A part of an answer that a reset cut off is not complete
+    Given the smallest deployment with a faulty service
+    Then with these faults no body of 100, 100000, 4000000 and 8000000 bytes gets a complete answer with status 200
+      | fault           | framing | upload        |
+      | early_reset     | none    | with a length |
+      | early_reset     | none    | in chunks     |
+      | early_reset     | chunks  | with a length |
+      | early_reset     | length  | with a length |
+      | midway_reset    | none    | with a length |
+      | last_byte_reset | none    | with a length |
+      | late_reset      | none    | with a length |
+      | late_reset      | none    | in chunks     |
+      | half_head       | none    | with a length |
+
+  Scenario: A caller with HTTP 1.0 recognises an answer that broke off
+    Guards against the end of a connection that looks like the end of an answer
+    whose length is not stated.
+    Given the smallest deployment with a faulty service
+    And the service sends 200000 bytes of an answer and resets the connection
+    When 5 orders are sent with HTTP 1.0
+    Then each connection that carried a status 200 was reset
+
+  Scenario: A caller with HTTP 1.0 gets a whole answer
+    Given the smallest deployment with a faulty service
+    When 5 orders are sent with HTTP 1.0
+    Then each got the whole answer
+
+  Scenario: A status outside 200 to 599 reaches no caller
+    Given the smallest deployment with a faulty service
+    Then bodies of 100 and 4000000 bytes get a typed error with status 502 for the statuses 000, 099, 103, 600 and 999
--- /dev/null
+++ b/features/steps/broken_answers.py
@@ -0,0 +1,190 @@
+"""Steps of broken_answers.feature."""
+
+from __future__ import annotations
+
+import re
+import socket
+from contextlib import suppress
+from http.client import HTTPConnection, HTTPException
+from typing import Any
+
+import attrs
+from behave import given, then, when
+from gypsumrelay_demo import System, smallest_deployment
+from gypsumrelay_standins import FaultyService
+
+PATH = '/orders/1'
+TIMEOUT_SECONDS = 30
+
+
+@attrs.frozen
+class Answer:
+    """Answer as received by a caller.
+
+    Attributes:
+        status: HTTP status; 0 without an answer.
+        body: What was received of the body.
+        is_whole: Whether the answer ended as its framing states.
+    """
+
+    status: int
+    body: bytes
+    is_whole: bool
+
+
+@attrs.define
+class FaultySystem(System):
+    """System whose plain service is a faulty one in this process.
+
+    Attributes:
+        service: The faulty service.
+    """
+
+    service: FaultyService = attrs.field(factory=FaultyService)
+
+    def start_upstream(self, place: Any) -> None:
+        """Start an upstream; the agent of the service gets the faulty one."""
+        super().start_upstream(place)
+        if place.kind == 'service':
+            self.upstreams[place.name].url = self.service.url
+
+
+@given('the smallest deployment with a faulty service')
+def start_faulty(context: Any) -> None:
+    context.system = FaultySystem(smallest_deployment(), context.path)
+    context.system.service.start()
+    context.add_cleanup(context.system.service.stop)
+    context.system.start()
+
+
+@given(
+    'the service sends {size:d} bytes of an answer and resets the connection'
+)
+def set_part(context: Any, size: int) -> None:
+    context.system.service.fault = 'late_reset'
+    context.system.service.framing = 'length'
+    context.system.service.part = b'x' * size
+
+
+def entry_address(context: Any) -> tuple[str, int]:
+    entry = next(iter(context.system.entries.values()))
+    host, _, port = entry.url.removeprefix('http://').partition(':')
+    return host, int(port)
+
+
+def authorization(context: Any) -> str:
+    secret = next(iter(context.system.keys.values())).secret
+    return f'Bearer {secret}'
+
+
+@then(
+    'with these faults no body of {sizes} bytes gets a complete answer with '
+    'status 200'
+)
+def check_none_complete(context: Any, sizes: str) -> None:
+    service = context.system.service
+    for row in context.table:
+        service.fault = row['fault']
+        service.framing = row['framing']
+        answers = send_bodies(context, sizes, row['upload'])
+        for answer in answers:
+            is_complete = answer.status == 200 and answer.is_whole
+            assert not is_complete, (row, answers)
+        assert service.runs, row
+        service.runs = 0
+
+
+@then(
+    'bodies of {sizes} bytes get a typed error with status 502 for the '
+    'statuses {statuses}'
+)
+def check_bad_gateway(context: Any, sizes: str, statuses: str) -> None:
+    service = context.system.service
+    for status in re.findall(r'\d+', statuses):
+        service.fault = f'status_{status}'
+        answers = send_bodies(context, sizes, 'with a length')
+        for answer in answers:
+            assert answer.status == 502, (status, answers)
+            assert b'"code"' in answer.body, (status, answers)
+
+
+def send_bodies(context: Any, sizes: str, framing: str) -> list[Answer]:
+    """Return the answers to two requests of each size."""
+    answers = []
+    for size in re.findall(r'\d+', sizes):
+        connection = HTTPConnection(
+            *entry_address(context), timeout=TIMEOUT_SECONDS
+        )
+        # The second request finds the connection of the caller kept, unless
+        # the first answer broke off.
+        for _ in range(2):
+            answer = send_body(context, connection, int(size), framing)
+            answers.append(answer)
+        connection.close()
+    return answers
+
+
+def send_body(
+    context: Any, connection: HTTPConnection, size: int, framing: str
+) -> Answer:
+    is_chunked = framing == 'in chunks'
+    body: Any = b'x' * size
+    try:
+        connection.request(
+            'POST',
+            PATH,
+            iter([body]) if is_chunked else body,
+            {'Authorization': authorization(context)},
+            encode_chunked=is_chunked,
+        )
+        response = connection.getresponse()
+    except (HTTPException, OSError):
+        connection.close()
+        return Answer(0, b'', is_whole=False)
+    try:
+        return Answer(response.status, response.read(), is_whole=True)
+    except (HTTPException, OSError):
+        connection.close()
+        return Answer(response.status, b'', is_whole=False)
+
+
+@when('{count:d} orders are sent with HTTP 1.0')
+def send_old(context: Any, count: int) -> None:
+    context.answers = [send_old_order(context) for _ in range(count)]
+
+
+def send_old_order(context: Any) -> Answer:
+    """Send a request whose answer ends with its connection."""
+    received = b''
+    is_whole = False
+    with socket.create_connection(
+        entry_address(context), TIMEOUT_SECONDS
+    ) as connection:
+        head = (
+            f'POST {PATH} HTTP/1.0\r\nContent-Length: 4\r\n'
+            f'Authorization: {authorization(context)}\r\n\r\nbody'
+        )
+        connection.sendall(head.encode())
+        with suppress(ConnectionResetError):
+            while True:
+                piece = connection.recv(4096)
+                received += piece
+                if not piece:
+                    is_whole = True
+                    break
+    status_line, _, rest = received.partition(b'\r\n')
+    status = int(status_line.split()[1]) if status_line else 0
+    return Answer(status, rest.partition(b'\r\n\r\n')[2], is_whole)
+
+
+@then('each connection that carried a status 200 was reset')
+def check_reset(context: Any) -> None:
+    assert any(answer.status == 200 for answer in context.answers)
+    for answer in context.answers:
+        assert answer.status != 200 or not answer.is_whole, context.answers
+
+
+@then('each got the whole answer')
+def check_whole(context: Any) -> None:
+    for answer in context.answers:
+        assert answer == Answer(200, b'whole', is_whole=True), context.answers
--- a/libs/agent/src/gypsumrelay_agent/components.py
+++ b/libs/agent/src/gypsumrelay_agent/components.py
@@ -50,7 +50,8 @@
 from gypsumrelay_agent import events
 from gypsumrelay_agent.accounts import AccountDependencies, new_accounts
 from gypsumrelay_agent.actor import AgentActor
-from gypsumrelay_agent.engine import EngineClient, new_pool
+from gypsumrelay_agent.connections import new_pool
+from gypsumrelay_agent.engine import EngineClient
 from gypsumrelay_agent.service import ServiceClient
 from gypsumrelay_agent.state import SERVICE, AgentState
 from gypsumrelay_agent.waiting_queue import FairWaitingQueue
--- a/libs/agent/src/gypsumrelay_agent/service.py
+++ b/libs/agent/src/gypsumrelay_agent/service.py
@@ -13,11 +13,17 @@
 from gypsumrelay_agent.engine import (
     CHUNK_BYTES,
     CONNECT_TIMEOUT_SECONDS,
+    MALFORMED_ANSWER,
     UpstreamFault,
     fault_from_error,
 )
 
 MIN_TIMEOUT_SECONDS: Final = 0.05
+# Statuses of final answers. Lower ones are interim; the final answer after one
+# would be taken for that of the connection's next request.
+FIRST_FINAL_STATUS: Final = 200
+FIRST_UNKNOWN_STATUS: Final = 600
+FINAL_STATUSES: Final = range(FIRST_FINAL_STATUS, FIRST_UNKNOWN_STATUS)
 
 
 @attrs.frozen
@@ -80,6 +86,10 @@
 def _read_response(
     response: urllib3.BaseHTTPResponse,
 ) -> Iterator[ResponseStart | bytes | UpstreamFault]:
+    if response.status not in FINAL_STATUSES:
+        response.close()
+        yield MALFORMED_ANSWER
+        return
     yield ResponseStart(
         response.status,
         [[name, text] for name, text in response.headers.items()],
--- /dev/null
+++ b/libs/agent/tests/broken_answers.feature
@@ -0,0 +1,70 @@
+Feature: The part of an answer that an upstream sent is not its whole answer
+
+  Guards against callers that take the beginning of an answer for all of it,
+  because the connection was reset while the request was still being written,
+  and against statuses that are no HTTP. Runs the agent's HTTP clients against
+  a faulty server.
+
+  Scenario Outline: A part of a plain answer that a reset cut off is a fault
+    Given a faulty upstream and the agent's client of plain services
+    When it answers with the fault "<fault>", framed by <framing>
+    Then bodies of 100, 100000, 4000000 and 16000000 bytes get no whole answer on new connections
+    And bodies of 100, 100000, 4000000 and 16000000 bytes get no whole answer on kept connections
+
+    Examples:
+      | fault           | framing |
+      | early_reset     | none    |
+      | early_reset     | chunks  |
+      | early_reset     | length  |
+      | midway_reset    | none    |
+      | midway_reset    | chunks  |
+      | last_byte_reset | none    |
+      | last_byte_reset | length  |
+      | late_reset      | none    |
+      | late_reset      | chunks  |
+      | late_reset      | length  |
+
+  Scenario: A plain answer that ends inside its head is a fault
+    Guards against a 200 with an empty body that looks whole.
+    Given a faulty upstream and the agent's client of plain services
+    When it answers with the fault "half_head", framed by none
+    Then bodies of 100 and 100000 bytes get no whole answer on new connections
+    And bodies of 100 and 100000 bytes get no whole answer on kept connections
+
+  Scenario Outline: A status outside 200 to 599 ends no request
+    Guards against a status that no caller can interpret. An interim answer is
+    none either: the final one would be taken for the next request's.
+    Given a faulty upstream and the agent's client of plain services
+    When it answers with the fault "status_<status>", framed by length
+    Then bodies of 100 and 100000 bytes get no whole answer on new connections
+    And bodies of 100 and 100000 bytes get no whole answer on kept connections
+    And no fault is taken for a crash of the upstream
+
+    Examples:
+      | status |
+      | 000    |
+      | 099    |
+      | 103    |
+      | 600    |
+      | 999    |
+
+  Scenario: The connection of a faulty answer is not used again
+    Given a faulty upstream and the agent's client of plain services
+    When it answers with the fault "status_600", framed by length
+    Then bodies of 100 and 100000 bytes get no whole answer on kept connections
+    And requests after the fault get whole answers on new connections
+
+  Scenario Outline: A decode stream that a fault cut off does not finish
+    Given a faulty upstream and the agent's client of engines
+    When it answers with the fault "<fault>", framed by <framing>
+    Then prompts of 100, 100000 and 4000000 bytes get no answer of the engine
+
+    Examples:
+      | fault        | framing |
+      | early_reset  | none    |
+      | midway_reset | chunks  |
+      | late_reset   | none    |
+      | half_head    | none    |
+      | status_000   | length  |
+      | status_302   | length  |
+      | status_600   | length  |
--- a/libs/standins/src/gypsumrelay_standins/__init__.py
+++ b/libs/standins/src/gypsumrelay_standins/__init__.py
@@ -10,6 +10,9 @@
     prefix_digests,
     word_for,
 )
+from gypsumrelay_standins.faulty_service import (
+    FaultyService,
+)
 from gypsumrelay_standins.http_server import (
     Handler,
     Request,
@@ -35,6 +38,7 @@
 __all__ = (
     'Engine',
     'EngineSettings',
+    'FaultyService',
     'Handler',
     'InstanceList',
     'Kv',
