Explain where a request would go now, without sending it

Cause: why a request was placed, queued or rejected could only be read from log lines afterwards. Change: what excludes or ranks one upstream, the account's limit and the wait are functions of their own (candidates, queueing, admission), which the decision and the new gypsumrelay_dispatch.explaining share. The explanation runs the decision itself on a copy of the state. A relay's status servers answer /explain by a read-only message to the coordinator's actor; `gypsumrelay explain` prints it as text or JSON, without keys. Result: in 150 random states (Hypothesis) the explained decision is the one that follows and the state is unchanged; 9 scenarios without a network and 6 with real relays pass.

--- a/libs/command/src/gypsumrelay_command/application.py
+++ b/libs/command/src/gypsumrelay_command/application.py
@@ -11,7 +11,13 @@
 import cyclopts
 from gypsumrelay_timeline import Query
 
-from gypsumrelay_command import changes, fleet, inspection, programs
+from gypsumrelay_command import (
+    changes,
+    explanation,
+    fleet,
+    inspection,
+    programs,
+)
 from gypsumrelay_command.main import VERSION
 from gypsumrelay_command.results import INVALID, failure_result, print_result
 from gypsumrelay_command.session import with_state
@@ -63,6 +69,26 @@
         return Query(self.request, self.account, self.upstream, begin_ms)
 
 
+@cyclopts.Parameter(name='*')
+@attrs.frozen
+class ExplainedRequest:
+    """Options of the explain command that describe the request.
+
+    Attributes:
+        account: The client account.
+        model: A service of the route; the one with the highest weight if empty.
+        prompt: Length of the prompt in tokens; 0 for plain requests.
+        output: Maximum number of generated tokens.
+        expected: Expected number of generated tokens; 0 if not known.
+    """
+
+    account: str = ''
+    model: str = ''
+    prompt: int = 0
+    output: int = 0
+    expected: int = 0
+
+
 Account = Annotated[str, cyclopts.Parameter(help='The client account.')]
 JsonFile = Annotated[Path, cyclopts.Parameter(help='A JSON file.')]
 
@@ -278,6 +304,31 @@
     return print_result(result, json)
 
 
+@app.command
+def explain(
+    *,
+    relay: str,
+    host: str,
+    path: str,
+    request: ExplainedRequest | None = None,
+    json: bool = False,
+) -> int:
+    """Show where a request would go now and why, without sending it.
+
+    Example: gypsumrelay explain --relay 10.0.0.1:9100 --host shop --path /v1
+
+    Args:
+        relay: Host and port of the coordinator's status page.
+        host: Host header of the request.
+        path: Path of the request.
+        request: Further properties of the request.
+        json: Print JSON instead of text.
+    """
+    query = {'host': host, 'path': path}
+    query |= attrs.asdict(request or ExplainedRequest())
+    return print_result(explanation.show_explanation(relay, query), json)
+
+
 @app.command
 def version() -> int:
     """Print the version."""
--- a/libs/dispatch/src/gypsumrelay_dispatch/accounts.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/accounts.py
@@ -101,6 +101,12 @@
     return bucket.level if bucket else 0
 
 
+def size_of(accounts: Accounts, name: str) -> BucketSize | None:
+    """Return rate and burst of an account; None without a limit."""
+    bucket = accounts.buckets.get(name)
+    return bucket.size if bucket else None
+
+
 def charge(accounts: Accounts, name: str, tokens: int) -> None:
     """Charge an admitted request to its account."""
     bucket = accounts.buckets.get(name)
--- a/libs/dispatch/src/gypsumrelay_dispatch/admission.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/admission.py
@@ -42,7 +42,6 @@
     scheduler: SchedulerState, request: PlacementRequest, now: float
 ) -> Rejection | None:
     """Charge a request, or reject it by content, retry budget or account."""
-    settings = scheduler.settings
     quarantined = quarantine_failure(scheduler, request, now)
     if quarantined is not None:
         return build_rejection(scheduler, request, quarantined)
@@ -58,12 +57,7 @@
             retry_at=now + DEFAULT_RETRY_SECONDS,
         )
         return build_rejection(scheduler, request, exhausted)
-    retry_at = accounts.retry_after(
-        scheduler.accounts,
-        request.client_account,
-        _overdraft(settings, request.cost_tokens),
-        now,
-    )
+    retry_at = rate_limited_until(scheduler, request, now)
     if retry_at is not None:
         fair_queueing.note_rate_exceeded(scheduler, request, retry_at)
         sentence = 'the rate is used up for now'
@@ -76,6 +70,18 @@
     return None
 
 
+def rate_limited_until(
+    scheduler: SchedulerState, request: PlacementRequest, now: float
+) -> float | None:
+    """Return when the account admits a request; None if it does now."""
+    return accounts.retry_after(
+        scheduler.accounts,
+        request.client_account,
+        _overdraft(scheduler.settings, request.cost_tokens),
+        now,
+    )
+
+
 def build_rejection(
     scheduler: SchedulerState, request: PlacementRequest, failure: Failure
 ) -> Rejection:
--- a/libs/dispatch/src/gypsumrelay_dispatch/granting.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/granting.py
@@ -11,6 +11,7 @@
     retry_budget,
     transfer_costs,
 )
+from gypsumrelay_dispatch.candidates import prefill_estimate_ms
 from gypsumrelay_dispatch.crashes import note_placed
 from gypsumrelay_dispatch.grant_rate import count_grant
 from gypsumrelay_dispatch.loads import ActivePlacement, drop_old_sends
@@ -22,7 +23,7 @@
     SchedulerState,
     add_placement,
 )
-from gypsumrelay_dispatch.selection import Choice, prefill_estimate_ms
+from gypsumrelay_dispatch.selection import Choice
 
 if TYPE_CHECKING:
     from gypsumrelay_dispatch.models import Upstream
--- a/libs/dispatch/src/gypsumrelay_dispatch/queueing.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/queueing.py
@@ -5,16 +5,14 @@
 import enum
 from typing import TYPE_CHECKING, Any, Final
 
-from gypsumrelay_dispatch import forecast
-from gypsumrelay_dispatch.fair_queueing import (
-    FIRST_TOKEN_SECONDS,
-    is_weighted,
-    weighted_key,
-)
+import attrs
+
+from gypsumrelay_dispatch import accounts, fair_queueing, forecast
 from gypsumrelay_dispatch.grant_rate import observe_queue, seconds_per_grant
 from gypsumrelay_dispatch.loads import Load, is_in_pool
 from gypsumrelay_dispatch.models import Phase, PlacementRequest
-from gypsumrelay_dispatch.selection import is_held
+from gypsumrelay_dispatch.scheduler_state import QueuedRequest
+from gypsumrelay_dispatch.selection import is_held, limited_until
 from gypsumrelay_dispatch.upstream_performance import (
     allowed_slots,
     expected_service_seconds,
@@ -25,10 +23,7 @@
     from gypsumrelay_fairness import OrderKey
     from gypsumrelay_settings import DispatchSettings
 
-    from gypsumrelay_dispatch.scheduler_state import (
-        QueuedRequest,
-        SchedulerState,
-    )
+    from gypsumrelay_dispatch.scheduler_state import SchedulerState
 
 MS_PER_SECOND: Final = 1000
 # Weight of the newest request in the moving average of the cost.
@@ -54,8 +49,8 @@
 
     Keys of one queue policy are comparable.
     """
-    if is_weighted(scheduler):
-        return weighted_key(scheduler, waiting, now)
+    if fair_queueing.is_weighted(scheduler):
+        return fair_queueing.weighted_key(scheduler, waiting, now)
     request = waiting.request
     urgency = urgency_of(scheduler.settings, request, now)
     due = request.objective_at + waiting.delay
@@ -70,7 +65,9 @@
         return Urgency.urgent
     if not request.prompt_tokens:
         return Urgency.late if request.objective_at <= now else Urgency.normal
-    slack_seconds = request.objective_at - now - FIRST_TOKEN_SECONDS
+    slack_seconds = (
+        request.objective_at - now - fair_queueing.FIRST_TOKEN_SECONDS
+    )
     if slack_seconds <= 0:
         return Urgency.late
     return (
@@ -156,6 +153,47 @@
     return len(earlier) * slowest / max(1, slots)
 
 
+@attrs.frozen
+class WaitEstimate:
+    """Estimated wait of a request.
+
+    Attributes:
+        ahead: Queued requests of the service that are served before it.
+        wait_seconds: Seconds until it is placed by the queue alone.
+        limited_until: Instant until which the limits of upstreams and pauses
+            delay it; the present instant without a delay.
+    """
+
+    ahead: int
+    wait_seconds: float
+    limited_until: float
+
+
+def describe_request(
+    scheduler: SchedulerState, request: PlacementRequest, now: float
+) -> QueuedRequest:
+    """Return a request as it is queued."""
+    overdrawn = accounts.is_overdrawn(
+        scheduler.accounts, request.client_account
+    )
+    delay = cost_delay(scheduler, request)
+    return fair_queueing.describe(
+        scheduler, QueuedRequest(request, now, overdrawn, delay)
+    )
+
+
+def estimate_wait(
+    scheduler: SchedulerState, waiting: QueuedRequest, now: float
+) -> WaitEstimate:
+    """Return the wait of a request that is not in the queue yet."""
+    request = waiting.request
+    earlier = earlier_requests(scheduler, waiting, now)
+    wait = expected_wait(scheduler, request, earlier)
+    wait += fair_queueing.wait_for_returning(scheduler, request, wait, now)
+    limit_ends_at = limited_until(scheduler, request, len(earlier), now)
+    return WaitEstimate(len(earlier), wait, limit_ends_at)
+
+
 def wait_at_grant_rate(
     scheduler: SchedulerState, request: PlacementRequest, ahead: int
 ) -> float | None:
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
@@ -303,13 +303,21 @@
 
 def is_usable(scheduler: SchedulerState, load: Load, now: float) -> bool:
     """Return whether an upstream may get new requests."""
+    return not unusable_reason(scheduler, load, now)
+
+
+def unusable_reason(scheduler: SchedulerState, load: Load, now: float) -> str:
+    """Return why an upstream gets no new requests; empty if it does."""
     upstream = load.upstream
-    return (
-        not upstream.leaving
-        and upstream.availability_zone not in scheduler.evacuated
-        and now < load.usable_until
-        and may_use(scheduler.rollouts, upstream.service, upstream.version)
-    )
+    if upstream.leaving:
+        return 'leaving'
+    if upstream.availability_zone in scheduler.evacuated:
+        return 'availability zone evacuated'
+    if now >= load.usable_until:
+        return 'no longer listed'
+    if not may_use(scheduler.rollouts, upstream.service, upstream.version):
+        return 'version not in use'
+    return ''
 
 
 def add_placement(
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
@@ -9,7 +9,6 @@
 from gypsumrelay_errors import NoUpstream, Overloaded, StreamNotResumable
 
 from gypsumrelay_dispatch import (
-    accounts,
     fair_queueing,
     rebalancing,
     resumptions,
@@ -34,9 +33,8 @@
 from gypsumrelay_dispatch.performance_results import adjust_limits
 from gypsumrelay_dispatch.queueing import (
     Urgency,
-    cost_delay,
-    earlier_requests,
-    expected_wait,
+    describe_request,
+    estimate_wait,
     observe_queues,
     rank,
     urgency_of,
@@ -97,19 +95,11 @@
     rejection = check_limits(scheduler, request, now)
     if rejection is not None:
         return [rejection]
-    overdrawn = accounts.is_overdrawn(
-        scheduler.accounts, request.client_account
-    )
-    delay = cost_delay(scheduler, request)
+    waiting = describe_request(scheduler, request, now)
     if request.prompt_tokens and request.attempt == 1:
         rebalancing.observe_request(scheduler, request, now)
-    waiting = fair_queueing.describe(
-        scheduler, QueuedRequest(request, now, overdrawn, delay)
-    )
-    earlier = earlier_requests(scheduler, waiting, now)
-    wait = expected_wait(scheduler, request, earlier)
-    wait += fair_queueing.wait_for_returning(scheduler, request, wait, now)
-    limit_ends_at = limited_until(scheduler, request, len(earlier), now)
+    estimate = estimate_wait(scheduler, waiting, now)
+    wait, limit_ends_at = estimate.wait_seconds, estimate.limited_until
     scheduler.queue.append(waiting)
     decisions = serve(scheduler, now, request.service)
     placed_at = max(now + wait, limit_ends_at)
--- a/libs/dispatch/src/gypsumrelay_dispatch/selection.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/selection.py
@@ -6,38 +6,30 @@
 
 import attrs
 
-from gypsumrelay_dispatch.forecast import MemoryForecast, peak_tokens
-from gypsumrelay_dispatch.loads import (
-    Load,
-    allows_send,
-    is_in_pool,
-    placement_memory,
-    plain_score,
+from gypsumrelay_dispatch.candidates import (
+    backlog_reason,
+    decode_choice_score,
+    forecast_peak,
+    ineligible_reason,
+    limit_reason,
+    memory_reason,
+    pause_end,
+    plain_choice_score,
+    prefill_choice_score,
+    prefill_estimate_ms,
+    slots_reason,
 )
+from gypsumrelay_dispatch.loads import Load, is_in_pool
 from gypsumrelay_dispatch.models import Phase, PlacementRequest
-from gypsumrelay_dispatch.pauses import admitted_at
-from gypsumrelay_dispatch.rate_limits import accepted_at, allows_request
+from gypsumrelay_dispatch.rate_limits import accepted_at
 from gypsumrelay_dispatch.rollouts import narrow
-from gypsumrelay_dispatch.scheduler_state import SchedulerState, is_usable
-from gypsumrelay_dispatch.transfer_costs import (
-    source_delay_ms,
-    transfer_penalty,
-)
-from gypsumrelay_dispatch.upstream_performance import (
-    allowed_slots,
-    candidates_pace_ms,
-    decode_score,
-    expected_service_seconds,
-    idle_weight,
-    pace_ms,
-    prefill_finish_ms,
-    prefill_score,
-)
+from gypsumrelay_dispatch.transfer_costs import transfer_penalty
+from gypsumrelay_dispatch.upstream_performance import candidates_pace_ms
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-    from gypsumrelay_dispatch.models import Upstream
+    from gypsumrelay_dispatch.scheduler_state import SchedulerState
 
 # Part of an engine's memory below which a decode upstream has spare memory
 # for a direct prefill.
@@ -103,17 +95,7 @@
     return (
         load
         for load in _pool(scheduler, request, phase, now)
-        if _admitted_at(scheduler, request, load) <= now
-    )
-
-
-def _admitted_at(
-    scheduler: SchedulerState, request: PlacementRequest, load: Load
-) -> float:
-    """Return when a pause of the request's instance admits it."""
-    upstream = load.upstream
-    return admitted_at(
-        scheduler.pauses, request.entry, upstream.name, upstream.started_ms
+        if pause_end(scheduler, request, load) <= now
     )
 
 
@@ -127,37 +109,21 @@
         load
         for load in scheduler.loads.values()
         if is_in_pool(load, request.service, phase)
-        and _is_eligible(load.upstream, request)
-        and not load.is_changing(now)
-        and is_usable(scheduler, load, now)
+        and not ineligible_reason(scheduler, request, load, now)
     )
 
 
-def _is_eligible(upstream: Upstream, request: PlacementRequest) -> bool:
-    """Return whether a request may go to an upstream of its pool."""
-    is_any_version = not request.version
-    fits_version = is_any_version or request.version == upstream.version
-    return fits_version and upstream.name not in request.excluded
-
-
 def _within_limits(
     scheduler: SchedulerState,
     request: PlacementRequest,
     loads: list[Load],
     now: float,
 ) -> list[Load]:
-    """Return the upstreams whose limits allow another send now.
-
-    These are the cold limit of the service and the rate limit that the
-    upstream states.
-    """
-    service = scheduler.services.get(request.service)
-    per_second = service.cold_per_second if service else 0
+    """Return the upstreams whose limits allow another send now."""
     return [
         load
         for load in loads
-        if allows_send(load, per_second, now)
-        and allows_request(scheduler.rate_limits, load.upstream.name, now)
+        if not limit_reason(scheduler, request, load, now)
     ]
 
 
@@ -211,7 +177,7 @@
 ) -> list[float]:
     """Return when the upstreams that may run a request admit it."""
     return [
-        _admitted_at(scheduler, request, load)
+        pause_end(scheduler, request, load)
         for load in _pool(scheduler, request, _last_phase(request), now)
     ]
 
@@ -249,28 +215,17 @@
     return min((accepted_at(limits, healthy, ahead, now), *ends))
 
 
-def prefill_estimate_ms(
-    scheduler: SchedulerState, request: PlacementRequest
-) -> float:
-    """Return the estimated prefill time of a prompt in milliseconds."""
-    return request.prompt_tokens / scheduler.settings.prefill_tokens_per_ms
-
-
 def _choose_plain(
     scheduler: SchedulerState, request: PlacementRequest, now: float
 ) -> Choice | None:
     free = [
         load
         for load in candidates(scheduler, request, Phase.plain, now)
-        if len(load.running) < allowed_slots(scheduler, load)
+        if not slots_reason(scheduler, load)
     ]
-
-    def score(load: Load) -> float:
-        seconds = expected_service_seconds(scheduler, load, load.latency)
-        weight = idle_weight(scheduler)
-        return plain_score(load, request.availability_zone, seconds, weight)
-
-    best = _lowest(free, score)
+    best = _lowest(
+        free, lambda load: plain_choice_score(scheduler, request, load)
+    )
     return Choice(best) if best else None
 
 
@@ -311,19 +266,14 @@
     now: float,
 ) -> Choice | None:
     estimate = prefill_estimate_ms(scheduler, request)
-    limit = scheduler.settings.prefill_backlog_ms
     free = [
         load
         for load in _within_limits(scheduler, request, prefill_loads, now)
-        if not load.prefill_work_ms
-        or prefill_finish_ms(scheduler, load, estimate) <= limit
+        if not backlog_reason(scheduler, request, load)
     ]
     prefill = _lowest(
         free,
-        lambda load: (
-            prefill_score(scheduler, load, estimate)
-            + source_delay_ms(scheduler, request, load, now)
-        ),
+        lambda load: prefill_choice_score(scheduler, request, load, now),
     )
     if prefill is None:
         return _choose_spare_memory(scheduler, request, now)
@@ -357,24 +307,21 @@
     prefill: Load | None,
     now: float,
 ) -> Load | None:
-    memory = scheduler.services[request.service].memory_tokens
-    limit = memory * scheduler.settings.memory_share
     peaks = {
         load.upstream.name: forecast_peak(scheduler, load, request, now)
         for load in candidates(scheduler, request, Phase.decode, now)
-        if len(load.running) < allowed_slots(scheduler, load)
+        if not slots_reason(scheduler, load)
     }
     free = [
         scheduler.loads[name]
         for name, tokens in peaks.items()
-        if tokens <= limit or not scheduler.loads[name].running
+        if not memory_reason(scheduler, scheduler.loads[name], tokens)
     ]
-
     pool_ms = candidates_pace_ms(scheduler, free)
 
     def score(load: Load) -> float:
-        share = peaks[load.upstream.name] / memory
-        own = decode_score(scheduler, load, share, pool_ms)
+        peak = peaks[load.upstream.name]
+        own = decode_choice_score(scheduler, load, peak, pool_ms)
         if prefill is None:
             return own
         return own + transfer_penalty(scheduler, request, prefill, load, now)
@@ -382,21 +329,6 @@
     return _lowest(free, score)
 
 
-def forecast_peak(
-    scheduler: SchedulerState, load: Load, request: PlacementRequest, now: float
-) -> float:
-    """Return the forecast peak memory in tokens with one more request."""
-    upstream_ms = pace_ms(scheduler, load)
-    forecasts = [
-        placement_memory(placement, upstream_ms, now)
-        for placement in load.running.values()
-    ]
-    forecasts.append(
-        MemoryForecast(request.prompt_tokens, request.expected_tokens)
-    )
-    return peak_tokens(forecasts)
-
-
 def _lowest(
     loads: list[Load],
     score: Callable[[Load], float],
--- a/libs/relay/src/gypsumrelay_relay/admission.py
+++ b/libs/relay/src/gypsumrelay_relay/admission.py
@@ -96,7 +96,7 @@
         admitted = admit(relay, environ, arrived_at)
         if isinstance(admitted, Failure):
             return _reject(relay, admitted, environ, start_response)
-        deadline = _deadline(admitted, arrived_at)
+        deadline = request_deadline(admitted, arrived_at)
         cancellation = Cancellation(
             deadline, environ['waitress.client_disconnected']
         )
@@ -171,7 +171,8 @@
     return account or KeyUnknown('no account has this key')
 
 
-def _deadline(admitted: Admitted, arrived_at: float) -> float:
+def request_deadline(admitted: Admitted, arrived_at: float) -> float:
+    """Return the instant at which the caller of a request stops waiting."""
     waits = [admitted.route.timeout_ms]
     if admitted.headers.wait_ms is not None:
         waits.append(admitted.headers.wait_ms)
--- a/libs/relay/src/gypsumrelay_relay/caller_server.py
+++ b/libs/relay/src/gypsumrelay_relay/caller_server.py
@@ -140,10 +140,16 @@
     return sum(map(_is_busy, list(server.active_channels.values())))
 
 
+def explain_nothing(query: str) -> bytes:
+    """Return an empty explanation; the default without a coordinator."""
+    return b'{}'
+
+
 def serve_probes(
     relay: Relay,
     is_ready: Callable[[], bool],
     status: Callable[[], bytes],
+    explain: Callable[[str], bytes] = explain_nothing,
 ) -> list[Any]:
     """Start the servers for readiness probes and for metrics.
 
@@ -156,6 +162,9 @@
             return _reply(start_response, '200 OK', relay.metrics.page())
         if environ['PATH_INFO'] == '/status':
             return _reply(start_response, '200 OK', status())
+        if environ['PATH_INFO'] == '/explain':
+            query = environ.get('QUERY_STRING', '')
+            return _reply(start_response, '200 OK', explain(query))
         if is_ready():
             return _reply(start_response, '200 OK', b'ready\n')
         return _reply(start_response, '503 Service Unavailable', b'not ready\n')
--- a/libs/relay/src/gypsumrelay_relay/coordination/actor.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination/actor.py
@@ -10,6 +10,7 @@
 from gypsumrelay_attribution import Cause, Crash, refresh_causes, take_changed
 from gypsumrelay_clock import monotonic
 from gypsumrelay_dispatch import Rejection
+from gypsumrelay_dispatch.explaining import explain
 from gypsumrelay_rollouts import apply_orders
 from gypsumrelay_wire import to_retry_ms
 from logbook import Logger
@@ -103,6 +104,8 @@
             return _figures(self.scheduler, now)
         if isinstance(message, messages.GetLimits):
             return dispatch.limits_in_force(self.scheduler)
+        if isinstance(message, messages.ExplainPlacement):
+            return explain(self.scheduler, message.request, now)
         if isinstance(message, messages.PlanPhaseChange):
             return dispatch.plan_phase_change(self.scheduler, now)
         if isinstance(message, TakeRolloutWork):
--- a/libs/relay/src/gypsumrelay_relay/coordination/messages.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination/messages.py
@@ -263,6 +263,13 @@
     """Requests the figures of the state for the status page and metrics."""
 
 
+@attrs.frozen
+class ExplainPlacement:
+    """Requests what would be decided on a placement request, and why."""
+
+    request: PlacementRequest
+
+
 @attrs.frozen
 class GetLimits:
     """Requests the limits on concurrent requests, by upstream."""
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -32,7 +32,7 @@
 )
 from gypsumrelay_relay.periodic import send_link_heartbeats
 from gypsumrelay_relay.phase_switching import PhaseSwitcher
-from gypsumrelay_relay.probes import is_ready, status_page
+from gypsumrelay_relay.probes import explain_page, is_ready, status_page
 from gypsumrelay_relay.read_intervals import ReadIntervals, read_intervals
 from gypsumrelay_relay.records_exchange import request_records
 from gypsumrelay_relay.registration import (
@@ -120,6 +120,7 @@
             relay,
             lambda: is_ready(process),
             lambda: status_page(relay),
+            lambda query: explain_page(relay, query),
         ),
     ]
     if relay.settings.capacity.ready_by_load:
