--- a/libs/relay/src/gypsumrelay_relay/explaining/answers.py
+++ b/libs/relay/src/gypsumrelay_relay/explaining/answers.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
+import pykka
 from gypsumrelay_clock import monotonic
 from gypsumrelay_errors import Failure
 
@@ -129,9 +130,12 @@
     request: PlacementRequest = exchange.next_placement_request()
     # The digest is left out, so that the request resembles no caller's.
     asked = attrs.evolve(request, digest=b'')
-    explanation: Any = relay.coordination.actor.ask(
-        messages.ExplainPlacement(asked), timeout=ASK_SECONDS
-    )
+    try:
+        explanation: Any = relay.coordination.actor.ask(
+            messages.ExplainPlacement(asked), timeout=ASK_SECONDS
+        )
+    except pykka.Timeout:
+        return _error('coordinator_busy', 'the coordinator does not answer')
     account = admitted.account
     return {
         'coordinator': relay.coordination.name,
