--- a/libs/relay/src/gypsumrelay_relay/admission.py
+++ b/libs/relay/src/gypsumrelay_relay/admission.py
@@ -105,7 +105,8 @@
         # A method of the connection.
         channel = getattr(is_disconnected, '__self__', None)
         sock = getattr(channel, 'socket', None)
-        deadline = _deadline(admitted, arrival(relay.phases, sock, arrived_at))
+        started_at = arrival(relay.phases, sock, arrived_at)
+        deadline = request_deadline(admitted, started_at)
         cancellation = Cancellation(deadline, is_disconnected)
         exchange = Exchange(
             relay,
@@ -187,7 +188,8 @@
     return account or KeyUnknown('no account has this key')
 
 
-def _deadline(admitted: Admitted, arrived_at: float) -> float:
+def request_deadline(admitted: Admitted, arrived_at: float) -> float:
+    """Return the instant at which the caller of a request stops waiting."""
     waits = [admitted.route.timeout_ms]
     if admitted.headers.wait_ms is not None:
         waits.append(admitted.headers.wait_ms)
