--- a/libs/relay/src/gypsumrelay_relay/admission.py
+++ b/libs/relay/src/gypsumrelay_relay/admission.py
@@ -252,7 +252,7 @@
     """Answer a request that was not admitted."""
     state = relay.operator_records.state
     caller_headers = relay.protocol.read_caller(environ)
-    seconds = 0.0
+    seconds: float = 0
     if failure.retry_at is not None:
         seconds = round(max(0, failure.retry_at - monotonic()), RETRY_DECIMALS)
     relay.output.decide(
