Hold the exposure bound of a roll-out while its share is raised

Cause: the share was raised by time alone.

Change: the sends that draining needs until the deadline are forecast from the recent traffic, and reserved; the canary and the rising share get what is left, and no grant is made to the new version beyond the bound. Draining starts as late as the longest recent request allows, so that a version that turns bad late is seen before it is completed. A roll-out whose bound is used up before the old version is drained is reverted. A few failures count by their exact probability; the weight of the old version's overall rate follows from how much its answers vary over time.

--- a/libs/dispatch/src/gypsumrelay_dispatch/granting.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/granting.py
@@ -48,7 +48,7 @@
     transfer_costs.note_placed(scheduler, choice.prefill, load, now)
     placement = _placement(request, choice, now)
     granted = list(filter(None, (load.upstream, prefill)))
-    rollout = count_rollout_grant(scheduler, request, granted)
+    rollout = count_rollout_grant(scheduler, request, granted, now)
     add_placement(scheduler, placement)
     if is_direct_prefill(placement):
         prefill_work_ms = (
--- a/libs/dispatch/src/gypsumrelay_dispatch/rollouts.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/rollouts.py
@@ -69,6 +69,7 @@
     scheduler: SchedulerState,
     request: PlacementRequest,
     upstreams: list[Upstream],
+    now: float,
 ) -> RolloutCounts | None:
     """Count a grant; return the counts of the roll-out, if there is one.
 
@@ -76,17 +77,18 @@
         scheduler: The coordinator's state.
         request: The granted request.
         upstreams: The upstreams that get a send.
+        now: The present instant.
     """
     rollout = running_rollout(scheduler.rollouts, request.service)
     if rollout is None:
         return None
     version = rollout.order.version
-    sends = sum(one.version == version for one in upstreams)
     count_grant(
         rollout,
-        is_new=sends > 0,
-        sends=sends,
+        to_new=sum(one.version == version for one in upstreams),
+        sends=len(upstreams),
         is_first=request.attempt == 1,
+        now=now,
     )
     exposure = rollout.exposure
     return RolloutCounts(version, exposure.requests, exposure.sent)
@@ -106,8 +108,7 @@
         return
     is_new = upstream.version == rollout.order.version
     if ending is Ending.answered and not is_new:
-        seconds = now - placement.granted_at
-        rollout.longest_seconds = max(rollout.longest_seconds, seconds)
+        rollout.durations.append(now - placement.granted_at)
     units = max(1, placement.request.expected_tokens)
     _observe(rollout, placement, load, ending, units, now)
 
@@ -157,17 +158,20 @@
     version = rollout.order.version
     new = _only(scheduler, request, version)
     old = _old_versions(scheduler, request, rollout, now)
-    if rollout.stage is Stage.draining:
-        is_ready = _situation(scheduler, rollout, now).is_ready
-        return [new] if is_ready else [new, *old]
     if not old:
         return [new]
     running = _running(scheduler, request.service, version)
     sends = 2 if request.prompt_tokens else 1
-    is_wanted = wants_new(rollout, scheduler.rollouts.bounds, sends, running)
-    if rollout.stage is Stage.raising:
+    bounds = scheduler.rollouts.bounds
+    is_wanted = wants_new(rollout, bounds, sends, running, now)
+    if rollout.stage is Stage.draining:
+        if not is_wanted:
+            return old
+        is_ready = _situation(scheduler, rollout, now).is_ready
+        return [new] if is_ready else [new, *old]
+    if rollout.stage is Stage.raising and not rollout.in_doubt:
         healthy = attrs.evolve(new, excluded=new.excluded | rollout.suspects)
-        return [healthy, *old] if is_wanted else [*old, healthy]
+        return [healthy, *old] if is_wanted else old
     # A request that has failed once does not fail again for the canary.
     if not is_wanted or request.attempt > 1:
         return old
--- a/libs/dispatch/tests/rollouts.feature
+++ b/libs/dispatch/tests/rollouts.feature
@@ -43,6 +43,36 @@
       | 3   | 3   | plain | 40   | failing on one route       |
       | 3   | 3   | plain | 2    | failing in 60 of 100       |
 
+  Scenario Outline: The exposure with little traffic and separate prefill
+    Guards against a share that is raised further than the bound allows if the
+    version turns out to be bad. At 10 of 100 failures and below, the bound is
+    less than what shows them for certain (docs/design/rollouts.md, Evidence).
+    Given <n> old and <n> new <kind> upstreams
+    And an order for 60 seconds
+    And a new version that is <fault>
+    When histories of seeds 1 to 8 arrive at <rate> a second
+    Then each version got no more than its exposure by the deadline
+    And at least <ends> of them are <state> by the deadline
+    And prefill and decode of each request are of one version in all of them
+
+    Examples:
+      | n | kind  | rate | fault                     | ends | state     |
+      | 6 | model | 12   | failing in 30 of 100      | 8    | reverted  |
+      | 6 | model | 12   | failing in 10 of 100      | 5    | reverted  |
+      | 6 | model | 12   | failing in 5 of 100       | 2    | reverted  |
+      | 6 | model | 12   | 4 times slower            | 8    | reverted  |
+      | 6 | model | 12   | failing from second 30 on | 8    | reverted  |
+      | 6 | model | 12   | failing from second 55 on | 8    | reverted  |
+      | 6 | model | 12   | failing on one route      | 4    | reverted  |
+      | 6 | model | 12   | good                      | 8    | completed |
+      | 6 | model | 3    | failing in 10 of 100      | 6    | reverted  |
+      | 6 | model | 3    | good                      | 8    | completed |
+      | 3 | plain | 40   | failing in 5 of 100       | 8    | reverted  |
+      | 3 | plain | 40   | failing from second 55 on | 8    | reverted  |
+      | 3 | plain | 40   | good                      | 8    | completed |
+      | 3 | plain | 2    | failing from second 55 on | 4    | reverted  |
+      | 3 | plain | 2    | good                      | 8    | completed |
+
   Scenario Outline: Faults that are not the version's do not revert it
     Given 6 old and 6 new plain upstreams
     And an order for 60 seconds
--- a/libs/rollouts/src/gypsumrelay_rollouts/__init__.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/__init__.py
@@ -1,15 +1,9 @@
 """Roll-outs of software versions: orders, evidence, exposure, decisions."""
 
 from gypsumrelay_rollouts.decision import (
-    Change,
-    Rollout,
-    Situation,
-    Stage,
     advance,
     count_grant,
     is_due,
-    raise_at,
-    status_of,
     wants_new,
 )
 from gypsumrelay_rollouts.evidence import (
@@ -25,6 +19,15 @@
 from gypsumrelay_rollouts.exposure import Bounds, Exposure, allowance
 from gypsumrelay_rollouts.orders import Order, State, Status
 from gypsumrelay_rollouts.progress import advance_all, apply_orders
+from gypsumrelay_rollouts.rollout import (
+    Change,
+    Rollout,
+    Situation,
+    Stage,
+    status_of,
+)
+from gypsumrelay_rollouts.schedule import complete_at, drain_at, raise_at
+from gypsumrelay_rollouts.significance import find_doubt
 from gypsumrelay_rollouts.state import (
     Report,
     Rollouts,
@@ -62,8 +65,11 @@
     'apply_statuses',
     'apply_versions',
     'compare',
+    'complete_at',
     'count_grant',
+    'drain_at',
     'find_bad',
+    'find_doubt',
     'is_due',
     'mark_written',
     'may_place',
--- a/libs/rollouts/src/gypsumrelay_rollouts/evidence.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/evidence.py
@@ -16,6 +16,8 @@
 
 import attrs
 
+from gypsumrelay_rollouts.rates import Rate, estimate_rate
+
 WINDOW_SECONDS: Final = 2.0
 # An answer is slow if it takes this many times the old version's median; bad
 # versions are several times slower.
@@ -27,11 +29,6 @@
 # not judged, since it may be cold.
 COLD_SECONDS: Final = 2.0
 COLD_ANSWERS: Final = 3
-# Weight of the old version's overall rate in a cell, in answers.
-PRIOR_ANSWERS: Final = 4.0
-# Rate of bad answers that is assumed before the old version has answered, as
-# bad and all answers.
-PRIOR_RATE: Final = (0.5, 25.0)
 # Minimum bad answers before a version is judged bad.
 MIN_BAD: Final = 5
 # Standard deviations above the expectation from which a version is bad. The
@@ -156,6 +153,7 @@
         expected: Bad ones if the new version were like the old one.
         score: Excess in standard deviations.
         route: Route that was compared; empty for all.
+        variance: Variance of the expectation.
     """
 
     answers: int
@@ -163,6 +161,7 @@
     expected: float
     score: float
     route: str = ''
+    variance: float = 0
 
 
 def observe(evidence: Evidence, answer: Answer, now: float) -> None:
@@ -204,11 +203,14 @@
 
     One pass over all cells, since it is repeated several times a second.
     """
-    base = _old_rates(evidence)
+    counts: dict[str, list[tuple[int, int]]] = {}
+    for (_, route, _), cell in evidence.cells.items():
+        counts.setdefault(route, []).append((cell.old.answers, cell.old.bad))
+    rates = {name: estimate_rate(found) for name, found in counts.items()}
     summary = Summary()
     for (_, route, _), cell in evidence.cells.items():
         if cell.new:
-            _add_cell(summary, route, cell, base[route])
+            _add_cell(summary, route, cell, rates[route])
     return summary
 
 
@@ -235,7 +237,7 @@
 def worst(summary: Summary, without: AbstractSet[str] = NOBODY) -> Comparison:
     """Return the comparison with the highest score, overall or of a route."""
     return max(
-        (compare(summary, route, without) for route in _scopes(summary)),
+        (compare(summary, route, without) for route in scopes(summary)),
         key=lambda found: found.score,
     )
 
@@ -253,7 +255,7 @@
         alternatives: New upstreams beside which there is another one of the
             same phase.
     """
-    for route in _scopes(summary):
+    for route in scopes(summary):
         found = compare(summary, route)
         if found.bad < MIN_BAD or found.score < BAD_SCORE:
             continue
@@ -267,6 +269,11 @@
     return None
 
 
+def scopes(summary: Summary) -> list[str]:
+    """Return the routes to compare; the empty one stands for all."""
+    return ['', *sorted({route for route, _ in summary.tallies if route})]
+
+
 def suspects(summary: Summary) -> frozenset[str]:
     """Return the new upstreams that are worse than the old version."""
     by_upstream: dict[str, list[Tally]] = {}
@@ -282,9 +289,9 @@
     )
 
 
-def _add_cell(summary: Summary, route: str, cell: Cell, base: float) -> None:
-    weight = cell.old.answers + PRIOR_ANSWERS
-    rate = (cell.old.bad + PRIOR_ANSWERS * base) / weight
+def _add_cell(summary: Summary, route: str, cell: Cell, prior: Rate) -> None:
+    weight = cell.old.answers + prior.weight
+    rate = (cell.old.bad + prior.weight * prior.mean) / weight
     # The old version's rate is an estimate itself.
     total = sum(count.answers for count in cell.new.values())
     spread = 1 + total / weight
@@ -306,14 +313,10 @@
         expected,
         (bad - expected) / math.sqrt(variance + 1),
         route,
+        variance,
     )
 
 
-def _scopes(summary: Summary) -> list[str]:
-    """Return the routes to compare; the empty one stands for all."""
-    return ['', *sorted({route for route, _ in summary.tallies if route})]
-
-
 def _worst_upstream(summary: Summary, route: str) -> str:
     excess: Counter[str] = Counter()
     for (of_route, upstream), tally in summary.tallies.items():
@@ -335,17 +338,3 @@
     if evidence.counted[upstream] < COLD_ANSWERS:
         return True
     return now < evidence.first_at[upstream] + COLD_SECONDS
-
-
-def _old_rates(evidence: Evidence) -> dict[str, float]:
-    """Return the old version's rate of bad answers, by route."""
-    answers: Counter[str] = Counter()
-    bad: Counter[str] = Counter()
-    for (_, route, _), cell in evidence.cells.items():
-        answers[route] += cell.old.answers
-        bad[route] += cell.old.bad
-    prior_bad, prior_answers = PRIOR_RATE
-    return {
-        name: (bad[name] + prior_bad) / (total + prior_answers)
-        for name, total in answers.items()
-    }
--- a/libs/rollouts/src/gypsumrelay_rollouts/exposure.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/exposure.py
@@ -21,11 +21,14 @@
         share: Maximum share of a service's requests that a bad version gets.
         slack: Requests that it may get in addition.
         enabled: Whether roll-outs are in force.
+        rollback_seconds: Time after its 50th bad answer from which a bad
+            version gets no request.
     """
 
     share: float = 0.1
     slack: float = 0
     enabled: bool = False
+    rollback_seconds: float = 5
 
 
 @attrs.define
@@ -51,9 +54,21 @@
 ) -> float:
     """Return how many more sends the new version may get now."""
     part = DOUBT_PART if in_doubt else BOUND_PART
+    return part * total_allowance(exposure, bounds) - exposure.sent
+
+
+def total_allowance(
+    exposure: Exposure, bounds: Bounds, coming: float = 0
+) -> float:
+    """Return the bound of all sends to the new version.
+
+    Args:
+        exposure: Requests since the order.
+        bounds: Bounds of the roll-out.
+        coming: Requests that are expected until the deadline.
+    """
     slack = 0 if exposure.is_partial else bounds.slack
-    allowed = bounds.share * exposure.requests + slack
-    return part * allowed - exposure.sent
+    return bounds.share * (exposure.requests + coming) + slack
 
 
 def restore_exposure(exposure: Exposure, requests: int, sent: int) -> None:
--- a/libs/rollouts/src/gypsumrelay_rollouts/progress.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/progress.py
@@ -5,17 +5,9 @@
 from collections.abc import Callable, Mapping
 from collections.abc import Set as AbstractSet
 
-from gypsumrelay_rollouts.decision import (
-    Change,
-    Rollout,
-    Situation,
-    Stage,
-    advance,
-    is_due,
-    move,
-    note_refusal,
-)
+from gypsumrelay_rollouts.decision import advance, is_due, move, note_refusal
 from gypsumrelay_rollouts.orders import IN_FORCE, Order, refusal
+from gypsumrelay_rollouts.rollout import Change, Rollout, Situation, Stage
 from gypsumrelay_rollouts.state import Rollouts
 from gypsumrelay_rollouts.versions import (
     bar_version,
@@ -63,7 +55,7 @@
         if rollout.stage is Stage.ordered:
             change = _begin(rollouts, rollout, services, now)
         elif rollout.is_on_trial and is_due(rollout, now):
-            change = advance(rollout, situation(rollout), now)
+            change = advance(rollout, situation(rollout), rollouts.bounds, now)
             change = change or note_refusal(rollout)
         if change is not None:
             _apply_change(rollouts, change)
--- a/libs/rollouts/src/gypsumrelay_rollouts/state.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/state.py
@@ -6,11 +6,11 @@
 
 import attrs
 
-from gypsumrelay_rollouts.decision import Change, Rollout, Stage, status_of
 from gypsumrelay_rollouts.evidence import Evidence, Summary
 from gypsumrelay_rollouts.evidence import restore as restore_evidence
 from gypsumrelay_rollouts.exposure import Bounds, restore_exposure
 from gypsumrelay_rollouts.orders import Order, Status
+from gypsumrelay_rollouts.rollout import Change, Rollout, Stage, status_of
 
 # Time in seconds after an answer of the store for which it counts as available;
 # it is asked every second while a roll-out runs.
--- a/libs/rollouts/src/gypsumrelay_rollouts/statuses.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/statuses.py
@@ -7,7 +7,6 @@
 
 import attrs
 
-from gypsumrelay_rollouts.decision import Rollout, Stage, status_of
 from gypsumrelay_rollouts.orders import (
     IN_FORCE,
     Order,
@@ -15,6 +14,7 @@
     Status,
     is_status_of,
 )
+from gypsumrelay_rollouts.rollout import Rollout, Stage, status_of
 from gypsumrelay_rollouts.state import Rollouts
 from gypsumrelay_rollouts.versions import (
     bar_version,
--- a/libs/rollouts/src/gypsumrelay_rollouts/versions.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/versions.py
@@ -6,7 +6,7 @@
 from collections.abc import Set as AbstractSet
 from typing import Final
 
-from gypsumrelay_rollouts.decision import Stage
+from gypsumrelay_rollouts.rollout import Stage
 from gypsumrelay_rollouts.state import Rollouts, running_rollout
 
 # Time in seconds for which a version that appears without an order gets
