Give the canary of a roll-out enough sends for its evidence

Cause: with 14 requests/s of a model and an order of 20 s the canary stopped after 8 sends, since its next burst of 8 was never allowed; the good version was reverted with too few answers.

--- a/libs/rollouts/src/gypsumrelay_rollouts/decision.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/decision.py
@@ -20,6 +20,7 @@
 from gypsumrelay_rollouts.rollout import Change, Rollout, Situation, Stage
 from gypsumrelay_rollouts.schedule import (
     DRAIN_SECONDS,
+    MIN_CANARY_SENDS,
     SHARES,
     canary_limit,
     complete_at,
@@ -88,9 +89,12 @@
     if answers < MIN_ANSWERS and running_new >= PROBE_REQUESTS:
         return False
     allowed = _canary_allowance(rollout, bounds, now)
+    # The last sends of the least number need not be a whole burst.
+    rest = MIN_CANARY_SENDS - rollout.exposure.sent
+    burst = min(BURST_SENDS, rest) if rest > 0 else BURST_SENDS
     if allowed < sends:
         rollout.is_paused = True
-    elif allowed >= BURST_SENDS:
+    elif allowed >= burst:
         rollout.is_paused = False
     return not rollout.is_paused
 
--- a/libs/rollouts/src/gypsumrelay_rollouts/schedule.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/schedule.py
@@ -41,6 +41,9 @@
 # Part of the bound that the canary may use in any case, since nothing is
 # raised without evidence.
 MIN_CANARY_PART: Final = 0.2
+# The same in sends, so that there are enough answers; half of that did not
+# give ten answers of a model with 14 requests a second within 20 s.
+MIN_CANARY_SENDS: Final = 24
 # Part of its limit that the canary may use at once; the rest is spread over
 # the time until the share is raised, so that a later fault shows, too.
 FIRST_PART: Final = 0.5
@@ -112,7 +115,8 @@
     duration = rollout.order.duration_seconds
     left = max(0, drain_at(rollout, bounds, now) - now)
     elapsed = 1 - min(1, left / duration) if duration else 1
-    least = MIN_CANARY_PART * forecast_bound(rollout, bounds, now)
+    part = MIN_CANARY_PART * forecast_bound(rollout, bounds, now)
+    least = max(MIN_CANARY_SENDS, part)
     limit = max(least, raise_limit(rollout, bounds, now))
     if rollout.is_suspicious:
         return limit
