Follow the new fields of heartbeats in the test of older ones

Cause: the test cut the last two fields of a heartbeat to get one of an older relay; two fields were added behind them, and capacity.feature:86 failed.

--- a/libs/relay/tests/steps/capacity.py
+++ b/libs/relay/tests/steps/capacity.py
@@ -265,15 +265,21 @@
 @then('a heartbeat without zone and load is read as one without load')
 def check_older(context: Any) -> None:
     member = Member(
-        'm', 'a', '10.0.0.1', availability_zone='zone', is_loaded=True
+        'm',
+        'a',
+        '10.0.0.1',
+        availability_zone='zone',
+        is_loaded=True,
+        leader='m',
+        is_new=True,
     )
     assert unpack(pack(member, [])) == (member, [])
-    frame = msgpack.unpackb(pack(member, []))[:-2]
-    older = unpack(msgpack.packb(frame))
-    assert older is not None
-    assert older[0] == attrs.evolve(
-        member, availability_zone='', is_loaded=False
-    )
+    frame = msgpack.unpackb(pack(member, []))
+    # The versions before `leader` and `is_new`, and before all four fields.
+    unstated = attrs.evolve(member, leader='', is_new=False)
+    assert unpack(msgpack.packb(frame[:-2])) == (unstated, [])
+    oldest = attrs.evolve(unstated, availability_zone='', is_loaded=False)
+    assert unpack(msgpack.packb(frame[:-4])) == (oldest, [])
 
 
 @then('a report of {milliseconds:d} ms reaches a coordinator on another relay')
