--- a/libs/relay/src/gypsumrelay_relay/admission.py
+++ b/libs/relay/src/gypsumrelay_relay/admission.py
@@ -96,16 +96,17 @@
         start_response: StartResponse,
     ) -> Chunks:
         arrived_at = monotonic()
-        admitted = refuse_unheld(relay, environ) or admit(
-            relay, environ, arrived_at
-        )
-        if isinstance(admitted, Failure):
-            return _reject(relay, admitted, environ, start_response)
         is_disconnected = environ['waitress.client_disconnected']
         # A method of the connection.
         channel = getattr(is_disconnected, '__self__', None)
         sock = getattr(channel, 'socket', None)
+        # Before the wait for the configuration, which the kernel would count.
         started_at = arrival(relay.phases, sock, arrived_at)
+        admitted = refuse_unheld(relay, environ) or admit(
+            relay, environ, arrived_at
+        )
+        if isinstance(admitted, Failure):
+            return _reject(relay, admitted, environ, start_response)
         deadline = request_deadline(admitted, started_at)
         cancellation = Cancellation(deadline, is_disconnected)
         exchange = Exchange(
--- a/libs/relay/src/gypsumrelay_relay/coordination/client.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination/client.py
@@ -329,8 +329,10 @@
         if is_self or is_first:
             self.announce()
         if is_self:
-            send_departures(self, list(self.incoming.values()))
             self.on_elected()
+            with self.lock:
+                followers = list(self.incoming.values())
+            send_departures(self, followers)
         if old is not None and not old.closed.is_set():
             old.close(LinkClosed('switched to another coordinator'))
         return False
--- a/libs/relay/src/gypsumrelay_relay/heartbeats.py
+++ b/libs/relay/src/gypsumrelay_relay/heartbeats.py
@@ -147,8 +147,9 @@
                 member.name, member.host, member.seniority
             )
             report(log, discovered)
-            for host in (member.host, *unknown):
-                self._send(self._own_payload(), host)
+            self._send(self._own_payload(), member.host)
+        for host in unknown:
+            self._send(self._own_payload(), host)
         if is_new or changes_choice(previous, member):
             self.on_change()
 
--- a/libs/relay/src/gypsumrelay_relay/registration.py
+++ b/libs/relay/src/gypsumrelay_relay/registration.py
@@ -73,17 +73,21 @@
     """
     found: list[int] = []
     reading = threading.Thread(
-        target=lambda: found.append(_discover_and_greet(process)), daemon=True
+        target=lambda: found.append(_discover_and_announce(process)),
+        daemon=True,
     )
     reading.start()
     _register_with_retries(process)
     coordination = process.relay.coordination
     reading.join()
     if max(found, default=-1) < coordination.members.own.seniority:
-        position = _discover_and_greet(process)
-        if position < 0:
-            return
+        while _discover_and_announce(process) < 0:
+            if process.stopped.wait(REGISTER_RETRY_SECONDS):
+                return
     coordination.members.election.is_registered = True
+    if coordination.members.own.seniority == UNRANKED:
+        # The rank was given up while the registrations were read.
+        register_again(process)
     coordination.changed.set()
 
 
@@ -142,7 +146,7 @@
     return True
 
 
-def _discover_and_greet(process: Process) -> int:
+def _discover_and_announce(process: Process) -> int:
     """Read the members' addresses and send them a heartbeat.
 
     Returns:
@@ -190,9 +194,14 @@
     if isinstance(position, Failure):
         log.warning('Registration in the store failed: {}.', position.sentence)
         return False
-    if _is_ahead_of_leader(process.relay.coordination.members, position):
-        return False
-    update_own_member(process, seniority=position)
+    coordination = process.relay.coordination
+    with coordination.lock:
+        if _is_ahead_of_leader(coordination.members, position):
+            return False
+        coordination.members.own = attrs.evolve(
+            coordination.members.own, seniority=position
+        )
+    process.heartbeats.send_round(monotonic())
     report(log, Registered(position))
     return True
 
--- a/libs/relay/src/gypsumrelay_relay/startup/election.py
+++ b/libs/relay/src/gypsumrelay_relay/startup/election.py
@@ -21,7 +21,8 @@
 # a running one has not answered. A relay on a busy machine may take longer than
 # `HOLD_SECONDS` to answer, and two coordinators would both grant full budgets.
 UNHEARD_SECONDS: Final = DEFAULT_TIMEOUT_MS / MS_PER_SECOND
-# Maximum number of addresses that are probed.
+# Maximum number of addresses that are probed at once; later checks probe the
+# others.
 MAX_PROBES: Final = 128
 
 
@@ -39,8 +40,12 @@
     """
     is_own = chosen.name == members.own.name
     if now >= members.election.started_at + HOLD_SECONDS:
-        is_late = now >= members.election.started_at + UNHEARD_SECONDS
-        return is_late or not is_own or not _unheard(members, now)
+        if now >= members.election.started_at + UNHEARD_SECONDS:
+            return True
+        if is_own:
+            return not _unheard(members, now)
+        # A relay of an older version does not state that it is new.
+        return chosen.leader == chosen.name or not chosen.is_new
     if not is_own:
         return chosen.leader == chosen.name
     return (
@@ -62,7 +67,7 @@
     if not is_own or not (has_waited or _may_coordinate(members, now)):
         return frozenset()
     unprobed = unknown_hosts(members, now) - members.election.probed
-    return unprobed if len(unprobed) <= MAX_PROBES else frozenset()
+    return frozenset(sorted(unprobed)[:MAX_PROBES])
 
 
 def unknown_hosts(members: Members, now: float) -> frozenset[str]:
--- a/libs/relay/src/gypsumrelay_relay/startup/probing.py
+++ b/libs/relay/src/gypsumrelay_relay/startup/probing.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import selectors
 import socket
@@ -27,14 +28,9 @@
     until = monotonic() + PROBE_SECONDS
     with selectors.DefaultSelector() as selector:
         for host in hosts:
-            connection = socket.socket()
-            connection.setblocking(False)
-            code = connection.connect_ex((host, port))
-            if code == errno.EINPROGRESS:
-                selector.register(connection, selectors.EVENT_WRITE, host)
-            else:
-                _record(found, host, code)
-                connection.close()
+            # Without a free descriptor the rest is unknown.
+            with contextlib.suppress(OSError):
+                _connect(selector, found, host, port)
         while selector.get_map() and monotonic() < until:
             _collect(selector, found, until)
         for key in list(selector.get_map().values()):
@@ -42,6 +38,22 @@
     return found
 
 
+def _connect(
+    selector: selectors.BaseSelector,
+    found: dict[str, bool],
+    host: str,
+    port: int,
+) -> None:
+    connection = socket.socket()
+    connection.setblocking(False)
+    code = connection.connect_ex((host, port))
+    if code == errno.EINPROGRESS:
+        selector.register(connection, selectors.EVENT_WRITE, host)
+    else:
+        _record(found, host, code)
+        connection.close()
+
+
 def _collect(
     selector: selectors.BaseSelector, found: dict[str, bool], until: float
 ) -> None:
--- a/libs/relay/tests/election.feature
+++ b/libs/relay/tests/election.feature
@@ -63,6 +63,34 @@
     When 0.2 seconds of its start pass
     Then it follows that relay
 
+  Scenario: A new relay that does not coordinate is senior
+    Guards against requests to a relay that is about to elect itself, whose own
+    coordinator grants full budgets beside the present one.
+    Given a starting relay that knows the addresses of 2 others
+    When it hears a new senior relay that has no coordinator
+    And 0.3 seconds of its start pass
+    Then it follows nobody yet
+    When 0.4 seconds of its start pass
+    Then it follows that relay
+
+  Scenario: More addresses than one probe takes
+    Guards against a fleet whose old registrations switch the probe off.
+    Given a starting relay that knows the addresses of 200 others
+    When it is registered and has read the list of upstreams
+    Then it probes 128 of them and then the other 72
+
+  Scenario: An address arrives in a heartbeat of a known relay
+    Guards against the address of the coordinator that counts as greeted though
+    nothing was sent to it.
+    Given heartbeats of a starting relay that knows "first"
+    When "first" sends a heartbeat with the address 10.0.1.9
+    Then one heartbeat is sent to 10.0.1.9
+
+  Scenario: No descriptor is free for a probe
+    Guards against the end of the thread that follows coordinators.
+    Given no socket can be opened
+    Then a probe finds nothing
+
   Scenario: A relay starts a little later than the first coordinator
     Guards against a second change of the coordinator at each start of a fleet,
     since the relay that registers first is not always the first to decide.
--- a/libs/relay/tests/steps/election.py
+++ b/libs/relay/tests/steps/election.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 import threading
 from types import SimpleNamespace
 from typing import Any
+from unittest import mock
 
 import attrs
 from behave import given, then, when
 from gypsumrelay_clock import monotonic
 from gypsumrelay_relay.coordination.links import complete_report
+from gypsumrelay_relay.heartbeats import Heartbeats, pack
 from gypsumrelay_relay.membership import (
     Member,
     Members,
@@ -201,6 +204,74 @@
     hear(context, 'senior', 2)
 
 
+@when('it hears a new senior relay that has no coordinator')
+def hear_new(context: Any) -> None:
+    hear(context, 'senior', 2, is_new=True)
+    # A relay that is new itself ranks behind others that are not.
+    evolve(context, is_stale=True)
+    context.members.known['senior'] = attrs.evolve(
+        context.members.known['senior'], silence_ms=5000
+    )
+
+
+@then('it probes {first:d} of them and then the other {second:d}')
+def check_probes_in_turn(context: Any, first: int, second: int) -> None:
+    found = probed(context)
+    assert len(found) == first, found
+    context.members.election.probed = frozenset(found)
+    rest = probed(context)
+    assert len(rest) == second, rest
+    assert not rest & found
+
+
+@given('heartbeats of a starting relay that knows "{name}"')
+def give_heartbeats(context: Any, name: str) -> None:
+    give_starting(context, 0)
+    context.sent_to = []
+    first = Member(name, 'a', '10.0.1.1', 1)
+    record_heartbeat(context.members, first, context.now)
+    context.first = first
+
+    def send(payload: bytes, address: tuple[str, int]) -> None:
+        context.sent_to.append(address[0])
+
+    context.heartbeats = Heartbeats(
+        context.members,
+        1,
+        lambda: None,
+        lambda: None,
+        threading.RLock(),
+        SimpleNamespace(sendto=send),
+    )
+
+
+@when('"{name}" sends a heartbeat with the address {host}')
+def receive_heartbeat(context: Any, name: str, host: str) -> None:
+    assert context.first.name == name
+    payload = pack(context.first, [host])
+    context.heartbeats._handle(payload, context.first.host)
+
+
+@then('one heartbeat is sent to {host}')
+def check_sent(context: Any, host: str) -> None:
+    assert context.sent_to == [host], context.sent_to
+
+
+@given('no socket can be opened')
+def give_no_socket(context: Any) -> None:
+    def fail() -> None:
+        raise OSError(errno.EMFILE, 'Too many open files')
+
+    patch = mock.patch('socket.socket', fail)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@then('a probe finds nothing')
+def check_found_nothing(context: Any) -> None:
+    assert not probe(['127.0.0.1'], 1)
+
+
 @then('it follows nobody yet')
 def check_nobody(context: Any) -> None:
     assert not follows(context)
@@ -293,7 +364,8 @@
 def probe_and_dial(context: Any) -> None:
     host, port = context.address
     handler = TestHandler()
-    with handler:
+    # The listener logs in a thread of its own.
+    with handler.applicationbound():
         context.found = probe([host], port)
         link = dial(context.address, context.endpoint)
         assert context.accepted.wait(1)
