Free the bodies behind a request when its connection closes

handle_close freed only the body that was being read. A pipelined body that was read already, and one whose 100 Continue failed while it was parsed, kept its part of the budget for ever. A wait for memory between two requests that ended by ClientDisconnected left service() uncaught.

BodyHold is closed for good; handle_close closes the holds of all requests that are not in service, and received() those that it adds meanwhile. requests_lock is not taken: it is not reentrant, send_continue() runs with it held, and service() takes it before outbuf_lock.

Three scenarios in buffers.feature fail before and pass after.

--- a/libs/relay/src/gypsumrelay_relay/buffers/channel.py
+++ b/libs/relay/src/gypsumrelay_relay/buffers/channel.py
@@ -124,9 +124,20 @@
         """Serve a request, and free what was read for it and not sent."""
         try:
             super().service()
+        except ClientDisconnected:
+            # Raised by the wait before the next request, which has not been
+            # scheduled yet.
+            self._close_requests()
         finally:
             self.hold.drop_ahead()
 
+    def received(self, data: bytes) -> bool:
+        """Parse bytes; what arrives on a closed connection holds nothing."""
+        is_new = bool(super().received(data))
+        if not self.connected:
+            self._close_holds()
+        return is_new
+
     def write_soon(self, data: bytes) -> int:
         """Append bytes to the buffer, and send what can be sent.
 
@@ -155,9 +166,26 @@
         """Close the connection and free what it holds."""
         super().handle_close()
         self.hold.note_unsent(0)
-        unfinished = self.request
-        if unfinished is not None:
-            unfinished.hold.release()
+        self._close_holds()
+
+    def _close_holds(self) -> None:
+        """Free the bodies that were not served yet.
+
+        This takes no `requests_lock`: it may run with `outbuf_lock` held, and
+        `service` takes the two in the opposite order. `received` calls it for
+        requests that it adds meanwhile. The first request may be in service,
+        and frees its own body.
+        """
+        for queued in (*self.requests[1:], self.request):
+            if queued is not None:
+                queued.hold.close()
+
+    def _close_requests(self) -> None:
+        with self.requests_lock:
+            self.close_when_flushed = True
+            for queued in self.requests:
+                queued.close()
+            self.requests = []
 
     def _flush_outbufs_below_high_watermark(self) -> None:
         with self.outbuf_lock:
--- a/libs/relay/src/gypsumrelay_relay/buffers/holds.py
+++ b/libs/relay/src/gypsumrelay_relay/buffers/holds.py
@@ -116,31 +116,44 @@
         memory: The memory of the process.
         size: Bytes that it holds.
         refused: Size in bytes for which there was no memory; 0 if there was.
+        closed: Whether its connection is closed, so that it takes nothing more.
+        lock: Guards `size` and `closed`, since a worker may close the
+            connection while a body is read.
     """
 
     memory: Memory
     size: int = 0
     refused: int = 0
+    closed: bool = False
+    lock: threading.RLock = attrs.field(factory=threading.RLock)
 
     def grow_to(self, size: int) -> bool:
         """Hold more bytes if they fit; return whether they do."""
-        if self.refused:
+        with self.lock:
+            if self.refused or self.closed:
+                return False
+            if size <= self.size:
+                return True
+            if self.memory.take_body(self.size, size):
+                self.size = size
+                return True
+            self.release()
+            self.refused = size
             return False
-        if size <= self.size:
-            return True
-        if self.memory.take_body(self.size, size):
-            self.size = size
-            return True
-        self.release()
-        self.refused = size
-        return False
 
     def release(self) -> None:
         """Free all bytes; later calls have no effect."""
-        freed = self.size
-        self.size = 0
+        with self.lock:
+            freed = self.size
+            self.size = 0
         self.memory.change(Kind.bodies, -freed)
 
+    def close(self) -> None:
+        """Free all bytes, and take none again."""
+        with self.lock:
+            self.closed = True
+            self.release()
+
 
 @attrs.define(eq=False)
 class AnswerHold:
--- a/libs/relay/tests/buffers.feature
+++ b/libs/relay/tests/buffers.feature
@@ -57,6 +57,29 @@
     When both callers disconnect
     Then nothing is held
 
+  Scenario: A connection that closes frees the bodies behind its request
+    Guards against memory that is lost with each caller that sends a second
+    request ahead and goes away.
+    Given a connection with the memory of an instance with 128 MB
+    When a request and a body of 4000000 bytes arrive on it
+    Then 4000000 bytes of bodies are held
+    When the connection closes
+    Then nothing is held
+
+  Scenario: A wait for memory that ends without a reader frees the bodies
+    Guards against a request that is neither served nor closed.
+    Given a connection with the memory of an instance with 128 MB
+    When a request and a body of 4000000 bytes arrive on it
+    And the first is served and its answer is not read
+    Then nothing is held
+
+  Scenario: A caller that is gone before it may send its body
+    Guards against memory that is taken again for a closed connection.
+    Given a connection with the memory of an instance with 128 MB
+    And its caller is gone
+    When a body of 4000000 bytes that expects a permission arrives on it
+    Then nothing is held
+
   Scenario: A body that does not fit is read and rejected
     Guards against a caller whose connection is reset before it has read that
     its request did not run.
