Spare an upstream whose answer broke off while the relay had no memory

While the budget is used up, the relay reads nothing of an answer, and the upstream cuts it off. The attempt was reported as lost: two losses suspend an upstream, and count as a possible crash of the content and as a bad answer of a roll-out.

AnswerHold notes that the current attempt waited for memory, and ending_for reports a loss in such an attempt as cancelled. Whether the request is repeated is decided by the loss itself, as before. Waits with an unknown memory (no setting) are not noted.

--- a/libs/relay/src/gypsumrelay_relay/attempts.py
+++ b/libs/relay/src/gypsumrelay_relay/attempts.py
@@ -23,6 +23,7 @@
     report_pause,
     start_of,
 )
+from gypsumrelay_relay.buffers import holds_of
 from gypsumrelay_relay.cancellation import CancelCause
 from gypsumrelay_relay.coordination.reports import report_end, report_rate_limit
 from gypsumrelay_relay.draining import reject_draining
@@ -155,6 +156,7 @@
     if is_unwanted(exchange, added.upstream):
         # It stated so after the grant, such as during the prefill.
         return SendFailed(Ending.returned, 'the upstream wants no request now')
+    holds_of(exchange.environ).answer.has_waited = False
     headers = exchange.relay.protocol.upstream_headers(exchange.environ, added)
     request = UpstreamRequest(
         exchange.environ['REQUEST_METHOD'],
@@ -286,7 +288,8 @@
     """Return how an attempt ended, as reported on its upstream.
 
     If nothing was sent, the caller disconnected or its deadline passed, the
-    upstream is not blamed.
+    upstream is not blamed. Neither is it for an answer that broke off after
+    this relay had stopped reading it for want of memory.
     """
     if result.ending is Ending.answered:
         return result.ending
@@ -294,6 +297,9 @@
         return Ending.cancelled
     if exchange.cancellation.cause is not None or exchange.is_overdue():
         return Ending.cancelled
+    has_waited = holds_of(exchange.environ).answer.has_waited
+    if has_waited and result.ending is Ending.lost:
+        return Ending.cancelled
     return result.ending
 
 
--- a/libs/relay/src/gypsumrelay_relay/buffers/channel.py
+++ b/libs/relay/src/gypsumrelay_relay/buffers/channel.py
@@ -202,6 +202,7 @@
                 self.will_close = True
                 self.server.pull_trigger()
                 raise ClientDisconnected
+            self.hold.has_waited = self.memory.budget.is_limited
             self.memory.note_pressure()
             self.outbuf_lock.wait(RECHECK_SECONDS)
 
--- a/libs/relay/src/gypsumrelay_relay/buffers/holds.py
+++ b/libs/relay/src/gypsumrelay_relay/buffers/holds.py
@@ -164,12 +164,16 @@
         unsent: Bytes in the connection's buffer.
         ahead: Bytes that were read from an upstream, or will be, and are not
             in that buffer yet.
+        has_waited: Whether the current attempt waited for memory. While it
+            does, nothing is read from the upstream, which may cut the answer
+            off for that.
         lock: Guards `unsent` and `ahead`.
     """
 
     memory: Memory
     unsent: int = 0
     ahead: int = 0
+    has_waited: bool = False
     lock: threading.Lock = attrs.field(factory=threading.Lock)
 
     @property
@@ -246,6 +250,7 @@
     def _pause(self, deadline: float, is_cancelled: Callable[[], bool]) -> None:
         if is_cancelled() or monotonic() >= deadline:
             raise TimeoutError('no memory for the answer in time')
+        self.has_waited = True
         self.memory.note_pressure()
         time.sleep(RECHECK_SECONDS)
 
--- a/libs/relay/tests/buffers.feature
+++ b/libs/relay/tests/buffers.feature
@@ -48,6 +48,16 @@
     When a whole answer of 4000000 bytes breaks off after 1000000
     Then nothing is held
 
+  Scenario: An upstream is not blamed for an answer that waited for memory
+    Guards against upstreams that are suspended because this relay stopped
+    reading their answers.
+    Given the memory of an instance with 128 MB
+    When an attempt is lost
+    Then it is reported as "lost"
+    When bodies and answers hold the whole budget
+    And an attempt waits for memory and is lost
+    Then it is reported as "cancelled"
+
   Scenario: A caller that disconnects gives its memory back
     Guards against memory that is lost with each caller that goes away.
     Given a server for callers with the memory of an instance with 128 MB
