Reset the connection of a stream that breaks off at the relay

A caller with HTTP 1.0 gets neither a length nor chunks, so that the orderly end of the connection made it take a part of a stream for the whole. The entry resets the connection in this case; its ResettingTask moves to libs/http and the relay uses it too.

A scenario in buffers.feature fails before and passes after.

--- a/libs/entry/src/gypsumrelay_entry/httperrors.py
+++ b/libs/entry/src/gypsumrelay_entry/httperrors.py
@@ -1,9 +1,7 @@
-"""JSON responses of the HTTP server itself, and responses that break off."""
+"""JSON responses of the HTTP server itself."""
 
 from __future__ import annotations
 
-import socket
-import struct
 from typing import Any, Final
 
 from gypsumrelay_errors import (
@@ -13,8 +11,9 @@
     HeadersTooLarge,
     UpstreamFailed,
 )
+from gypsumrelay_http import ResettingTask
 from waitress.channel import HTTPChannel
-from waitress.task import ErrorTask, WSGITask
+from waitress.task import ErrorTask
 
 from gypsumrelay_entry.responses import failure_body, status_line
 
@@ -25,30 +24,6 @@
 }
 
 
-# Value of SO_LINGER with which closing a connection resets it.
-RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
-
-
-class ResettingTask(WSGITask):  # type: ignore[misc]
-    """Resets the connection if a response without a length breaks off.
-
-    The end of the connection is the end of such a response, which only callers
-    with HTTP 1.0 get; chunks show to others that it is incomplete.
-    """
-
-    def execute(self) -> None:
-        """Run the application and send its response."""
-        try:
-            super().execute()
-        except Exception:
-            has_end = self.chunked_response or self.content_length is not None
-            if self.wrote_header and not has_end:
-                self.channel.socket.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-                )
-            raise
-
-
 class JsonErrorTask(ErrorTask):  # type: ignore[misc]
     """Sends an error in the same JSON format as the application."""
 
--- a/libs/http/src/gypsumrelay_http/__init__.py
+++ b/libs/http/src/gypsumrelay_http/__init__.py
@@ -1,5 +1,6 @@
 """HTTP servers with worker threads, and functions for header fields."""
 
+from gypsumrelay_http.breaking_off import ResettingTask
 from gypsumrelay_http.client import client_library
 from gypsumrelay_http.headers import (
     HOP_BY_HOP,
@@ -15,6 +16,7 @@
 __all__ = (
     'HOP_BY_HOP',
     'Application',
+    'ResettingTask',
     'StartResponse',
     'client_library',
     'environ_headers',
--- a/libs/relay/src/gypsumrelay_relay/buffers/channel.py
+++ b/libs/relay/src/gypsumrelay_relay/buffers/channel.py
@@ -6,9 +6,9 @@
 from typing import Any, Final
 
 from gypsumrelay_clock import monotonic
+from gypsumrelay_http import ResettingTask
 from waitress.channel import ClientDisconnected, HTTPChannel
 from waitress.parser import HTTPRequestParser
-from waitress.task import WSGITask
 
 from gypsumrelay_relay.buffers.holds import (
     HOLDS,
@@ -70,7 +70,7 @@
             receiver.buf = BodyBuffer(self.content_length)
 
 
-class BufferedTask(WSGITask):  # type: ignore[misc]
+class BufferedTask(ResettingTask):
     """Serves a request that knows what it holds."""
 
     def get_environment(self) -> dict[str, Any]:
--- a/libs/relay/tests/buffers.feature
+++ b/libs/relay/tests/buffers.feature
@@ -90,6 +90,12 @@
     When a body of 4000000 bytes that expects a permission arrives on it
     Then nothing is held
 
+  Scenario: A stream that breaks off is no complete answer for an old caller
+    Guards against a caller with HTTP 1.0 that takes a part for the whole.
+    Given a server for callers with the memory of an instance with 128 MB
+    When a caller with HTTP 1.0 requests a stream that breaks off
+    Then its connection is reset after the first event
+
   Scenario: A body that does not fit is read and rejected
     Guards against a caller whose connection is reset before it has read that
     its request did not run.
--- a/libs/relay/tests/steps/buffers.py
+++ b/libs/relay/tests/steps/buffers.py
@@ -8,7 +8,7 @@
 import socket
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from http.client import HTTPConnection
 from types import SimpleNamespace
 from typing import Any
@@ -257,8 +257,16 @@
         time.sleep(0.02)
 
 
-def respond(environ: dict[str, Any], start_response: Any) -> list[bytes]:
+def break_stream() -> Iterator[bytes]:
+    yield b'event'
+    raise ConnectionError('the stream broke off')
+
+
+def respond(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
     """Answer with the digest of the body, or with many bytes without one."""
+    if environ['PATH_INFO'] == '/broken':
+        start_response('200 OK', [])
+        return break_stream()
     if holds_of(environ).body.refused:
         content = b'refused'
     else:
--- a/libs/relay/tests/steps/closing_connections.py
+++ b/libs/relay/tests/steps/closing_connections.py
@@ -14,6 +14,7 @@
 from waitress.channel import ClientDisconnected
 
 PIECE_BYTES = 8192
+WAIT_SECONDS = 5.0
 
 
 @given('a connection with the memory of an instance with {memory_mb:d} MB')
@@ -77,3 +78,22 @@
 @then('{size:d} bytes of bodies are held')
 def check_bodies_held(context: Any, size: int) -> None:
     assert context.memory.budget.held[Kind.bodies] == size
+
+
+@when('a caller with HTTP 1.0 requests a stream that breaks off')
+def request_broken(context: Any) -> None:
+    link = socket.create_connection(context.address, timeout=WAIT_SECONDS)
+    context.add_cleanup(link.close)
+    link.sendall(b'GET /broken HTTP/1.0\r\n\r\n')
+    context.link = link
+
+
+@then('its connection is reset after the first event')
+def check_reset(context: Any) -> None:
+    received = b''
+    try:
+        while read := context.link.recv(PIECE_BYTES):
+            received += read
+    except ConnectionResetError:
+        return
+    raise AssertionError(f'the answer ended in order: {received!r}')
