Report the budget as exhausted only if nothing is left of it

A single large answer waits at half of the budget, and this was logged as exhaustion. A wait now counts only if less than the least that every answer may hold is left for answers; a rejected body counts always, as before.

A scenario in buffers.feature fails before and passes after.

--- a/libs/relay/src/gypsumrelay_relay/buffers/budget.py
+++ b/libs/relay/src/gypsumrelay_relay/buffers/budget.py
@@ -180,8 +180,19 @@
     return max(MIN_RETRY_SECONDS, missing / budget.freed_per_second)
 
 
+def note_wait(budget: Budget, now: float) -> Change | None:
+    """Note that an answer has to wait.
+
+    A single large answer waits while half of the budget is free for others,
+    which is no exhaustion.
+    """
+    if available_bytes(budget, Kind.answers) >= MIN_ANSWER_BYTES:
+        return None
+    return note_pressure(budget, now)
+
+
 def note_pressure(budget: Budget, now: float) -> Change | None:
-    """Note that a request is rejected or an answer has to wait."""
+    """Note that a request is rejected or nothing is left for answers."""
     budget.pressed_until = now + QUIET_SECONDS
     if budget.is_exhausted:
         return None
--- a/libs/relay/src/gypsumrelay_relay/buffers/channel.py
+++ b/libs/relay/src/gypsumrelay_relay/buffers/channel.py
@@ -203,7 +203,7 @@
                 self.server.pull_trigger()
                 raise ClientDisconnected
             self.hold.has_waited = self.memory.budget.is_limited
-            self.memory.note_pressure()
+            self.memory.note_wait()
             self.outbuf_lock.wait(RECHECK_SECONDS)
 
     def _flush_some(self, do_close: bool = True) -> bool:
--- a/libs/relay/src/gypsumrelay_relay/buffers/holds.py
+++ b/libs/relay/src/gypsumrelay_relay/buffers/holds.py
@@ -80,11 +80,17 @@
         return monotonic() + seconds
 
     def note_pressure(self) -> None:
-        """Note that a request is rejected or an answer has to wait."""
+        """Note that a request is rejected."""
         with self.lock:
             change = decisions.note_pressure(self.budget, monotonic())
         self._report(change)
 
+    def note_wait(self) -> None:
+        """Note that an answer has to wait."""
+        with self.lock:
+            change = decisions.note_wait(self.budget, monotonic())
+        self._report(change)
+
     def check(self) -> None:
         """Report it if the budget has become free."""
         with self.lock:
@@ -251,7 +257,7 @@
         if is_cancelled() or monotonic() >= deadline:
             raise TimeoutError('no memory for the answer in time')
         self.has_waited = True
-        self.memory.note_pressure()
+        self.memory.note_wait()
         time.sleep(RECHECK_SECONDS)
 
 
--- a/libs/relay/tests/buffers.feature
+++ b/libs/relay/tests/buffers.feature
@@ -120,6 +120,14 @@
     When requests are rejected for 5 seconds
     Then "exhausted" is reported at 0 seconds and "free" at 7 seconds
 
+  Scenario: A large answer that waits does not exhaust the budget
+    Guards against an alarm while half of the budget is free.
+    Given the memory of an instance with 128 MB
+    When answers hold 13600000 bytes and the largest one waits
+    Then the budget does not count as exhausted
+    When answers hold 27000000 bytes and the largest one waits
+    Then the budget counts as exhausted
+
   Scenario: A queue of bytes keeps their order
     Guards against bytes that are lost or sent twice when pieces are joined or
     split.
--- a/libs/relay/tests/steps/answers_without_memory.py
+++ b/libs/relay/tests/steps/answers_without_memory.py
@@ -50,3 +50,24 @@
 @then('it is reported as "{ending}"')
 def check_ending(context: Any, ending: str) -> None:
     assert context.ending.value == ending, context.ending
+
+
+@when('answers hold {size:d} bytes and the largest one waits')
+def wait_for_half(context: Any, size: int) -> None:
+    memory = context.memory
+    memory.change(Kind.answers, size - memory.budget.held[Kind.answers])
+    hold = AnswerHold(memory, unsent=size)
+    memory.may_read(object(), size, 0)
+    assert not memory.may_grow(size)
+    with suppress(TimeoutError):
+        hold.wait_to_pass_on(monotonic() + WAIT_SECONDS, bool)
+
+
+@then('the budget does not count as exhausted')
+def check_free(context: Any) -> None:
+    assert not context.memory.budget.is_exhausted
+
+
+@then('the budget counts as exhausted')
+def check_exhausted(context: Any) -> None:
+    assert context.memory.budget.is_exhausted
