Hold the caller after random bytes to its 1.5 s again

The check that callers are still served allowed 20 s for the first token instead of the 1.5 s of the account, because agents open the links to the holders of shares at the first request, which takes longer on a busy machine. This let through processes that had become slow. One caller is served before the random messages now, so that the links are open, and the caller after them has the time limit of its account. The check of connections stays.

--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -33,9 +33,10 @@
   Scenario: Random bytes on every port leave the processes running
     Guards against processes that end, that keep connections or threads
     occupied, or that no longer serve callers after malformed bytes.
+    Given a caller that requests 3 tokens was served
     When 200 random messages with seed 5 are sent to every port
     Then no process keeps a connection of them open for over 5 seconds
-    And a caller that allows 20 seconds for the first of 3 tokens receives them
+    And a caller that requests 3 tokens receives them
     And every process is still running
 
   Scenario: Random requests never get an internal error
--- a/features/steps/bad_input.py
+++ b/features/steps/bad_input.py
@@ -25,6 +25,8 @@
 BODY_LIMIT = 100_000
 HEADER_LIMIT = 8192
 PROMPT = 'the seal of the left window'
+# Time in milliseconds in which the links between the processes open.
+OPENING_MS = 20_000
 # State of a connection in /proc/net/tcp that the peer has closed.
 CLOSE_WAIT = '08'
 FIELD_VALUES = (
@@ -204,18 +206,15 @@
     ]
 
 
-@then(
-    'a caller that allows {seconds:d} seconds for the first of {tokens:d} '
-    'tokens receives them'
-)
-def check_served(context: Any, seconds: int, tokens: int) -> None:
-    # The time limit of the account, 1.5 seconds, may pass on a busy machine
-    # while agents open the links to the holders of the account's shares.
+@given('a caller that requests {tokens:d} tokens was served')
+def serve_first(context: Any, tokens: int) -> None:
+    # On a busy machine, opening the links between the processes may take
+    # longer than the account's 1.5 s for the first token.
     body = {
         'model': 'model',
         'prompt': PROMPT,
         'max_tokens': tokens,
-        'first_token_ms': seconds * 1000,
+        'first_token_ms': OPENING_MS,
         'stream': True,
     }
     pool = urllib3.PoolManager()
