Explain placements on the metrics port only

The server of the readiness probe has one thread. An explanation there waits for the coordinator, and the probe of the load balancer waited behind it. The command uses the metrics port already.

probe_pages.feature fails before (no answer within 1 s) and passes after.

--- a/libs/command/src/gypsumrelay_command/explanation.py
+++ b/libs/command/src/gypsumrelay_command/explanation.py
@@ -22,7 +22,7 @@
     """Return the explanation of a request by the relay that coordinates.
 
     Args:
-        relay: `host:port` of a relay's status page.
+        relay: `host` and metrics port of a relay, as `host:port`.
         query: Properties of the request.
     """
     url = f'http://{relay}/explain?{urlencode(query)}'
--- a/libs/relay/src/gypsumrelay_relay/caller_server.py
+++ b/libs/relay/src/gypsumrelay_relay/caller_server.py
@@ -137,7 +137,8 @@
 ) -> list[Any]:
     """Start the servers for readiness probes and for metrics.
 
-    Both serve the same pages.
+    Both serve the same pages but for the explanation, which waits for the
+    coordinator and would delay the load balancer's probe of readiness.
     """
     instance = relay.settings.instance
 
@@ -147,18 +148,23 @@
             return _reply(start_response, '200 OK', relay.metrics.page())
         if environ['PATH_INFO'] == '/status':
             return _reply(start_response, '200 OK', status())
-        if environ['PATH_INFO'] == '/explain':
-            query = environ.get('QUERY_STRING', '')
-            return _reply(start_response, '200 OK', explain(query))
         if is_ready():
             return _reply(start_response, '200 OK', b'ready\n')
         return _reply(start_response, '503 Service Unavailable', b'not ready\n')
 
+    def respond_to_operator(
+        environ: dict[str, Any], start_response: Any
+    ) -> list[bytes]:
+        if environ['PATH_INFO'] == '/explain':
+            query = environ.get('QUERY_STRING', '')
+            return _reply(start_response, '200 OK', explain(query))
+        return respond(environ, start_response)
+
     ready = split_address(instance.ready_address)
     metrics = (instance.host, instance.metrics_port)
     return [
-        start_server(respond, address, threads=1, ident=None)
-        for address in (ready, metrics)
+        start_server(respond, ready, threads=1, ident=None),
+        start_server(respond_to_operator, metrics, threads=1, ident=None),
     ]
 
 
