--- a/libs/relay/src/gypsumrelay_relay/buffers/holds.py
+++ b/libs/relay/src/gypsumrelay_relay/buffers/holds.py
@@ -80,11 +80,17 @@
         return monotonic() + seconds
 
     def note_pressure(self) -> None:
-        """Note that a request is rejected or an answer has to wait."""
+        """Note that a request is rejected."""
         with self.lock:
             change = decisions.note_pressure(self.budget, monotonic())
         self._report(change)
 
+    def note_wait(self) -> None:
+        """Note that an answer has to wait."""
+        with self.lock:
+            change = decisions.note_wait(self.budget, monotonic())
+        self._report(change)
+
     def check(self) -> None:
         """Report it if the budget has become free."""
         with self.lock:
@@ -116,31 +122,44 @@
         memory: The memory of the process.
         size: Bytes that it holds.
         refused: Size in bytes for which there was no memory; 0 if there was.
+        closed: Whether its connection is closed, so that it takes nothing more.
+        lock: Guards `size` and `closed`, since a worker may close the
+            connection while a body is read.
     """
 
     memory: Memory
     size: int = 0
     refused: int = 0
+    closed: bool = False
+    lock: threading.RLock = attrs.field(factory=threading.RLock)
 
     def grow_to(self, size: int) -> bool:
         """Hold more bytes if they fit; return whether they do."""
-        if self.refused:
+        with self.lock:
+            if self.refused or self.closed:
+                return False
+            if size <= self.size:
+                return True
+            if self.memory.take_body(self.size, size):
+                self.size = size
+                return True
+            self.release()
+            self.refused = size
             return False
-        if size <= self.size:
-            return True
-        if self.memory.take_body(self.size, size):
-            self.size = size
-            return True
-        self.release()
-        self.refused = size
-        return False
 
     def release(self) -> None:
         """Free all bytes; later calls have no effect."""
-        freed = self.size
-        self.size = 0
+        with self.lock:
+            freed = self.size
+            self.size = 0
         self.memory.change(Kind.bodies, -freed)
 
+    def close(self) -> None:
+        """Free all bytes, and take none again."""
+        with self.lock:
+            self.closed = True
+            self.release()
+
 
 @attrs.define(eq=False)
 class AnswerHold:
@@ -151,12 +170,16 @@
         unsent: Bytes in the connection's buffer.
         ahead: Bytes that were read from an upstream, or will be, and are not
             in that buffer yet.
+        has_waited: Whether the current attempt waited for memory. While it
+            does, nothing is read from the upstream, which may cut the answer
+            off for that.
         lock: Guards `unsent` and `ahead`.
     """
 
     memory: Memory
     unsent: int = 0
     ahead: int = 0
+    has_waited: bool = False
     lock: threading.Lock = attrs.field(factory=threading.Lock)
 
     @property
@@ -233,7 +256,8 @@
     def _pause(self, deadline: float, is_cancelled: Callable[[], bool]) -> None:
         if is_cancelled() or monotonic() >= deadline:
             raise TimeoutError('no memory for the answer in time')
-        self.memory.note_pressure()
+        self.has_waited = True
+        self.memory.note_wait()
         time.sleep(RECHECK_SECONDS)
 
 
--- a/libs/relay/tests/buffers.feature
+++ b/libs/relay/tests/buffers.feature
@@ -48,6 +48,16 @@
     When a whole answer of 4000000 bytes breaks off after 1000000
     Then nothing is held
 
+  Scenario: An upstream is not blamed for an answer that waited for memory
+    Guards against upstreams that are suspended because this relay stopped
+    reading their answers.
+    Given the memory of an instance with 128 MB
+    When an attempt is lost
+    Then it is reported as "lost"
+    When bodies and answers hold the whole budget
+    And an attempt waits for memory and is lost
+    Then it is reported as "cancelled"
+
   Scenario: A caller that disconnects gives its memory back
     Guards against memory that is lost with each caller that goes away.
     Given a server for callers with the memory of an instance with 128 MB
@@ -57,6 +67,35 @@
     When both callers disconnect
     Then nothing is held
 
+  Scenario: A connection that closes frees the bodies behind its request
+    Guards against memory that is lost with each caller that sends a second
+    request ahead and goes away.
+    Given a connection with the memory of an instance with 128 MB
+    When a request and a body of 4000000 bytes arrive on it
+    Then 4000000 bytes of bodies are held
+    When the connection closes
+    Then nothing is held
+
+  Scenario: A wait for memory that ends without a reader frees the bodies
+    Guards against a request that is neither served nor closed.
+    Given a connection with the memory of an instance with 128 MB
+    When a request and a body of 4000000 bytes arrive on it
+    And the first is served and its answer is not read
+    Then nothing is held
+
+  Scenario: A caller that is gone before it may send its body
+    Guards against memory that is taken again for a closed connection.
+    Given a connection with the memory of an instance with 128 MB
+    And its caller is gone
+    When a body of 4000000 bytes that expects a permission arrives on it
+    Then nothing is held
+
+  Scenario: A stream that breaks off is no complete answer for an old caller
+    Guards against a caller with HTTP 1.0 that takes a part for the whole.
+    Given a server for callers with the memory of an instance with 128 MB
+    When a caller with HTTP 1.0 requests a stream that breaks off
+    Then its connection is reset after the first event
+
   Scenario: A body that does not fit is read and rejected
     Guards against a caller whose connection is reset before it has read that
     its request did not run.
@@ -81,6 +120,14 @@
     When requests are rejected for 5 seconds
     Then "exhausted" is reported at 0 seconds and "free" at 7 seconds
 
+  Scenario: A large answer that waits does not exhaust the budget
+    Guards against an alarm while half of the budget is free.
+    Given the memory of an instance with 128 MB
+    When answers hold 13600000 bytes and the largest one waits
+    Then the budget does not count as exhausted
+    When answers hold 27000000 bytes and the largest one waits
+    Then the budget counts as exhausted
+
   Scenario: A queue of bytes keeps their order
     Guards against bytes that are lost or sent twice when pieces are joined or
     split.
