Run each feature of a large library as a suite of its own

Cause: the 17 features of libs/dispatch took over four minutes one after the other, while the other suites had ended. Change: the features of a library with more than ten run in parallel.

--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -15,6 +15,9 @@
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 KNOWN_RED_PREFIX = 'test: '
 PARALLEL_SUITES = 4
+# Features of a library above which they run in parallel: those of the largest
+# one took four minutes one after the other.
+FEATURES_PER_SUITE = 10
 # Each suite starts up to 20 processes with deadlines in real time.
 PARALLEL_SYSTEMS = 3
 SUITE_TIMEOUT_SECONDS = 900
@@ -24,11 +27,18 @@
 def find_suites() -> list[Path]:
     """Return the test directories of the libraries.
 
-    The process-level suites run after these, since their real-time
-    deadlines are missed on a busy machine.
+    Each feature of a large directory is a suite of its own. The process-level
+    suites run after these, since their real-time deadlines are missed on a busy
+    machine.
     """
-    tests = sorted(path.parent for path in ROOT.glob('libs/*/tests/*.feature'))
-    return list(dict.fromkeys(tests))
+    found: dict[Path, list[Path]] = {}
+    for feature in sorted(ROOT.glob('libs/*/tests/*.feature')):
+        found.setdefault(feature.parent, []).append(feature)
+    suites = []
+    for directory, features in found.items():
+        is_large = len(features) > FEATURES_PER_SUITE
+        suites.extend(features if is_large else [directory])
+    return suites
 
 
 def find_process_suites() -> list[Path]:
