--- a/libs/relay/src/gypsumrelay_relay/buffers/channel.py
+++ b/libs/relay/src/gypsumrelay_relay/buffers/channel.py
@@ -90,9 +90,11 @@
         hold: What the answers on this connection hold.
         active_at: Instant at which bytes were last read or sent, or a request
             ended.
+        requests: Those that were read, the one in service first.
     """
 
     active_at: float = 0
+    requests: list[BufferedRequest]
 
     def __init__(
         self, *given: Any, memory: Memory | None = None, **options: Any
