Free a body that was queued while its connection was closed by a worker

A request appended between handle_close and the end of the one in service was neither scheduled nor freed. No test reaches this interleaving; buffers.feature passes.

--- a/libs/relay/src/gypsumrelay_relay/buffers/channel.py
+++ b/libs/relay/src/gypsumrelay_relay/buffers/channel.py
@@ -132,6 +132,9 @@
             self._close_requests()
         finally:
             self.hold.drop_ahead()
+            if not self.connected:
+                # The next request is the first now, and was not scheduled.
+                self._close_holds(0)
 
     def received(self, data: bytes) -> bool:
         """Parse bytes; what arrives on a closed connection holds nothing."""
@@ -170,7 +173,7 @@
         self.hold.note_unsent(0)
         self._close_holds()
 
-    def _close_holds(self) -> None:
+    def _close_holds(self, first: int = 1) -> None:
         """Free the bodies that were not served yet.
 
         This takes no `requests_lock`: it may run with `outbuf_lock` held, and
@@ -178,7 +181,7 @@
         requests that it adds meanwhile. The first request may be in service,
         and frees its own body.
         """
-        for queued in (*self.requests[1:], self.request):
+        for queued in (*self.requests[first:], self.request):
             if queued is not None:
                 queued.hold.close()
 
