Decide on a roll-out at its deadline, and complete only with the store

Cause: a roll-out was completed in memory while the store was away, so that the next coordinator found two versions in force. While it was drained, lost a phase or waited for the store, nothing ended it at its deadline, a doubtful version was not reverted while the store was away, and requests after the deadline raised the bound.

Change: both completions need the store. A version that is raised is reverted 1.5 s before the deadline if it is doubtful or the store is away, one that is drained 0.5 s before it, since a good one may be completed until 0.8 s before it. A coordinator that judges only after the deadline reverts what is not drained. Requests after the deadline do not count, and canary and raising grant nothing then.

--- a/libs/dispatch/tests/rollouts.feature
+++ b/libs/dispatch/tests/rollouts.feature
@@ -211,6 +211,15 @@
     Then the new version is reverted by the deadline
     And the new version got no more than its exposure
 
+  Scenario: The store stops to answer while the old version is drained
+    Guards against a completion that no other coordinator can learn of.
+    Given 3 old and 3 new plain upstreams
+    And an order for 60 seconds
+    And the store does not answer from second 54 on
+    When requests arrive at 40 a second
+    Then the new version is reverted by the deadline
+    And the new version got no more than its exposure
+
   Scenario Outline: The coordinator dies
     Guards against a new coordinator that counts the exposure from nothing.
     Given 3 old and 3 new plain upstreams
--- a/libs/rollouts/src/gypsumrelay_rollouts/decision.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/decision.py
@@ -50,11 +50,18 @@
 # Time in seconds before the deadline at which a roll-out without enough
 # evidence is reverted, so that the status is written in time.
 WRITE_SECONDS: Final = 1.5
+# The same for a roll-out that is being drained. It is less than the shortest
+# time between completion and deadline (0.8 s), so that a good version whose
+# last old request ends late is still completed.
+LAST_SECONDS: Final = 0.5
 # Bad answers above the expectation after which a version that stays doubtful
 # is reverted, and the time in seconds that requests take which were granted
 # before; both from the rule that `Bounds.rollback_seconds` belongs to.
 ROLLBACK_ANSWERS: Final = 50
 ARRIVAL_SECONDS: Final = 1.0
+# Reasons of reversals.
+STORE_AWAY: Final = 'the store does not answer'
+DEADLINE_REACHED: Final = 'the deadline is reached'
 
 
 def wants_new(
@@ -78,6 +85,9 @@
     is_within = _left(rollout, bounds) >= sends
     if rollout.stage is Stage.draining:
         return is_within
+    if now >= rollout.deadline:
+        # The decision waits for the store or the next judgement.
+        return False
     if rollout.stage is Stage.raising and not rollout.in_doubt:
         total, new = rollout.granted
         limit = raise_limit(rollout, bounds, now)
@@ -118,7 +128,8 @@
     """
     total, new = rollout.granted
     rollout.granted = (total + 1, new + (to_new > 0))
-    rollout.exposure.requests += is_first
+    # The bound counts the requests up to the deadline only.
+    rollout.exposure.requests += is_first and now < rollout.deadline
     rollout.exposure.sent += to_new
     record_request(rollout.traffic, sends, now, is_first=is_first)
 
@@ -220,9 +231,11 @@
         obstacle = 'too few answers'
     elif doubt is not None:
         obstacle = 'doubtful answers'
+    if not obstacle and not situation.store_available:
+        return None
+    if not obstacle and now >= rollout.deadline - LAST_SECONDS:
+        obstacle = DEADLINE_REACHED
     if not obstacle:
-        if not situation.store_available:
-            return None
         share = SHARES[0]
         return move(rollout, Stage.raising, 'evidence', now, share=share)
     if now < rollout.deadline - WRITE_SECONDS:
@@ -237,10 +250,12 @@
     doubt: Comparison | None,
     now: float,
 ) -> Change | None:
-    if not situation.store_available:
-        return None
     if doubt is not None:
-        return _revert_in_doubt(rollout, now, doubt)
+        return _revert_late(rollout, 'doubtful answers', now, doubt)
+    if not situation.store_available:
+        return _revert_late(rollout, STORE_AWAY, now)
+    if now >= rollout.deadline - LAST_SECONDS:
+        return move(rollout, Stage.reverted, DEADLINE_REACHED, now)
     if now >= drain_at(rollout, bounds, now):
         return move(rollout, Stage.draining, 'evidence', now, share=1)
     steps = [share for share in SHARES if share > rollout.share]
@@ -257,12 +272,11 @@
     doubt: Comparison | None,
     now: float,
 ) -> Change | None:
+    if rollout.is_trusted:
+        return _complete_trusted(rollout, situation, now)
+    is_last = now >= rollout.deadline - LAST_SECONDS
     is_drained = not situation.running_old and situation.is_ready
     is_over = now >= rollout.changed_at + DRAIN_SECONDS
-    if rollout.is_trusted:
-        if is_over and is_drained:
-            return move(rollout, Stage.completed, 'drained', now, share=1)
-        return None
     if doubt is not None:
         # All requests go to the version, and no time is left for more.
         return move(rollout, Stage.reverted, 'doubtful answers', now, doubt)
@@ -271,7 +285,27 @@
         reason = 'draining exceeds the bound'
         return move(rollout, Stage.reverted, reason, now)
     is_over = is_over and now >= complete_at(rollout, bounds, now)
-    if not (is_over or is_used) or not is_drained:
+    # A completion that is not written leaves two versions in force if the
+    # coordinator dies.
+    can_complete = is_drained and situation.store_available
+    if not can_complete and is_last:
+        reason = STORE_AWAY if is_drained else 'not drained by the deadline'
+        return move(rollout, Stage.reverted, reason, now)
+    if not (is_over or is_used) or not can_complete:
+        return None
+    return move(rollout, Stage.completed, 'drained', now, share=1)
+
+
+def _complete_trusted(
+    rollout: Rollout, situation: Situation, now: float
+) -> Change | None:
+    """Complete an order that takes another one back, once it is drained."""
+    # Nothing goes to the version on trial, so that a lost phase of the ordered
+    # one does not delay the end beyond the deadline.
+    is_last = now >= rollout.deadline - LAST_SECONDS
+    is_drained = not situation.running_old and (situation.is_ready or is_last)
+    is_over = now >= rollout.changed_at + DRAIN_SECONDS
+    if not is_over or not is_drained or not situation.store_available:
         return None
     return move(rollout, Stage.completed, 'drained', now, share=1)
 
@@ -321,10 +355,13 @@
     return worst(rollout.summary, _lone(rollout))
 
 
-def _revert_in_doubt(
-    rollout: Rollout, now: float, found: Comparison
+def _revert_late(
+    rollout: Rollout,
+    reason: str,
+    now: float,
+    found: Comparison | None = None,
 ) -> Change | None:
-    """Revert a doubtful version once no time is left for more evidence."""
+    """Revert a version that cannot be raised once no time is left."""
     if now < rollout.deadline - WRITE_SECONDS:
         return None
-    return move(rollout, Stage.reverted, 'doubtful answers', now, found)
+    return move(rollout, Stage.reverted, reason, now, found)
--- a/libs/rollouts/tests/rollouts.feature
+++ b/libs/rollouts/tests/rollouts.feature
@@ -134,3 +134,43 @@
       | 181 | 3       | canary   |
       | 181 | 4.5     | reverted |
       | 150 | 4.5     | canary   |
+
+  Scenario Outline: A decision at the deadline
+    Guards against a completion that only memory has while the store is away, or
+    a roll-out that runs on after its deadline.
+    Given a roll-out with good answers in the stage <stage>, <order>
+    And <running> old requests, <phases> phases and a store that is <store>
+    When it is judged <left> seconds before the deadline
+    Then the roll-out is <end>
+
+    Examples:
+      | stage    | order      | running | phases | store     | left | end       |
+      | draining | forward    | 0       | all    | available | 0.7  | completed |
+      | draining | forward    | 0       | all    | away      | 0.7  | draining  |
+      | draining | forward    | 0       | all    | away      | 0.4  | reverted  |
+      | draining | forward    | 1       | all    | available | 0.7  | draining  |
+      | draining | forward    | 1       | all    | available | 0.4  | reverted  |
+      | draining | forward    | 0       | lost   | available | 0.4  | reverted  |
+      | draining | taken back | 0       | all    | away      | 0.4  | draining  |
+      | draining | taken back | 0       | lost   | available | 0.4  | completed |
+      | draining | taken back | 1       | all    | available | 0.4  | draining  |
+      | raising  | forward    | 1       | all    | away      | 1.6  | raising   |
+      | raising  | forward    | 1       | all    | away      | 1.4  | reverted  |
+      | raising  | forward    | 1       | all    | available | -10  | reverted  |
+      | canary   | forward    | 1       | all    | away      | -10  | canary    |
+      | canary   | forward    | 1       | all    | available | -10  | reverted  |
+      | draining | forward    | 0       | all    | available | -10  | completed |
+
+  Scenario: A doubtful version while the store is away
+    Guards against doubtful versions that get requests beyond the deadline.
+    Given a roll-out with doubtful answers in the stage raising, forward
+    And 1 old requests, all phases and a store that is away
+    When it is judged 1.4 seconds before the deadline
+    Then the roll-out is reverted
+
+  Scenario: Requests after the deadline
+    Guards against a bound that grows after the deadline.
+    Given a roll-out with good answers in the stage raising, forward
+    When a request is granted 1 seconds before the deadline
+    And a request is granted -1 seconds before the deadline
+    Then 1 request is counted
--- a/libs/rollouts/tests/steps/rollouts.py
+++ b/libs/rollouts/tests/steps/rollouts.py
@@ -26,6 +26,7 @@
     apply_report,
     apply_statuses,
     apply_versions,
+    count_grant,
     find_bad,
     may_place,
     may_use,
@@ -267,3 +268,48 @@
     situation = Situation(0, True, frozenset(context.upstreams))
     for now in (NOW, NOW + seconds):
         advance(rollout, situation, BOUNDS, now)
+
+
+@given('a roll-out with {quality} answers in the stage {stage}, {direction}')
+def give_staged(context: Any, quality: str, stage: str, direction: str) -> None:
+    context.upstreams = ['new-0', 'new-1']
+    add_answers(context, ['old'], 0, 200, is_new=False)
+    bad = 3 if quality == 'doubtful' else 0
+    add_answers(context, context.upstreams, bad, 40, is_new=True)
+    rollout = Rollout(Order(SERVICE, 'v2', 60), NOW + 60, Stage(stage))
+    rollout.changed_at = NOW
+    rollout.share = 0.25
+    rollout.evidence = context.evidence
+    rollout.is_trusted = direction == 'taken back'
+    context.rollouts = Rollouts(BOUNDS)
+    context.rollouts.current[SERVICE] = rollout
+
+
+@given('{running:d} old requests, {phases} phases and a store that is {store}')
+def give_situation(context: Any, running: int, phases: str, store: str) -> None:
+    context.situation = Situation(
+        running,
+        phases == 'all',
+        frozenset(context.upstreams),
+        store == 'available',
+    )
+
+
+@when('it is judged {left:g} seconds before the deadline')
+def judge_late(context: Any, left: float) -> None:
+    rollout = rollout_of(context)
+    # The share is not due to be raised.
+    rollout.changed_at = rollout.deadline - left - 0.6
+    advance(rollout, context.situation, BOUNDS, rollout.deadline - left)
+
+
+@when('a request is granted {left:g} seconds before the deadline')
+def grant_late(context: Any, left: float) -> None:
+    rollout = rollout_of(context)
+    now = rollout.deadline - left
+    count_grant(rollout, to_new=0, sends=1, is_first=True, now=now)
+
+
+@then('{count:d} request is counted')
+def check_requests(context: Any, count: int) -> None:
+    assert rollout_of(context).exposure.requests == count
