Report answers of a version on trial only to coordinators that lack them

Cause: a relay that reconnected to the coordinator it had followed reported all answers since the order and all totals, which that one had counted.

Change: a relay keeps which answers the present coordinator has not counted (before its term, or of placements that an earlier one granted) and what earlier ones had judged, and reports only these. A coordinator that coordinates again after another one gets all, since it has dropped its counts. Sends and requests are reported as before.

--- a/libs/relay/src/gypsumrelay_relay/state_reports.py
+++ b/libs/relay/src/gypsumrelay_relay/state_reports.py
@@ -44,7 +44,9 @@
     yield from coordination.streams.reports(now)
     if coordination.settings.learn_performance:
         yield from coordination.measured.reports(now)
-    yield from coordination.uses.rollouts.reports(coordination.name)
+    yield from coordination.uses.rollouts.reports(
+        coordination.name, coordination.leader_id
+    )
     yield from _use_reports(coordination, now)
     yield from _crash_reports(coordination, now)
 
--- a/libs/relay/src/gypsumrelay_relay/usage_history.py
+++ b/libs/relay/src/gypsumrelay_relay/usage_history.py
@@ -88,7 +88,7 @@
         frozenset((coordinator,)),
     )
     history.uses.append(use)
-    history.rollouts.record_grant(placement)
+    history.rollouts.record_grant(placement, coordinator)
 
 
 def drop_old_uses(
--- a/libs/relay/tests/rollouts.feature
+++ b/libs/relay/tests/rollouts.feature
@@ -45,3 +45,22 @@
     And the first relay completes the roll-out without a read
     Then the status in the store is "reverted"
     And the first relay has reverted the roll-out
+
+  Scenario Outline: What a relay reports to a coordinator
+    Guards against answers that are counted twice after a link has broken, or
+    that a new coordinator does not learn of.
+    Given a relay with 3 answers of "v2" under the coordinator "a/1"
+    And one more that "a/1" granted and that ended under "b/1"
+    When it reports to <coordinator>
+    Then it reports <answers> answers, <slow> slow ones and 12 sends
+
+    Examples:
+      | coordinator | answers | slow |
+      | b/1         | 4       | 2    |
+      | b/2         | 4       | 2    |
+
+  Scenario: A relay reconnects to its coordinator
+    Guards against answers that are counted twice after a link has broken.
+    Given a relay with 3 answers of "v2" under the coordinator "a/1"
+    When it reports to a/1
+    Then it reports 0 answers, 0 slow ones and 12 sends
--- a/libs/relay/tests/steps/rollouts.py
+++ b/libs/relay/tests/steps/rollouts.py
@@ -9,7 +9,9 @@
 import attrs
 from behave import given, then, when
 from gypsumrelay_dispatch import (
+    Ending,
     Phase,
+    RolloutCounts,
     SchedulerState,
     ServiceLimits,
     Upstream,
@@ -24,6 +26,7 @@
     apply_rollout_message,
     take_rollout_work,
 )
+from gypsumrelay_relay.rollouts.history import RolloutHistory
 from gypsumrelay_relay.rollouts.keeper import RolloutKeeper
 from gypsumrelay_relay.topics import Topic
 from gypsumrelay_rollouts import (
@@ -33,6 +36,7 @@
     Stage,
     State,
     Status,
+    Totals,
     apply_orders,
     may_place,
 )
@@ -220,3 +224,46 @@
 @then('the {name} relay has reverted the roll-out')
 def check_reverted(context: Any, name: str) -> None:
     assert context.relays[name].rollout.stage is Stage.reverted
+
+
+def placement_of(number: int) -> Any:
+    request = SimpleNamespace(service=SERVICE, key=(f'request-{number}', 1))
+    return SimpleNamespace(
+        request=request,
+        version='v2',
+        upstreams=('v2',),
+        rollout=RolloutCounts('v2', 100, 12, Totals(slow=2)),
+    )
+
+
+@given(
+    'a relay with {count:d} answers of "v2" under the coordinator '
+    '"{coordinator}"'
+)
+def give_answers(context: Any, count: int, coordinator: str) -> None:
+    context.history = RolloutHistory()
+    for number in range(count):
+        placement = placement_of(number)
+        context.history.record_grant(placement, coordinator)
+        context.history.record_end(placement, Ending.answered)
+
+
+@given('one more that "{granter}" granted and that ended under "{coordinator}"')
+def give_late_answer(context: Any, granter: str, coordinator: str) -> None:
+    placement = placement_of(-1)
+    context.history.record_grant(placement, granter)
+    list(context.history.reports('relay', coordinator))
+    context.history.record_end(placement, Ending.answered)
+
+
+@when('it reports to {coordinator}')
+def report_to(context: Any, coordinator: str) -> None:
+    found = list(context.history.reports('relay', coordinator))
+    context.report = found[0].report
+
+
+@then('it reports {answers:d} answers, {slow:d} slow ones and {sent:d} sends')
+def check_report(context: Any, answers: int, slow: int, sent: int) -> None:
+    report = context.report
+    found = (report.answers, report.totals.slow, report.sent)
+    assert found == (answers, slow, sent), found
