Hand on that counts of a roll-out are missing after a restart

Cause: the next report of a relay marked the counts of a coordinator as complete, although all relays had restarted before and knew only later sends. After two changes the slack was given twice.

Change: grants and reports state whether counts are missing (PlaceGranted .rollout_partial, RolloutUsed.partial, last fields, false by default). Counts become complete only if a relay reports complete ones.

--- a/libs/dispatch/src/gypsumrelay_dispatch/models.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/models.py
@@ -203,12 +203,15 @@
         requests: Requests of the service since the order.
         sent: Sends to the version, with those of this grant.
         totals: What the coordinator has judged.
+        is_partial: Whether counts before a restart of all instances are
+            missing.
     """
 
     version: str
     requests: int
     sent: int
     totals: Totals = attrs.field(factory=Totals)
+    is_partial: bool = False
 
 
 @attrs.frozen
--- a/libs/dispatch/src/gypsumrelay_dispatch/rollouts.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/rollouts.py
@@ -97,6 +97,7 @@
         exposure.requests,
         exposure.sent,
         evidence.reported.plus(evidence.totals),
+        exposure.is_partial,
     )
 
 
--- a/libs/relay/src/gypsumrelay_relay/placement.py
+++ b/libs/relay/src/gypsumrelay_relay/placement.py
@@ -232,6 +232,7 @@
         rollout_old_answers=rollout.totals.old_answers,
         rollout_old_slow=rollout.totals.old_slow,
         rollout_old_failed=rollout.totals.old_failed,
+        rollout_partial=rollout.is_partial,
     )
 
 
@@ -290,6 +291,7 @@
             max(0, message.rollout_old_slow),
             max(0, message.rollout_old_failed),
         ),
+        message.rollout_partial,
     )
 
 
--- a/libs/relay/src/gypsumrelay_relay/rollouts/history.py
+++ b/libs/relay/src/gypsumrelay_relay/rollouts/history.py
@@ -75,6 +75,7 @@
             max(known.counts.requests, counts.requests),
             max(known.counts.sent, counts.sent),
             known.counts.totals.highest(counts.totals),
+            known.counts.is_partial and counts.is_partial,
         )
         if placement.version == counts.version:
             known.own += len(placement.upstreams)
@@ -118,6 +119,7 @@
                 max(known.own, counts.sent),
                 *known.uncounted,
                 known.earlier,
+                counts.is_partial,
             )
             yield RolloutReported(entry, report)
 
--- a/libs/relay/src/gypsumrelay_relay/rollouts/messages.py
+++ b/libs/relay/src/gypsumrelay_relay/rollouts/messages.py
@@ -173,6 +173,7 @@
             max(0, message.old_slow),
             max(0, message.old_failed),
         ),
+        message.partial,
     )
     return RolloutReported(entry, report)
 
@@ -191,4 +192,5 @@
         totals.old_answers,
         totals.old_slow,
         totals.old_failed,
+        report.is_partial,
     )
--- a/libs/relay/tests/rollouts.feature
+++ b/libs/relay/tests/rollouts.feature
@@ -59,6 +59,18 @@
       | b/1         | 4       | 2    |
       | b/2         | 4       | 2    |
 
+  Scenario Outline: A relay hands on whether counts are missing
+    Guards against a slack that is used twice after a restart of all relays.
+    Given a relay with grants of <first> and then <second> counts
+    When it reports to b/1
+    Then it reports <counts> counts over the wire
+
+    Examples:
+      | first    | second   | counts   |
+      | partial  | partial  | partial  |
+      | partial  | complete | complete |
+      | complete | complete | complete |
+
   Scenario: A relay reconnects to its coordinator
     Guards against answers that are counted twice after a link has broken.
     Given a relay with 3 answers of "v2" under the coordinator "a/1"
--- a/libs/relay/tests/steps/rollouts.py
+++ b/libs/relay/tests/steps/rollouts.py
@@ -24,6 +24,8 @@
 from gypsumrelay_relay.rollouts import (
     TakeRolloutWork,
     apply_rollout_message,
+    report_from_wire,
+    report_to_wire,
     take_rollout_work,
 )
 from gypsumrelay_relay.rollouts.history import RolloutHistory
@@ -267,3 +269,20 @@
     report = context.report
     found = (report.answers, report.totals.slow, report.sent)
     assert found == (answers, slow, sent), found
+
+
+@given('a relay with grants of {first} and then {second} counts')
+def give_counts(context: Any, first: str, second: str) -> None:
+    context.history = RolloutHistory()
+    for number, counts in enumerate((first, second)):
+        placement = placement_of(number)
+        placement.rollout = RolloutCounts(
+            'v2', 100, 12, is_partial=counts == 'partial'
+        )
+        context.history.record_grant(placement, 'a/1')
+
+
+@then('it reports {counts} counts over the wire')
+def check_partial(context: Any, counts: str) -> None:
+    found = report_from_wire(report_to_wire(context.report), 'relay').report
+    assert found.is_partial == (counts == 'partial')
--- a/libs/rollouts/src/gypsumrelay_rollouts/state.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/state.py
@@ -69,6 +69,8 @@
         answers: Answers of the version to this instance.
         bad: Failures among them.
         totals: What the coordinator had judged at the last grant.
+        is_partial: Whether counts before a restart of all instances are
+            missing.
     """
 
     service: str
@@ -78,6 +80,7 @@
     answers: int
     bad: int
     totals: Totals = attrs.field(factory=Totals)
+    is_partial: bool = False
 
 
 def apply_report(rollouts: Rollouts, entry: str, report: Report) -> None:
@@ -85,8 +88,12 @@
     rollout = rollouts.current.get(report.service)
     if rollout is None or rollout.order.version != report.version:
         return
-    restore_exposure(rollout.exposure, report.requests, report.sent)
-    rollout.exposure.is_partial = False
+    exposure = rollout.exposure
+    # The first report may come before the status, which marks counts that
+    # nobody reports as partial.
+    is_unknown = exposure.is_partial or not exposure.requests
+    exposure.is_partial = is_unknown and report.is_partial
+    restore_exposure(exposure, report.requests, report.sent)
     totals = report.totals
     restore_totals(rollout.evidence, totals, with_times=True)
     restore_totals(rollout.failures, totals, with_times=False)
--- a/libs/rollouts/tests/rollouts.feature
+++ b/libs/rollouts/tests/rollouts.feature
@@ -107,6 +107,26 @@
     When a new coordinator reads the status running of v2
     Then its counts are partial
 
+  Scenario Outline: All relays have ended, and then a coordinator dies
+    Guards against a slack that is used twice, since relays report only what
+    they know from the time after their restart.
+    Given an order for "v2" in a service whose upstreams are of "v1" and "v2"
+    When a new coordinator reads the status running of v2
+    And relays report <first> and then <second> counts
+    Then its counts are <counts>
+
+    Examples:
+      | first    | second   | counts   |
+      | partial  | partial  | partial  |
+      | partial  | complete | complete |
+      | complete | partial  | complete |
+
+  Scenario: Partial counts are reported before the status is read
+    Given an order for "v2" in a service whose upstreams are of "v1" and "v2"
+    When relays report partial and then partial counts
+    And a new coordinator reads the status running of v2
+    Then its counts are partial
+
   Scenario Outline: A coordinator hands over what it judged of times
     Guards against slow answers that a new coordinator does not know of, and
     against a good version that is blamed for slow answers of both versions.
--- a/libs/rollouts/tests/steps/rollouts.py
+++ b/libs/rollouts/tests/steps/rollouts.py
@@ -204,6 +204,16 @@
         apply_report(context.rollouts, name, found)
 
 
+@when('relays report {first} and then {second} counts')
+def report_counts(context: Any, first: str, second: str) -> None:
+    for name, counts in (('relay-0', first), ('relay-1', second)):
+        is_partial = counts == 'partial'
+        found = Report(
+            SERVICE, 'v2', 400, 12, 12, 0, Totals(), is_partial=is_partial
+        )
+        apply_report(context.rollouts, name, found)
+
+
 @then('new requests may go to {versions}')
 def check_versions(context: Any, versions: str) -> None:
     found = [
--- a/libs/wire/src/gypsumrelay_wire/placements.py
+++ b/libs/wire/src/gypsumrelay_wire/placements.py
@@ -104,6 +104,8 @@
         rollout_old_answers: Answers of the former versions.
         rollout_old_slow: Slow ones among them.
         rollout_old_failed: Failures among them.
+        rollout_partial: Whether counts before a restart of all relays are
+            missing.
     """
 
     tag: ClassVar[int] = 41
@@ -130,6 +132,7 @@
     rollout_old_answers: int = 0
     rollout_old_slow: int = 0
     rollout_old_failed: int = 0
+    rollout_partial: bool = False
 
 
 @attrs.frozen
@@ -409,6 +412,7 @@
         old_answers: Answers of the former versions, likewise.
         old_slow: Slow ones among them.
         old_failed: Failures among them.
+        partial: Whether counts before a restart of all relays are missing.
     """
 
     tag: ClassVar[int] = 66
@@ -422,3 +426,4 @@
     old_answers: int = 0
     old_slow: int = 0
     old_failed: int = 0
+    partial: bool = False
