Revert no version for reported answers alone

Cause: after a change of coordinator relays report failures without upstreams and crashes. One bad upstream, or one crash with 20 streams, looked like a bad version and reverted a good one.

--- a/libs/rollouts/src/gypsumrelay_rollouts/decision.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/decision.py
@@ -32,6 +32,7 @@
 from gypsumrelay_rollouts.significance import (
     DOUBT_SCORE,
     find_doubt,
+    is_confirmed,
     is_suspicious,
 )
 from gypsumrelay_rollouts.traffic import record_request
@@ -158,6 +159,8 @@
     if not rollout.is_trusted:
         names = situation.alternatives
         bad = find_bad(rollout.summary, names) or find_bad(failures, names)
+        if bad and not is_confirmed(rollout.summary, bad.route, lone):
+            bad = None
         if bad is None:
             bad = _rolled_back(rollout, bounds, now)
         if bad is not None:
--- a/libs/rollouts/src/gypsumrelay_rollouts/evidence.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/evidence.py
@@ -48,6 +48,8 @@
 
 # Cell of the answers under earlier coordinators.
 REPORTED: Final[CellKey] = (-1, '', '')
+# Start of the names under which they count in place of an upstream.
+REPORTED_PREFIX: Final = 'reported '
 
 
 @attrs.frozen
--- a/libs/rollouts/src/gypsumrelay_rollouts/significance.py
+++ b/libs/rollouts/src/gypsumrelay_rollouts/significance.py
@@ -6,7 +6,10 @@
 from typing import Final
 
 from gypsumrelay_rollouts.evidence import (
+    CONFIRMING_SCORE,
+    MIN_CONFIRMING,
     NOBODY,
+    REPORTED_PREFIX,
     Comparison,
     Summary,
     compare,
@@ -58,6 +61,27 @@
     return None
 
 
+def is_confirmed(
+    summary: Summary, route: str, without: AbstractSet[str]
+) -> bool:
+    """Return whether answers under this coordinator confirm reported ones.
+
+    Relays report neither upstreams nor crashes, so that bad answers of a single
+    upstream cannot be told from those of a bad version.
+
+    Args:
+        summary: The counted answers.
+        route: The route that was found to be bad; empty for all.
+        without: Upstreams of the new version that are left out.
+    """
+    names = {name for _, name in summary.tallies}
+    reported = {name for name in names if name.startswith(REPORTED_PREFIX)}
+    if not reported:
+        return True
+    found = compare(summary, route, reported | without)
+    return found.bad >= MIN_CONFIRMING and found.score >= CONFIRMING_SCORE
+
+
 def is_suspicious(summary: Summary, without: AbstractSet[str]) -> bool:
     """Return whether bad answers call for more evidence."""
     found = (compare(summary, route, without) for route in scopes(summary))
--- a/libs/rollouts/tests/rollouts.feature
+++ b/libs/rollouts/tests/rollouts.feature
@@ -141,6 +141,22 @@
       | 8    | 60       | not bad |
       | 0    | 0        | not bad |
 
+  Scenario Outline: A relay reports many failures to a new coordinator
+    Guards against a good version that is reverted since one upstream crashed
+    with many streams under the former coordinator.
+    Given 0 of 300 answers of the old version are bad
+    And <bad> of 20 answers of 2 new upstreams are bad
+    And a relay reports 20 failures of 30 answers
+    When the evidence is judged again after 0.2 seconds
+    Then the roll-out is <stage>
+    And its share is not raised
+
+    Examples:
+      | bad | stage    |
+      | 0   | canary   |
+      | 1   | canary   |
+      | 4   | reverted |
+
   Scenario Outline: A version whose 50 bad answers stay doubtful
     Guards against a version that is doubtful, but never bad enough, and gets
     requests later than the bound allows.
--- a/libs/rollouts/tests/steps/rollouts.py
+++ b/libs/rollouts/tests/steps/rollouts.py
@@ -35,6 +35,7 @@
     summarize,
     suspects,
 )
+from gypsumrelay_rollouts.evidence import restore
 
 SERVICE: Final = 'service'
 NOW: Final = 100.0
@@ -323,3 +324,15 @@
 @then('{count:d} request is counted')
 def check_requests(context: Any, count: int) -> None:
     assert rollout_of(context).exposure.requests == count
+
+
+@given('a relay reports {bad:d} failures of {answers:d} answers')
+def give_reported(context: Any, bad: int, answers: int) -> None:
+    restore(context.evidence, 'relay-0', answers, bad)
+
+
+@then('its share is not raised')
+def check_share(context: Any) -> None:
+    rollout = rollout_of(context)
+    assert rollout.in_doubt
+    assert not rollout.share
