--- a/libs/rollouts/tests/rollouts.feature
+++ b/libs/rollouts/tests/rollouts.feature
@@ -107,6 +107,26 @@
     When a new coordinator reads the status running of v2
     Then its counts are partial
 
+  Scenario Outline: All relays have ended, and then a coordinator dies
+    Guards against a slack that is used twice, since relays report only what
+    they know from the time after their restart.
+    Given an order for "v2" in a service whose upstreams are of "v1" and "v2"
+    When a new coordinator reads the status running of v2
+    And relays report <first> and then <second> counts
+    Then its counts are <counts>
+
+    Examples:
+      | first    | second   | counts   |
+      | partial  | partial  | partial  |
+      | partial  | complete | complete |
+      | complete | partial  | complete |
+
+  Scenario: Partial counts are reported before the status is read
+    Given an order for "v2" in a service whose upstreams are of "v1" and "v2"
+    When relays report partial and then partial counts
+    And a new coordinator reads the status running of v2
+    Then its counts are partial
+
   Scenario Outline: A coordinator hands over what it judged of times
     Guards against slow answers that a new coordinator does not know of, and
     against a good version that is blamed for slow answers of both versions.
@@ -121,6 +141,22 @@
       | 8    | 60       | not bad |
       | 0    | 0        | not bad |
 
+  Scenario Outline: A relay reports many failures to a new coordinator
+    Guards against a good version that is reverted since one upstream crashed
+    with many streams under the former coordinator.
+    Given 0 of 300 answers of the old version are bad
+    And <bad> of 20 answers of 2 new upstreams are bad
+    And a relay reports 20 failures of 30 answers
+    When the evidence is judged again after 0.2 seconds
+    Then the roll-out is <stage>
+    And its share is not raised
+
+    Examples:
+      | bad | stage    |
+      | 0   | canary   |
+      | 1   | canary   |
+      | 4   | reverted |
+
   Scenario Outline: A version whose 50 bad answers stay doubtful
     Guards against a version that is doubtful, but never bad enough, and gets
     requests later than the bound allows.
@@ -134,3 +170,43 @@
       | 181 | 3       | canary   |
       | 181 | 4.5     | reverted |
       | 150 | 4.5     | canary   |
+
+  Scenario Outline: A decision at the deadline
+    Guards against a completion that only memory has while the store is away, or
+    a roll-out that runs on after its deadline.
+    Given a roll-out with good answers in the stage <stage>, <order>
+    And <running> old requests, <phases> phases and a store that is <store>
+    When it is judged <left> seconds before the deadline
+    Then the roll-out is <end>
+
+    Examples:
+      | stage    | order      | running | phases | store     | left | end       |
+      | draining | forward    | 0       | all    | available | 0.7  | completed |
+      | draining | forward    | 0       | all    | away      | 0.7  | draining  |
+      | draining | forward    | 0       | all    | away      | 0.4  | reverted  |
+      | draining | forward    | 1       | all    | available | 0.7  | draining  |
+      | draining | forward    | 1       | all    | available | 0.4  | reverted  |
+      | draining | forward    | 0       | lost   | available | 0.4  | reverted  |
+      | draining | taken back | 0       | all    | away      | 0.4  | draining  |
+      | draining | taken back | 0       | lost   | available | 0.4  | completed |
+      | draining | taken back | 1       | all    | available | 0.4  | draining  |
+      | raising  | forward    | 1       | all    | away      | 1.6  | raising   |
+      | raising  | forward    | 1       | all    | away      | 1.4  | reverted  |
+      | raising  | forward    | 1       | all    | available | -10  | reverted  |
+      | canary   | forward    | 1       | all    | away      | -10  | canary    |
+      | canary   | forward    | 1       | all    | available | -10  | reverted  |
+      | draining | forward    | 0       | all    | available | -10  | completed |
+
+  Scenario: A doubtful version while the store is away
+    Guards against doubtful versions that get requests beyond the deadline.
+    Given a roll-out with doubtful answers in the stage raising, forward
+    And 1 old requests, all phases and a store that is away
+    When it is judged 1.4 seconds before the deadline
+    Then the roll-out is reverted
+
+  Scenario: Requests after the deadline
+    Guards against a bound that grows after the deadline.
+    Given a roll-out with good answers in the stage raising, forward
+    When a request is granted 1 seconds before the deadline
+    And a request is granted -1 seconds before the deadline
+    Then 1 request is counted
--- a/libs/rollouts/tests/steps/rollouts.py
+++ b/libs/rollouts/tests/steps/rollouts.py
@@ -26,6 +26,7 @@
     apply_report,
     apply_statuses,
     apply_versions,
+    count_grant,
     find_bad,
     may_place,
     may_use,
@@ -34,6 +35,7 @@
     summarize,
     suspects,
 )
+from gypsumrelay_rollouts.evidence import restore
 
 SERVICE: Final = 'service'
 NOW: Final = 100.0
@@ -203,6 +205,16 @@
         apply_report(context.rollouts, name, found)
 
 
+@when('relays report {first} and then {second} counts')
+def report_counts(context: Any, first: str, second: str) -> None:
+    for name, counts in (('relay-0', first), ('relay-1', second)):
+        is_partial = counts == 'partial'
+        found = Report(
+            SERVICE, 'v2', 400, 12, 12, 0, Totals(), is_partial=is_partial
+        )
+        apply_report(context.rollouts, name, found)
+
+
 @then('new requests may go to {versions}')
 def check_versions(context: Any, versions: str) -> None:
     found = [
@@ -267,3 +279,60 @@
     situation = Situation(0, True, frozenset(context.upstreams))
     for now in (NOW, NOW + seconds):
         advance(rollout, situation, BOUNDS, now)
+
+
+@given('a roll-out with {quality} answers in the stage {stage}, {direction}')
+def give_staged(context: Any, quality: str, stage: str, direction: str) -> None:
+    context.upstreams = ['new-0', 'new-1']
+    add_answers(context, ['old'], 0, 200, is_new=False)
+    bad = 3 if quality == 'doubtful' else 0
+    add_answers(context, context.upstreams, bad, 40, is_new=True)
+    rollout = Rollout(Order(SERVICE, 'v2', 60), NOW + 60, Stage(stage))
+    rollout.changed_at = NOW
+    rollout.share = 0.25
+    rollout.evidence = context.evidence
+    rollout.is_trusted = direction == 'taken back'
+    context.rollouts = Rollouts(BOUNDS)
+    context.rollouts.current[SERVICE] = rollout
+
+
+@given('{running:d} old requests, {phases} phases and a store that is {store}')
+def give_situation(context: Any, running: int, phases: str, store: str) -> None:
+    context.situation = Situation(
+        running,
+        phases == 'all',
+        frozenset(context.upstreams),
+        store == 'available',
+    )
+
+
+@when('it is judged {left:g} seconds before the deadline')
+def judge_late(context: Any, left: float) -> None:
+    rollout = rollout_of(context)
+    # The share is not due to be raised.
+    rollout.changed_at = rollout.deadline - left - 0.6
+    advance(rollout, context.situation, BOUNDS, rollout.deadline - left)
+
+
+@when('a request is granted {left:g} seconds before the deadline')
+def grant_late(context: Any, left: float) -> None:
+    rollout = rollout_of(context)
+    now = rollout.deadline - left
+    count_grant(rollout, to_new=0, sends=1, is_first=True, now=now)
+
+
+@then('{count:d} request is counted')
+def check_requests(context: Any, count: int) -> None:
+    assert rollout_of(context).exposure.requests == count
+
+
+@given('a relay reports {bad:d} failures of {answers:d} answers')
+def give_reported(context: Any, bad: int, answers: int) -> None:
+    restore(context.evidence, 'relay-0', answers, bad)
+
+
+@then('its share is not raised')
+def check_share(context: Any) -> None:
+    rollout = rollout_of(context)
+    assert rollout.in_doubt
+    assert not rollout.share
