--- a/review/standins.py
+++ b/review/standins.py
@@ -402,9 +402,6 @@
                     },
                     'store': {'address': store_address},
                     'shared_secret': 'review',
-                    # As `MemoryMb` of a front machine of the site, which
-                    # the template passes on.
-                    'capacity': {'memory_mb': 150},
                     'dispatch': {
                         'repeat_window_seconds': 10,
                         'repeat_ratio': 0.2,
