Let the settings files alone end the relays of case 8

The script no longer rolls the relays: three of them start within 0.3 s, and each one's settings file changes three times, 0.1 s after a start of its process.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -246,21 +246,29 @@
         self.version += 3
         self.store.put('keyed.op', 'config', as_record(content))
 
-    def start_relays(self, count: int) -> None:
-        """Start relays and wait until all of them are ready."""
+    def add_relays(self, count: int) -> None:
+        """Give relays their addresses."""
         net = 1 + os.getpid() % 250
         hosts = [f'127.66.{net}.{number + 1}' for number in range(count)]
         ports = free_ports(hosts, 4)
         for number, host in enumerate(hosts):
-            relay = Relay(self, number, host, hosts, ports)
-            self.relays.append(relay)
-            relay.start()
+            self.relays.append(Relay(self, number, host, hosts, ports))
+
+    def await_relays(self) -> None:
+        """Wait until all relays are ready."""
         deadline = time.monotonic() + 20
         for relay in self.relays:
             while not relay.is_ready():
                 if time.monotonic() > deadline:
                     raise RuntimeError('a relay is not ready')
                 time.sleep(0.1)
+
+    def start_relays(self, count: int) -> None:
+        """Start relays and wait until all of them are ready."""
+        self.add_relays(count)
+        for relay in self.relays:
+            relay.start()
+        self.await_relays()
         time.sleep(1)
 
     def stop(self) -> None:
