--- a/review/7/case.py
+++ b/review/7/case.py
@@ -27,9 +27,12 @@
 REPLICAS: Final = 7
 # `srv_grey`: a share of .15 of the replicas fails .4 of its requests.
 FAILING_SHARE: Final = 0.4
+# Longest time that the site file has for it.
+FAILING_AFTER_SECONDS: Final = 5
+FAILING_SECONDS: Final = 6.5
 DEADLINE_MS: Final = 1500
 CALLERS: Final = 8
-PLAY_SECONDS: Final = 25
+PLAY_SECONDS: Final = 18
 # Statuses that promise that a request has not run and never will.
 PROMISES: Final = frozenset((408, 421, 429, 503))
 
@@ -80,8 +83,6 @@
     }
     world.configure([route], [{'Name': 'app', 'ColdPerS': 0}])
     replicas = [world.add('app', '', book, 6) for _ in range(REPLICAS)]
-    if has_trouble():
-        grey.add(replicas[0].name)
     world.start_relays(2)
     until = time.monotonic() + PLAY_SECONDS
 
@@ -115,6 +116,13 @@
     ]
     for caller in callers:
         caller.start()
+    time.sleep(FAILING_AFTER_SECONDS)
+    if has_trouble():
+        world.record.note('a replica begins to fail requests')
+        grey.add(replicas[0].name)
+        time.sleep(FAILING_SECONDS)
+        grey.clear()
+        world.record.note('the replica is sound again')
     for caller in callers:
         caller.join()
     false = [
