Reject answers whose head states no clear length or holds no field

Callers got an answer with status 200 whose body was not the upstream's. The upstream had sent a head with a malformed length, or with a line that is no field.

Cause: http.client takes a line without a colon for the end of the head and drops what follows, a length behind it included. It reads lengths with int(), so that a sign or an underscore is accepted, and takes any other length for none, as well as encodings that it does not know. A body without a length ends with its connection, so that any part of it looks complete. The agent checked only that the head ends with an empty line, the relay only that the bytes do not end inside it, the client of the log service nothing.

Now the lines of each head are checked as the library reads them (gypsumrelay_http.answer_syntax): the status line, each field, and that the body has at most one length, of digits, or else is in chunks. Where that does not hold the request is lost, as after a broken connection, and it is no crash of the upstream. All readers of answers share the check: relays and their client of the store by AnswerReader, agents and the clients of the platform services by CheckedPool. An answer is passed on after its head was checked, so that none of a rejected one reaches a caller.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -35,3 +35,13 @@
   Scenario: A status outside 200 to 599 reaches no caller
     Given the smallest deployment with a faulty service
     Then bodies of 100 and 4000000 bytes get a typed error with status 502 for the statuses 000, 099, 103, 600 and 999
+
+  Scenario Outline: A malformed answer reaches no caller
+    Guards against an answer whose body or headers are not those of the
+    service.
+    Given the smallest deployment with a faulty service
+    Then none of the <answers> gets a complete answer with status 200
+
+    Examples:
+      | answers         |
+      | malformed lines |
--- a/features/steps/broken_answers.py
+++ b/features/steps/broken_answers.py
@@ -11,7 +11,7 @@
 import attrs
 from behave import given, then, when
 from gypsumrelay_demo import System, smallest_deployment
-from gypsumrelay_standins import FaultyService
+from gypsumrelay_standins import GROUPS, FaultyService
 
 PATH = '/orders/1'
 TIMEOUT_SECONDS = 30
@@ -188,3 +188,17 @@
 def check_whole(context: Any) -> None:
     for answer in context.answers:
         assert answer == Answer(200, b'whole', is_whole=True), context.answers
+
+
+@then('none of the {group} gets a complete answer with status 200')
+def check_malformed(context: Any, group: str) -> None:
+    service = context.system.service
+    whole = []
+    for name in GROUPS[group]:
+        service.fault = f'odd: {name}'
+        answers = send_bodies(context, '100', 'with a length')
+        if any(answer.status == 200 and answer.is_whole for answer in answers):
+            whole.append(name)
+        assert service.runs, name
+        service.runs = 0
+    assert not whole, whole
--- a/libs/agent/src/gypsumrelay_agent/engine.py
+++ b/libs/agent/src/gypsumrelay_agent/engine.py
@@ -5,11 +5,11 @@
 import json
 from collections.abc import Iterator
 from contextlib import suppress
-from http.client import BadStatusLine, RemoteDisconnected
 from typing import Any, Final
 
 import attrs
 import urllib3
+from gypsumrelay_http import MalformedAnswerError
 
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
 REQUEST_TIMEOUT_SECONDS: Final = 1.5
@@ -77,10 +77,9 @@
 
 
 def _is_malformed(error: urllib3.exceptions.HTTPError) -> bool:
-    """Return whether an answer began with something else than a status."""
+    """Return whether the upstream sent something else than an answer."""
     cause = error.args[-1] if error.args else None
-    is_closed = isinstance(cause, RemoteDisconnected)
-    return isinstance(cause, BadStatusLine) and not is_closed
+    return isinstance(cause, MalformedAnswerError)
 
 
 @attrs.frozen
--- a/libs/agent/tests/broken_answers.feature
+++ b/libs/agent/tests/broken_answers.feature
@@ -68,3 +68,26 @@
       | status_000   | length  |
       | status_302   | length  |
       | status_600   | length  |
+
+  Scenario Outline: A malformed answer of a plain service is a fault
+    Guards against an answer whose body or headers are not those of the
+    upstream, since the HTTP library reads what is no HTTP in its own way.
+    Given a faulty upstream and the agent's client of plain services
+    Then none of the <answers> gives a whole answer
+    And no fault is taken for a crash of the upstream
+
+    Examples:
+      | answers         |
+      | malformed lines |
+
+  Scenario Outline: A malformed answer of an engine is a fault
+    Given a faulty upstream and the agent's client of engines
+    Then none of the <answers> gives an answer of the engine
+
+    Examples:
+      | answers         |
+      | malformed lines |
+
+  Scenario: Sound answers that are unusual are whole
+    Given a faulty upstream and the agent's client of plain services
+    Then each of the sound answers gives a whole answer
--- a/libs/agent/tests/steps/broken_answers.py
+++ b/libs/agent/tests/steps/broken_answers.py
@@ -10,10 +10,12 @@
 from gypsumrelay_agent.engine import EngineClient, UpstreamFault
 from gypsumrelay_agent.service import ResponseStart, ServiceClient
 from gypsumrelay_clock import monotonic
-from gypsumrelay_standins import FaultyService
+from gypsumrelay_standins import GROUPS, FaultyService
 
 TIMEOUT_SECONDS = 20
 WHOLE = [200, b'whole']
+# A whole stream of an engine, which is also the answer to a prefill.
+ENGINE_ANSWER = b'{"index": 0, "tokens": "", "finished": true}\n'
 
 
 def start_service(context: Any) -> FaultyService:
@@ -56,6 +58,12 @@
     return [*status, body, *faults]
 
 
+def call_once(context: Any, name: str) -> list[Any]:
+    """Call on a new connection, as that of each odd answer is closed."""
+    context.client.pool.clear()
+    return call(context, 100, f'odd: {name}')
+
+
 def sizes_in(text: str) -> list[int]:
     return [int(size) for size in re.findall(r'\d+', text)]
 
@@ -104,3 +112,36 @@
         batches = list(context.client.decode(prompt, 0, 10, 0))
         assert len(batches) == 1, (size, batches)
         assert isinstance(batches[0], UpstreamFault), (size, batches)
+
+
+@then('none of the {group} gives a whole answer')
+def check_malformed(context: Any, group: str) -> None:
+    whole = []
+    for name in GROUPS[group]:
+        answer = call_once(context, name)
+        if isinstance(answer[-1], UpstreamFault):
+            context.faults.append(answer[-1])
+        else:
+            whole.append(name)
+    assert not whole, whole
+
+
+@then('each of the {group} gives a whole answer')
+def check_sound(context: Any, group: str) -> None:
+    for name in GROUPS[group]:
+        assert call_once(context, name) == WHOLE, name
+
+
+@then('none of the {group} gives an answer of the engine')
+def check_malformed_engine(context: Any, group: str) -> None:
+    context.faulty.whole = ENGINE_ANSWER
+    whole = []
+    for name in GROUPS[group]:
+        context.faulty.fault = f'odd: {name}'
+        computed = context.client.prefill('run', '', TIMEOUT_SECONDS)
+        batches = list(context.client.decode('run', 0, 10, 0))
+        if not isinstance(computed, UpstreamFault):
+            whole.append((name, computed))
+        if not isinstance(batches[-1], UpstreamFault):
+            whole.append((name, batches))
+    assert not whole, whole
--- a/libs/http/src/gypsumrelay_http/__init__.py
+++ b/libs/http/src/gypsumrelay_http/__init__.py
@@ -1,5 +1,7 @@
-"""HTTP servers with worker threads, and functions for header fields."""
+"""HTTP servers with worker threads, checks of answers, and header fields."""
 
+from gypsumrelay_http.answer_syntax import MalformedAnswerError
+from gypsumrelay_http.answers import AnswerReader
 from gypsumrelay_http.breaking_off import ResettingTask
 from gypsumrelay_http.client import client_library
 from gypsumrelay_http.headers import (
@@ -15,7 +17,9 @@
 
 __all__ = (
     'HOP_BY_HOP',
+    'AnswerReader',
     'Application',
+    'MalformedAnswerError',
     'ResettingTask',
     'StartResponse',
     'client_library',
--- /dev/null
+++ b/libs/http/src/gypsumrelay_http/answer_syntax.py
@@ -0,0 +1,112 @@
+"""Syntax of the answers of HTTP/1.1 (RFC 9112).
+
+HTTP libraries accept much that is none. They take a line without a colon for
+the end of the head, and a length that is no number for none, so that another
+body than the sent one would be read.
+"""
+
+from __future__ import annotations
+
+import enum
+import re
+from typing import Final
+
+import attrs
+
+# A longer length could not be converted to an integer.
+_LENGTH: Final = re.compile(rb'\d{1,18}')
+_CHUNKED: Final = b'chunked'
+# White space around the text of a field.
+_BLANKS: Final = b' \t'
+_STATUS_LINE: Final = re.compile(rb'HTTP/1\.\d ([1-9]\d\d)(?: [^\r\n]*)?\r?\n')
+_FIELD: Final = re.compile(rb'([^:\s][^:\r\n]*):([^\r\n]*)\r?\n')
+_END_OF_HEAD: Final = frozenset((b'\r\n', b'\n'))
+_FIRST_FINAL_STATUS: Final = 200
+
+
+class MalformedAnswerError(OSError):
+    """The bytes that arrived are no answer."""
+
+
+class Part(enum.Enum):
+    """The part of an answer that is read next."""
+
+    status_line = 'status line'
+    fields = 'head'
+    body = 'body'
+
+
+@attrs.define
+class AnswerSyntax:
+    """What is known of an answer.
+
+    Attributes:
+        part: The part that is read next.
+        status: Status code.
+        lengths: Values of `Content-Length`.
+        encodings: Values of `Transfer-Encoding`.
+    """
+
+    part: Part = Part.status_line
+    status: int = 0
+    lengths: set[bytes] = attrs.field(factory=set)
+    encodings: list[bytes] = attrs.field(factory=list)
+
+
+def check_line(syntax: AnswerSyntax, line: bytes) -> None:
+    """Check the next line.
+
+    Args:
+        syntax: What is known of the answer; is updated.
+        line: The line with its end.
+
+    Raises:
+        MalformedAnswerError: The line is no part of an answer.
+    """
+    if syntax.part is Part.status_line:
+        _read_status(syntax, line)
+    elif syntax.part is Part.fields and line in _END_OF_HEAD:
+        _end_head(syntax)
+    elif syntax.part is Part.fields:
+        _read_field(syntax, line)
+
+
+def _read_status(syntax: AnswerSyntax, line: bytes) -> None:
+    found = _STATUS_LINE.fullmatch(line)
+    if found is None:
+        raise MalformedAnswerError('the status line is malformed')
+    syntax.status = int(found.group(1))
+    syntax.lengths.clear()
+    syntax.encodings.clear()
+    syntax.part = Part.fields
+
+
+def _read_field(syntax: AnswerSyntax, line: bytes) -> None:
+    found = _FIELD.fullmatch(line)
+    if found is None:
+        raise MalformedAnswerError('a line of the head is no field')
+    name = found.group(1).lower()
+    text = found.group(2).strip(_BLANKS)
+    if name == b'content-length':
+        syntax.lengths.add(text)
+    elif name == b'transfer-encoding':
+        syntax.encodings.append(text.lower())
+
+
+def _end_head(syntax: AnswerSyntax) -> None:
+    if syntax.status < _FIRST_FINAL_STATUS:
+        # Another answer follows an interim one.
+        syntax.part = Part.status_line
+        return
+    if not _has_one_framing(syntax):
+        raise MalformedAnswerError('the length of the body is malformed')
+    syntax.part = Part.body
+
+
+def _has_one_framing(syntax: AnswerSyntax) -> bool:
+    """Return whether the head states at most one length, or chunks."""
+    if syntax.encodings:
+        return syntax.encodings == [_CHUNKED] and not syntax.lengths
+    if len(syntax.lengths) > 1:
+        return False
+    return all(_LENGTH.fullmatch(length) for length in syntax.lengths)
--- a/libs/platform/src/gypsumrelay_platform/http.py
+++ b/libs/platform/src/gypsumrelay_platform/http.py
@@ -7,6 +7,7 @@
 
 import urllib3
 from gypsumrelay_errors import Outcome, PlatformUnavailable
+from gypsumrelay_http.checked_pool import new_checked_pool
 
 CONNECT_SECONDS: Final = 1.0
 READ_SECONDS: Final = 3.0
@@ -18,10 +19,9 @@
 
 def new_pool() -> urllib3.PoolManager:
     """Return a connection pool without retries, which callers decide on."""
-    return urllib3.PoolManager(
+    return new_checked_pool(
         maxsize=POOL_CONNECTIONS,
         timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=READ_SECONDS),
-        retries=False,
     )
 
 
--- /dev/null
+++ b/libs/platform/tests/steps/malformed_answers.py
@@ -0,0 +1,41 @@
+"""Steps of malformed_answers.feature."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given, then
+from gypsumrelay_errors import Outcome, PlatformUnavailable
+from gypsumrelay_platform import LogClient
+from gypsumrelay_standins import GROUPS, FaultyService
+
+FIRST_OFFSET = 7
+
+
+@given('a faulty log service')
+def start_service(context: Any) -> None:
+    context.service = FaultyService(whole=b'{"first_offset": 7}')
+    context.service.start()
+    context.add_cleanup(context.service.stop)
+
+
+def append(context: Any, name: str) -> int | PlatformUnavailable:
+    context.service.fault = f'odd: {name}'
+    # A new client, since the connection of each answer is closed.
+    return LogClient(context.service.url).append([])
+
+
+@then('none of the {group} is the answer to an append')
+def check_none(context: Any, group: str) -> None:
+    answers = {name: append(context, name) for name in GROUPS[group]}
+    wrong = [name for name, found in answers.items() if found == FIRST_OFFSET]
+    assert not wrong, wrong
+    # It may have been executed.
+    for name, found in answers.items():
+        assert found.outcome is Outcome.unknown, name
+
+
+@then('each of the {group} is the answer to an append')
+def check_each(context: Any, group: str) -> None:
+    for name in GROUPS[group]:
+        assert append(context, name) == FIRST_OFFSET, name
--- a/libs/relay/src/gypsumrelay_relay/read_limits.py
+++ b/libs/relay/src/gypsumrelay_relay/read_limits.py
@@ -15,6 +15,7 @@
 
 import attrs
 from gypsumrelay_clock import monotonic
+from gypsumrelay_http import AnswerReader
 
 # Shortest socket time-out in seconds; 0 would make the socket non-blocking.
 MIN_SECONDS: Final = 0.01
@@ -120,36 +121,6 @@
         super().close()
 
 
-class AnswerReader(io.BufferedReader):
-    """Reads an answer, and fails if its head is truncated.
-
-    The HTTP library takes the end of the bytes for the end of the head, so
-    that a truncated head looks like an answer with an empty body.
-
-    Attributes:
-        is_in_head: Whether the head is being read.
-        has_started: Whether a line of it was read.
-    """
-
-    def __init__(self, raw: io.RawIOBase) -> None:
-        """Wrap a raw reader."""
-        super().__init__(raw)
-        self.is_in_head = True
-        self.has_started = False
-
-    def readline(self, size: int | None = -1, /) -> bytes:
-        """Return the next line.
-
-        Raises:
-            ConnectionError: The bytes ended inside the head.
-        """
-        line = super().readline(size)
-        if self.is_in_head and self.has_started and not line:
-            raise ConnectionError('the answer ended inside its head')
-        self.has_started = True
-        return line
-
-
 class BoundedSocket:
     """A socket whose readers enforce limits in time and bytes."""
 
@@ -157,12 +128,10 @@
         """Wrap a connected socket."""
         self.sock = sock
         self.limits = ReadLimits()
-        self.reader: AnswerReader | None = None
 
     def makefile(self, mode: str) -> io.BufferedReader:
         """Return a buffered reader for the next answer."""
-        self.reader = AnswerReader(BoundedReader(self))
-        return self.reader
+        return AnswerReader(BoundedReader(self))
 
     def has_bytes(self) -> bool:
         """Return whether unread bytes have arrived."""
@@ -174,11 +143,6 @@
         except OSError:
             return False
 
-    def end_head(self) -> None:
-        """Note that the head of the answer was read."""
-        if self.reader is not None:
-            self.reader.is_in_head = False
-
     def __getattr__(self, name: str) -> Any:
         """Return any other attribute of the socket."""
         return getattr(self.sock, name)
--- a/libs/relay/src/gypsumrelay_relay/sending.py
+++ b/libs/relay/src/gypsumrelay_relay/sending.py
@@ -217,9 +217,7 @@
         preload_content=False,
         decode_content=False,
     )
-    response = connection.getresponse()
-    sock.end_head()
-    return response
+    return connection.getresponse()
 
 
 def _empty_body(method: str) -> bytes | None:
--- a/libs/standins/src/gypsumrelay_standins/__init__.py
+++ b/libs/standins/src/gypsumrelay_standins/__init__.py
@@ -28,6 +28,10 @@
     LogFaults,
     LogService,
 )
+from gypsumrelay_standins.odd_answers import (
+    GROUPS,
+    odd_answer,
+)
 from gypsumrelay_standins.plain_service import (
     PlainService,
 )
@@ -36,6 +40,7 @@
 )
 
 __all__ = (
+    'GROUPS',
     'Engine',
     'EngineSettings',
     'FaultyService',
@@ -52,6 +57,7 @@
     'application',
     'chain',
     'expected_text',
+    'odd_answer',
     'prefix_digests',
     'serve',
     'start',
--- a/libs/standins/src/gypsumrelay_standins/faulty_service.py
+++ b/libs/standins/src/gypsumrelay_standins/faulty_service.py
@@ -13,6 +13,8 @@
 
 import attrs
 
+from gypsumrelay_standins.odd_answers import odd_answer
+
 NO_FAULT: Final = ''
 # Part of the request's body that is read before the answer, by fault.
 READ_SHARES: Final[dict[str, float]] = {
@@ -26,6 +28,8 @@
 HALF_HEAD: Final = 'half_head'
 # Faults that state the given status in an answer with a length.
 STATUS_PREFIX: Final = 'status_'
+# The answer is the one of this name in `odd_answers`.
+ODD_PREFIX: Final = 'odd: '
 # Pause in seconds before a reset, so that the sent part arrives first.
 RESET_AFTER_SECONDS: Final = 0.05
 WHOLE_BODY: Final = b'whole'
@@ -42,6 +46,7 @@
         framing: Framing of answers that break off: `none`, `chunks` or
             `length`.
         part: The sent part of answers that break off.
+        whole: The body of all other answers.
         connections: Number of connections accepted so far.
         runs: Number of requests received so far.
     """
@@ -50,6 +55,7 @@
     fault: str = NO_FAULT
     framing: str = 'none'
     part: bytes = b'part'
+    whole: bytes = WHOLE_BODY
     connections: int = 0
     runs: int = 0
 
@@ -101,6 +107,11 @@
             self.rfile.read(length)
             status = faults.fault.removeprefix(STATUS_PREFIX)
             self._write_whole(f'{status} Status')
+        elif faults.fault.startswith(ODD_PREFIX):
+            self.rfile.read(length)
+            name = faults.fault.removeprefix(ODD_PREFIX)
+            self.wfile.write(odd_answer(name, faults.whole))
+            self.close_connection = True
         elif faults.fault == HALF_HEAD:
             self.rfile.read(length)
             self.wfile.write(b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n')
@@ -112,8 +123,9 @@
         """Log nothing."""
 
     def _write_whole(self, status: str) -> None:
-        head = f'HTTP/1.1 {status}\r\nContent-Length: {len(WHOLE_BODY)}\r\n\r\n'
-        self.wfile.write(head.encode() + WHOLE_BODY)
+        whole = self.faults.whole
+        head = f'HTTP/1.1 {status}\r\nContent-Length: {len(whole)}\r\n\r\n'
+        self.wfile.write(head.encode() + whole)
 
     def _write_part(self, length: int) -> None:
         """Send a part of an answer, and reset the connection."""
