Reject answers whose fields have names or texts that are none

Callers got an answer with status 200 in which the upstream had put a blank or a control byte into the name of a field, with that line passed on or, where it was a length or an encoding, with a body that was not the upstream's: chunk sizes became part of it.

Cause: http.client and urllib3 accept such names. A name with a blank before the colon is another name to them, so that a length in that form counts as none.

Now the name of each field has to be a token, and its text and the reason of a status may hold no control character but the tab (RFC 9110, sections 5.1 and 5.5; RFC 9112, section 5.1, demands to reject or repair a blank before the colon). The check is the one of all readers of answers.

Each of 16 such heads was sent.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -45,3 +45,4 @@
     Examples:
       | answers         |
       | malformed lines |
+      | malformed names |
--- a/libs/agent/tests/broken_answers.feature
+++ b/libs/agent/tests/broken_answers.feature
@@ -79,6 +79,7 @@
     Examples:
       | answers         |
       | malformed lines |
+      | malformed names |
 
   Scenario Outline: A malformed answer of an engine is a fault
     Given a faulty upstream and the agent's client of engines
@@ -87,6 +88,7 @@
     Examples:
       | answers         |
       | malformed lines |
+      | malformed names |
 
   Scenario: Sound answers that are unusual are whole
     Given a faulty upstream and the agent's client of plain services
--- a/libs/http/src/gypsumrelay_http/answer_syntax.py
+++ b/libs/http/src/gypsumrelay_http/answer_syntax.py
@@ -2,7 +2,7 @@
 
 HTTP libraries accept much that is none. They take a line without a colon for
 the end of the head, and a length that is no number for none, so that another
-body than the sent one would be read.
+body than the sent one would be read, and pass on names that are no token.
 """
 
 from __future__ import annotations
@@ -13,13 +13,18 @@
 
 import attrs
 
-# A longer length could not be converted to an integer.
+# `int` fails on thousands of digits.
 _LENGTH: Final = re.compile(rb'\d{1,18}')
 _CHUNKED: Final = b'chunked'
 # White space around the text of a field.
 _BLANKS: Final = b' \t'
-_STATUS_LINE: Final = re.compile(rb'HTTP/1\.\d ([1-9]\d\d)(?: [^\r\n]*)?\r?\n')
-_FIELD: Final = re.compile(rb'([^:\s][^:\r\n]*):([^\r\n]*)\r?\n')
+# Characters of a token, and of a text: all but control characters.
+_TOKEN: Final = rb"[\w!#$%&'*+.^`|~-]+"
+_TEXT: Final = rb'[\t\x20-\x7e\x80-\xff]*'
+_STATUS_LINE: Final = re.compile(
+    rb'HTTP/1\.\d ([1-9]\d\d)(?: ' + _TEXT + rb')?\r?\n'
+)
+_FIELD: Final = re.compile(rb'(' + _TOKEN + rb'):(' + _TEXT + rb')\r?\n')
 _END_OF_HEAD: Final = frozenset((b'\r\n', b'\n'))
 _FIRST_FINAL_STATUS: Final = 200
 
--- a/libs/platform/tests/malformed_answers.feature
+++ b/libs/platform/tests/malformed_answers.feature
@@ -10,6 +10,7 @@
     Examples:
       | answers         |
       | malformed lines |
+      | malformed names |
 
   Scenario: Sound answers that are unusual count
     Given a faulty log service
--- a/libs/relay/tests/malformed_answers.feature
+++ b/libs/relay/tests/malformed_answers.feature
@@ -12,6 +12,7 @@
     Examples:
       | answers         |
       | malformed lines |
+      | malformed names |
 
   Scenario: Sound answers that are unusual are read
     Given a faulty upstream of the relay
