Reject bodies whose chunks are malformed or have no end

Callers got an answer with status 200 although the chunks of its body were malformed: a size that is no hexadecimal number, other bytes than an end of line after a chunk, a trailer that is no field, or an end of the connection inside the trailers.

Cause: http.client and urllib3 read the size with int(), which accepts signs, underscores and prefixes, skip the two bytes after a chunk whatever they are, and take the end of the connection for the end of the trailers. So a body that has lost its framing is read as one that has it, with other bytes than the upstream meant.

Now AnswerReader checks the sizes, the ends of the chunks and the trailers as the library reads them, for all readers of answers, and a body in chunks is complete only with the line after its last chunk. A stream that has begun is cut off, as after a broken connection.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -43,6 +43,8 @@
     Then none of the <answers> gets a complete answer with status 200
 
     Examples:
-      | answers         |
-      | malformed lines |
-      | malformed names |
+      | answers          |
+      | malformed lines  |
+      | malformed names  |
+      | malformed chunks |
+      | truncated chunks |
--- a/libs/agent/tests/broken_answers.feature
+++ b/libs/agent/tests/broken_answers.feature
@@ -77,9 +77,14 @@
     And no fault is taken for a crash of the upstream
 
     Examples:
-      | answers         |
-      | malformed lines |
-      | malformed names |
+      | answers          |
+      | malformed lines  |
+      | malformed names  |
+      | malformed chunks |
+
+  Scenario: Chunks that end before the last one are no whole answer
+    Given a faulty upstream and the agent's client of plain services
+    Then none of the truncated chunks gives a whole answer
 
   Scenario Outline: A malformed answer of an engine is a fault
     Given a faulty upstream and the agent's client of engines
@@ -90,6 +95,12 @@
       | malformed lines |
       | malformed names |
 
+  Scenario: A malformed chunk of an engine is a fault
+    Guards against the result of a prefill that is not the engine's. Of a
+    stream, nothing is read after its last line.
+    Given a faulty upstream and the agent's client of engines
+    Then none of the malformed chunks gives the result of a prefill
+
   Scenario: Sound answers that are unusual are whole
     Given a faulty upstream and the agent's client of plain services
     Then each of the sound answers gives a whole answer
--- a/libs/agent/tests/steps/broken_answers.py
+++ b/libs/agent/tests/steps/broken_answers.py
@@ -132,6 +132,18 @@
         assert call_once(context, name) == WHOLE, name
 
 
+@then('none of the {group} gives the result of a prefill')
+def check_malformed_prefill(context: Any, group: str) -> None:
+    context.faulty.whole = ENGINE_ANSWER
+    whole = []
+    for name in GROUPS[group]:
+        context.faulty.fault = f'odd: {name}'
+        computed = context.client.prefill('run', '', TIMEOUT_SECONDS)
+        if not isinstance(computed, UpstreamFault):
+            whole.append((name, computed))
+    assert not whole, whole
+
+
 @then('none of the {group} gives an answer of the engine')
 def check_malformed_engine(context: Any, group: str) -> None:
     context.faulty.whole = ENGINE_ANSWER
--- a/libs/http/src/gypsumrelay_http/answer_syntax.py
+++ b/libs/http/src/gypsumrelay_http/answer_syntax.py
@@ -25,8 +25,14 @@
     rb'HTTP/1\.\d ([1-9]\d\d)(?: ' + _TEXT + rb')?\r?\n'
 )
 _FIELD: Final = re.compile(rb'(' + _TOKEN + rb'):(' + _TEXT + rb')\r?\n')
+# Size in hexadecimal digits, with extensions.
+_CHUNK_SIZE: Final = re.compile(
+    rb'([\da-fA-F]{1,15})[\t ]*(?:;' + _TEXT + rb')?\r\n'
+)
+_END_OF_LINE: Final = b'\r\n'
 _END_OF_HEAD: Final = frozenset((b'\r\n', b'\n'))
 _FIRST_FINAL_STATUS: Final = 200
+_HEXADECIMAL: Final = 16
 
 
 class MalformedAnswerError(OSError):
@@ -39,6 +45,9 @@
     status_line = 'status line'
     fields = 'head'
     body = 'body'
+    chunk_size = 'chunk size'
+    chunk = 'chunk'
+    trailers = 'trailers'
 
 
 @attrs.define
@@ -50,12 +59,15 @@
         status: Status code.
         lengths: Values of `Content-Length`.
         encodings: Values of `Transfer-Encoding`.
+        chunk_left: Bytes of the current chunk that are not read yet, with the
+            end of its line.
     """
 
     part: Part = Part.status_line
     status: int = 0
     lengths: set[bytes] = attrs.field(factory=set)
     encodings: list[bytes] = attrs.field(factory=list)
+    chunk_left: int = 0
 
 
 def check_line(syntax: AnswerSyntax, line: bytes) -> None:
@@ -68,12 +80,30 @@
     Raises:
         MalformedAnswerError: The line is no part of an answer.
     """
-    if syntax.part is Part.status_line:
-        _read_status(syntax, line)
-    elif syntax.part is Part.fields and line in _END_OF_HEAD:
-        _end_head(syntax)
-    elif syntax.part is Part.fields:
-        _read_field(syntax, line)
+    check = _LINE_CHECKS.get(syntax.part)
+    if check is not None:
+        check(syntax, line)
+
+
+def check_bytes(syntax: AnswerSyntax, piece: bytes) -> None:
+    """Check the next bytes of a chunk, as far as they are its end.
+
+    Args:
+        syntax: What is known of the answer; is updated.
+        piece: The bytes, of one chunk.
+
+    Raises:
+        MalformedAnswerError: They are not the end of a chunk.
+    """
+    if syntax.part is not Part.chunk:
+        return
+    due = _END_OF_LINE[-min(syntax.chunk_left, len(_END_OF_LINE)) :]
+    end = piece[syntax.chunk_left - len(due) :]
+    if end != due[: len(end)]:
+        raise MalformedAnswerError('a chunk is longer than its size')
+    syntax.chunk_left -= len(piece)
+    if not syntax.chunk_left:
+        syntax.part = Part.chunk_size
 
 
 def _read_status(syntax: AnswerSyntax, line: bytes) -> None:
@@ -87,6 +117,9 @@
 
 
 def _read_field(syntax: AnswerSyntax, line: bytes) -> None:
+    if line in _END_OF_HEAD:
+        _end_head(syntax)
+        return
     found = _FIELD.fullmatch(line)
     if found is None:
         raise MalformedAnswerError('a line of the head is no field')
@@ -105,7 +138,7 @@
         return
     if not _has_one_framing(syntax):
         raise MalformedAnswerError('the length of the body is malformed')
-    syntax.part = Part.body
+    syntax.part = Part.chunk_size if syntax.encodings else Part.body
 
 
 def _has_one_framing(syntax: AnswerSyntax) -> bool:
@@ -115,3 +148,27 @@
     if len(syntax.lengths) > 1:
         return False
     return all(_LENGTH.fullmatch(length) for length in syntax.lengths)
+
+
+def _read_chunk_size(syntax: AnswerSyntax, line: bytes) -> None:
+    found = _CHUNK_SIZE.fullmatch(line)
+    if found is None:
+        raise MalformedAnswerError('the size of a chunk is malformed')
+    size = int(found.group(1), _HEXADECIMAL)
+    syntax.chunk_left = size + len(_END_OF_LINE)
+    syntax.part = Part.chunk if size else Part.trailers
+
+
+def _read_trailer(syntax: AnswerSyntax, line: bytes) -> None:
+    if line == _END_OF_LINE:
+        syntax.part = Part.body
+    elif _FIELD.fullmatch(line) is None:
+        raise MalformedAnswerError('a trailer is no field')
+
+
+_LINE_CHECKS: Final = {
+    Part.status_line: _read_status,
+    Part.fields: _read_field,
+    Part.chunk_size: _read_chunk_size,
+    Part.trailers: _read_trailer,
+}
--- a/libs/http/src/gypsumrelay_http/answers.py
+++ b/libs/http/src/gypsumrelay_http/answers.py
@@ -3,20 +3,26 @@
 from __future__ import annotations
 
 import io
+from typing import Any, Final
 
 from gypsumrelay_http.answer_syntax import (
     AnswerSyntax,
     MalformedAnswerError,
     Part,
+    check_bytes,
     check_line,
 )
 
+# Parts that have no lines.
+DATA: Final = frozenset((Part.body, Part.chunk))
+
 
 class AnswerReader(io.BufferedReader):
     """Reads one answer, and fails if it is malformed or its head is truncated.
 
     The HTTP library takes the end of the bytes for the end of the head, so
-    that a truncated head looks like an answer with an empty body.
+    that a truncated head looks like an answer with an empty body. It also
+    skips the bytes that end a chunk, whatever they are.
 
     Attributes:
         syntax: What is known of the answer.
@@ -31,20 +37,40 @@
         """Return the next line; empty if there is no answer.
 
         Raises:
-            ConnectionError: The bytes ended inside the head.
+            ConnectionError: The bytes ended inside the head or the framing.
             MalformedAnswerError: The line is no part of an answer.
         """
         line = super().readline(size)
         part = self.syntax.part
-        if part is Part.body or (part is Part.status_line and not line):
-            return line
-        if not line.endswith(b'\n') and part is not Part.status_line:
-            self._fail_unended(line, -1 if size is None else size)
-        check_line(self.syntax, line)
+        if part in DATA:
+            check_bytes(self.syntax, line)
+        elif line or part is not Part.status_line:
+            self._check_line(line, -1 if size is None else size)
         return line
 
-    def _fail_unended(self, line: bytes, size: int) -> None:
+    def read(self, size: int | None = -1, /) -> bytes:
+        """Return bytes of the body; raise an error if a chunk has no end."""
+        piece = super().read(size)
+        check_bytes(self.syntax, piece)
+        return piece
+
+    def read1(self, size: int = -1, /) -> bytes:
+        """Return bytes of the body; raise an error if a chunk has no end."""
+        piece = super().read1(size)
+        check_bytes(self.syntax, piece)
+        return piece
+
+    def readinto(self, buffer: Any, /) -> int:
+        """Read bytes of the body; raise an error if a chunk has no end."""
+        count = super().readinto(buffer)
+        if self.syntax.part is Part.chunk:
+            check_bytes(self.syntax, bytes(memoryview(buffer)[:count]))
+        return count
+
+    def _check_line(self, line: bytes, size: int) -> None:
         if len(line) == size:
             raise MalformedAnswerError('a line is too long')
-        part = self.syntax.part.value
-        raise ConnectionError(f'the answer ended inside its {part}')
+        part = self.syntax.part
+        if not line.endswith(b'\n') and part is not Part.status_line:
+            raise ConnectionError(f'the answer ended inside its {part.value}')
+        check_line(self.syntax, line)
--- a/libs/platform/tests/malformed_answers.feature
+++ b/libs/platform/tests/malformed_answers.feature
@@ -8,9 +8,11 @@
     Then none of the <answers> is the answer to an append
 
     Examples:
-      | answers         |
-      | malformed lines |
-      | malformed names |
+      | answers          |
+      | malformed lines  |
+      | malformed names  |
+      | malformed chunks |
+      | truncated chunks |
 
   Scenario: Sound answers that are unusual count
     Given a faulty log service
--- a/libs/relay/tests/malformed_answers.feature
+++ b/libs/relay/tests/malformed_answers.feature
@@ -10,9 +10,11 @@
     Then none of the <answers> is read as an answer
 
     Examples:
-      | answers         |
-      | malformed lines |
-      | malformed names |
+      | answers          |
+      | malformed lines  |
+      | malformed names  |
+      | malformed chunks |
+      | truncated chunks |
 
   Scenario: Sound answers that are unusual are read
     Given a faulty upstream of the relay
--- a/libs/standins/src/gypsumrelay_standins/odd_answers.py
+++ b/libs/standins/src/gypsumrelay_standins/odd_answers.py
@@ -131,7 +131,13 @@
     'a trailer that is no field': _chunked(
         b'{size}\r\n{body}\r\n0\r\nno field\r\n\r\n'
     ),
+}
+# The connection ends before the last chunk has ended.
+TRUNCATED_CHUNKS: Final = {
     'no end after the last chunk': _chunked(b'{size}\r\n{body}\r\n0\r\n'),
+    'no last chunk': _chunked(b'{size}\r\n{body}\r\n'),
+    'a part of a chunk': _chunked(b'1{size}\r\n{body}'),
+    'a part of a trailer': _chunked(b'{size}\r\n{body}\r\n0\r\nX-Text'),
 }
 # Sound answers that are unusual.
 SOUND: Final = {
@@ -161,13 +167,16 @@
     'an interim answer before': b'HTTP/1.1 100 Continue\r\n\r\n'
     + _plain(b'Content-Length: {length}'),
 }
-ANSWERS: Final = MALFORMED_LINES | MALFORMED_NAMES | MALFORMED_CHUNKS | SOUND
 GROUPS: Final = {
     'malformed lines': MALFORMED_LINES,
     'malformed names': MALFORMED_NAMES,
     'malformed chunks': MALFORMED_CHUNKS,
+    'truncated chunks': TRUNCATED_CHUNKS,
     'sound answers': SOUND,
 }
+ANSWERS: Final = {
+    name: answer for group in GROUPS.values() for name, answer in group.items()
+}
 
 
 def odd_answer(name: str, body: bytes, fields: bytes = b'X-Odd: a') -> bytes:
