Pass no interim answer and no unknown status on as an answer

Callers of a relay got the statuses 101, 102, 103, 199, 600 and 999 of an upstream as its answer, those below 200 with a body, which is no HTTP: the caller waits for the final answer, or takes the body for it. The status 000, which other systems passed on, and 099 were rejected before, by relays (502) and by entry and agent; that test stays as it is.

Cause: http.client skips interim answers with status 100 only and takes others for final ones; it checks that a status has three digits, the relay nothing. Agents checked the range themselves, and lost the answer behind a 103.

Now AnswerReader skips every interim answer, so that the final one behind it is read (RFC 9110, section 15.2), and takes a status outside 100 to 599, a 101, and an interim answer with a body for malformed.

--- a/libs/http/src/gypsumrelay_http/answer_syntax.py
+++ b/libs/http/src/gypsumrelay_http/answer_syntax.py
@@ -22,7 +22,7 @@
 _TOKEN: Final = rb"[\w!#$%&'*+.^`|~-]+"
 _TEXT: Final = rb'[\t\x20-\x7e\x80-\xff]*'
 _STATUS_LINE: Final = re.compile(
-    rb'HTTP/1\.\d ([1-9]\d\d)(?: ' + _TEXT + rb')?\r?\n'
+    rb'HTTP/1\.\d ([1-5]\d\d)(?: ' + _TEXT + rb')?\r?\n'
 )
 _FIELD: Final = re.compile(rb'(' + _TOKEN + rb'):(' + _TEXT + rb')\r?\n')
 # Size in hexadecimal digits, with extensions.
@@ -32,6 +32,8 @@
 _END_OF_LINE: Final = b'\r\n'
 _END_OF_HEAD: Final = frozenset((b'\r\n', b'\n'))
 _FIRST_FINAL_STATUS: Final = 200
+# Switches to a protocol that no request asks for.
+_SWITCHING_PROTOCOLS: Final = 101
 _HEXADECIMAL: Final = 16
 
 
@@ -70,6 +72,11 @@
     chunk_left: int = 0
 
 
+def is_interim(syntax: AnswerSyntax) -> bool:
+    """Return whether the last status line was that of an interim answer."""
+    return 0 < syntax.status < _FIRST_FINAL_STATUS
+
+
 def check_line(syntax: AnswerSyntax, line: bytes) -> None:
     """Check the next line.
 
@@ -111,6 +118,8 @@
     if found is None:
         raise MalformedAnswerError('the status line is malformed')
     syntax.status = int(found.group(1))
+    if syntax.status == _SWITCHING_PROTOCOLS:
+        raise MalformedAnswerError('the protocol is not to be switched')
     syntax.lengths.clear()
     syntax.encodings.clear()
     syntax.part = Part.fields
@@ -132,12 +141,13 @@
 
 
 def _end_head(syntax: AnswerSyntax) -> None:
-    if syntax.status < _FIRST_FINAL_STATUS:
-        # Another answer follows an interim one.
-        syntax.part = Part.status_line
-        return
     if not _has_one_framing(syntax):
         raise MalformedAnswerError('the length of the body is malformed')
+    if is_interim(syntax):
+        if syntax.lengths or syntax.encodings:
+            raise MalformedAnswerError('an interim answer has a body')
+        syntax.part = Part.status_line
+        return
     syntax.part = Part.chunk_size if syntax.encodings else Part.body
 
 
--- a/libs/http/src/gypsumrelay_http/answers.py
+++ b/libs/http/src/gypsumrelay_http/answers.py
@@ -11,6 +11,7 @@
     Part,
     check_bytes,
     check_line,
+    is_interim,
 )
 
 # Parts that have no lines.
@@ -36,16 +37,18 @@
     def readline(self, size: int | None = -1, /) -> bytes:
         """Return the next line; empty if there is no answer.
 
+        Interim answers are skipped: the HTTP library skips those with status
+        100 only, and takes others for the answer.
+
         Raises:
             ConnectionError: The bytes ended inside the head or the framing.
             MalformedAnswerError: The line is no part of an answer.
         """
         line = super().readline(size)
-        part = self.syntax.part
-        if part in DATA:
-            check_bytes(self.syntax, line)
-        elif line or part is not Part.status_line:
-            self._check_line(line, -1 if size is None else size)
+        self._check(line, size)
+        while line and is_interim(self.syntax):
+            line = super().readline(size)
+            self._check(line, size)
         return line
 
     def read(self, size: int | None = -1, /) -> bytes:
@@ -67,7 +70,13 @@
             check_bytes(self.syntax, bytes(memoryview(buffer)[:count]))
         return count
 
-    def _check_line(self, line: bytes, size: int) -> None:
+    def _check(self, line: bytes, size: int | None) -> None:
+        if self.syntax.part in DATA:
+            check_bytes(self.syntax, line)
+        elif line or self.syntax.part is not Part.status_line:
+            self._check_line(line, size)
+
+    def _check_line(self, line: bytes, size: int | None) -> None:
         if len(line) == size:
             raise MalformedAnswerError('a line is too long')
         part = self.syntax.part
--- a/libs/relay/tests/malformed_answers.feature
+++ b/libs/relay/tests/malformed_answers.feature
@@ -15,6 +15,7 @@
       | malformed names  |
       | malformed chunks |
       | truncated chunks |
+      | odd statuses     |
 
   Scenario: Sound answers that are unusual are read
     Given a faulty upstream of the relay
--- a/libs/standins/src/gypsumrelay_standins/odd_answers.py
+++ b/libs/standins/src/gypsumrelay_standins/odd_answers.py
@@ -1,4 +1,4 @@
-"""Answers with status 200 that are no HTTP, and sound ones that are unusual."""
+"""Answers that are no HTTP, and sound ones that are unusual."""
 
 from __future__ import annotations
 
@@ -139,6 +139,14 @@
     'a part of a chunk': _chunked(b'1{size}\r\n{body}'),
     'a part of a trailer': _chunked(b'{size}\r\n{body}\r\n0\r\nX-Text'),
 }
+# The status is none of a final answer.
+ODD_STATUSES: Final = {
+    status: _plain(b'Content-Length: {length}').replace(
+        b' 200 ', f' {status} '.encode()
+    )
+    for status in ('000', '099', '101', '102', '103', '199', '600', '999')
+}
+ODD_STATUSES['a 103 alone'] = b'HTTP/1.1 103 Early Hints\r\n{fields}\r\n\r\n'
 # Sound answers that are unusual.
 SOUND: Final = {
     'no length': _plain(b'Connection: close'),
@@ -166,12 +174,16 @@
     'no reason': _plain(b'Content-Length: {length}').replace(b' OK', b''),
     'an interim answer before': b'HTTP/1.1 100 Continue\r\n\r\n'
     + _plain(b'Content-Length: {length}'),
+    'other interim answers before': b'HTTP/1.1 102 Processing\r\n\r\n'
+    b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'
+    + _plain(b'Content-Length: {length}'),
 }
 GROUPS: Final = {
     'malformed lines': MALFORMED_LINES,
     'malformed names': MALFORMED_NAMES,
     'malformed chunks': MALFORMED_CHUNKS,
     'truncated chunks': TRUNCATED_CHUNKS,
+    'odd statuses': ODD_STATUSES,
     'sound answers': SOUND,
 }
 ANSWERS: Final = {
