Limit the bytes of each answer at agents and clients of the platform

An upstream that sent bytes without end, in a body, in chunks or in a line of a stream, was read until its stand-in gave up after 120 MB; an engine's answer was kept as a whole in the memory of the agent, so that the agent would end with the requests of other callers. Heads without end were an error, but counted as a crash of the upstream. The client of the platform services read up to 64 MB, and then all that followed it to drop it.

Cause: only the time between two reads was limited there. Relays and their client of the store have a limit of the bytes until the next progress.

Now that limit (read_limits, moved from the relay to gypsumrelay_http) applies to all readers of answers: 256 KiB for a head with its interim answers, 16 MiB for the answer of a plain service, 4 MiB for one of an engine, 256 KiB for a line of its stream, 64 MiB for one of the platform services, chunk framing included. What exceeds a limit is no crash. More than 99 fields in a head are malformed; http.client read them with another error.

--- a/libs/agent/src/gypsumrelay_agent/engine.py
+++ b/libs/agent/src/gypsumrelay_agent/engine.py
@@ -10,13 +10,20 @@
 import attrs
 import urllib3
 from gypsumrelay_http import MalformedAnswerError
+from gypsumrelay_http.checked_pool import (
+    read_body,
+    read_pieces,
+    renew_size,
+)
 
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
 REQUEST_TIMEOUT_SECONDS: Final = 1.5
 # Read time-out of a token stream. The progress deadline of the entry is shorter
 # and usually ends a stalled stream first.
 STREAM_READ_TIMEOUT_SECONDS: Final = 10.0
-CHUNK_BYTES: Final = 65_536
+# Size limit in bytes of an answer in JSON, and of one line of a stream.
+JSON_BYTES: Final = 4_194_304
+LINE_BYTES: Final = 262_144
 # Statuses of successful answers are from this one on, below the other.
 FIRST_SUCCESS_STATUS: Final = 200
 FIRST_REDIRECT_STATUS: Final = 300
@@ -177,10 +184,12 @@
                 timeout=urllib3.Timeout(
                     connect=CONNECT_TIMEOUT_SECONDS, read=seconds
                 ),
+                preload_content=False,
             )
+            content = read_body(response, seconds, JSON_BYTES)
         except urllib3.exceptions.HTTPError as error:
             return fault_from_error(error)
-        return _parse_response(response)
+        return _parse_response(response.status, content)
 
     def _stream(
         self,
@@ -211,16 +220,13 @@
 
 
 def _parse_response(
-    response: urllib3.BaseHTTPResponse,
+    status: int, content: bytes
 ) -> dict[str, Any] | UpstreamFault:
-    if response.status not in SUCCESS_STATUSES:
-        return UpstreamFault(
-            f'the upstream answered {response.status}',
-            status=response.status,
-        )
+    if status not in SUCCESS_STATUSES:
+        return UpstreamFault(f'the upstream answered {status}', status=status)
     try:
-        answer = response.json()
-    except ValueError:
+        answer = json.loads(content)
+    except (ValueError, RecursionError):
         return UpstreamFault('the upstream answered something else than JSON')
     if not isinstance(answer, dict):
         return UpstreamFault('the upstream answered no JSON object')
@@ -231,8 +237,11 @@
     response: urllib3.BaseHTTPResponse,
 ) -> Iterator[TokenBatch | UpstreamFault]:
     incomplete_line = b''
-    for chunk in response.stream(CHUNK_BYTES):
-        *lines, incomplete_line = (incomplete_line + chunk).split(b'\n')
+    pieces = read_pieces(response, STREAM_READ_TIMEOUT_SECONDS, LINE_BYTES)
+    for piece in pieces:
+        *lines, incomplete_line = (incomplete_line + piece).split(b'\n')
+        if lines:
+            renew_size(response, LINE_BYTES)
         for line in lines:
             batch = _parse_batch(line)
             yield batch
--- a/libs/agent/src/gypsumrelay_agent/service.py
+++ b/libs/agent/src/gypsumrelay_agent/service.py
@@ -9,9 +9,10 @@
 import attrs
 import urllib3
 from gypsumrelay_clock import monotonic
+from gypsumrelay_http import ANSWER_BYTES
+from gypsumrelay_http.checked_pool import read_pieces
 
 from gypsumrelay_agent.engine import (
-    CHUNK_BYTES,
     CONNECT_TIMEOUT_SECONDS,
     MALFORMED_ANSWER,
     UpstreamFault,
@@ -80,11 +81,11 @@
         except urllib3.exceptions.HTTPError as error:
             yield fault_from_error(error)
             return
-        yield from _read_response(response)
+        yield from _read_response(response, seconds)
 
 
 def _read_response(
-    response: urllib3.BaseHTTPResponse,
+    response: urllib3.BaseHTTPResponse, seconds: float
 ) -> Iterator[ResponseStart | bytes | UpstreamFault]:
     if response.status not in FINAL_STATUSES:
         response.close()
@@ -96,7 +97,7 @@
     )
     is_complete = False
     try:
-        yield from response.stream(CHUNK_BYTES, decode_content=False)
+        yield from read_pieces(response, seconds, ANSWER_BYTES)
         is_complete = True
     except urllib3.exceptions.HTTPError as error:
         yield fault_from_error(error)
--- a/libs/bench/src/gypsumrelay_bench/capacity_time.py
+++ b/libs/bench/src/gypsumrelay_bench/capacity_time.py
@@ -27,6 +27,7 @@
     record_to_json,
 )
 from gypsumrelay_errors import Failure
+from gypsumrelay_http import ReadLimits
 from gypsumrelay_limits import Settlement, grant, settle
 from gypsumrelay_membership import ListReceived, apply_event
 from gypsumrelay_platform import ListClient, Listing
@@ -266,13 +267,15 @@
         """Keep the body."""
         self.body = body
 
-    def request(self, *_: Any, **_named: Any) -> urllib3.HTTPResponse:
+    def request(self, *_: Any, **_named: Any) -> Any:
         """Return the body as an HTTP response."""
-        return urllib3.HTTPResponse(
+        response: Any = urllib3.HTTPResponse(
             io.BytesIO(self.body),
             status=200,
             preload_content=False,
         )
+        response.limits = ReadLimits()
+        return response
 
 
 def read_list(body: bytes) -> Listing:
--- a/libs/http/src/gypsumrelay_http/__init__.py
+++ b/libs/http/src/gypsumrelay_http/__init__.py
@@ -9,6 +9,14 @@
     environ_headers,
     listed_headers,
 )
+from gypsumrelay_http.read_limits import (
+    ANSWER_BYTES,
+    HEAD_BYTES,
+    MIN_SECONDS,
+    BoundedSocket,
+    ReadLimits,
+    Silence,
+)
 from gypsumrelay_http.server import (
     Application,
     StartResponse,
@@ -16,11 +24,17 @@
 )
 
 __all__ = (
+    'ANSWER_BYTES',
+    'HEAD_BYTES',
     'HOP_BY_HOP',
+    'MIN_SECONDS',
     'AnswerReader',
     'Application',
+    'BoundedSocket',
     'MalformedAnswerError',
+    'ReadLimits',
     'ResettingTask',
+    'Silence',
     'StartResponse',
     'client_library',
     'environ_headers',
--- a/libs/http/src/gypsumrelay_http/answer_syntax.py
+++ b/libs/http/src/gypsumrelay_http/answer_syntax.py
@@ -31,6 +31,8 @@
 )
 _END_OF_LINE: Final = b'\r\n'
 _END_OF_HEAD: Final = frozenset((b'\r\n', b'\n'))
+# Maximum number of fields of a head; `http.client` accepts no more.
+_MAX_FIELDS: Final = 99
 _FIRST_FINAL_STATUS: Final = 200
 # Switches to a protocol that no request asks for.
 _SWITCHING_PROTOCOLS: Final = 101
@@ -59,6 +61,7 @@
     Attributes:
         part: The part that is read next.
         status: Status code.
+        fields: Number of fields.
         lengths: Values of `Content-Length`.
         encodings: Values of `Transfer-Encoding`.
         chunk_left: Bytes of the current chunk that are not read yet, with the
@@ -67,6 +70,7 @@
 
     part: Part = Part.status_line
     status: int = 0
+    fields: int = 0
     lengths: set[bytes] = attrs.field(factory=set)
     encodings: list[bytes] = attrs.field(factory=list)
     chunk_left: int = 0
@@ -120,6 +124,7 @@
     syntax.status = int(found.group(1))
     if syntax.status == _SWITCHING_PROTOCOLS:
         raise MalformedAnswerError('the protocol is not to be switched')
+    syntax.fields = 0
     syntax.lengths.clear()
     syntax.encodings.clear()
     syntax.part = Part.fields
@@ -132,6 +137,9 @@
     found = _FIELD.fullmatch(line)
     if found is None:
         raise MalformedAnswerError('a line of the head is no field')
+    syntax.fields += 1
+    if syntax.fields > _MAX_FIELDS:
+        raise MalformedAnswerError('the head has too many fields')
     name = found.group(1).lower()
     text = found.group(2).strip(_BLANKS)
     if name == b'content-length':
--- a/libs/relay/src/gypsumrelay_relay/read_limits.py
+++ b/libs/http/src/gypsumrelay_http/read_limits.py
@@ -15,13 +15,19 @@
 
 import attrs
 from gypsumrelay_clock import monotonic
-from gypsumrelay_http import AnswerReader
+
+from gypsumrelay_http.answer_syntax import MalformedAnswerError
+from gypsumrelay_http.answers import AnswerReader
 
 # Shortest socket time-out in seconds; 0 would make the socket non-blocking.
 MIN_SECONDS: Final = 0.01
 # Interval in seconds between the calls of `Silence.is_replaced`.
 SILENCE_CHECK_SECONDS: Final = 0.02
 MS_PER_SECOND: Final = 1000
+# Size limit in bytes of an answer that is kept in memory.
+ANSWER_BYTES: Final = 16_777_216
+# Size limit in bytes of an answer's head, with all interim answers before it.
+HEAD_BYTES: Final = 262_144
 
 
 @attrs.frozen
@@ -81,7 +87,7 @@
         Raises:
             TimeoutError: No progress was made in time, or another upstream
                 answers instead.
-            ValueError: Too many bytes arrived without progress.
+            MalformedAnswerError: Too many bytes arrived without progress.
         """
         if self.limits.silence is not None:
             self._wait(self.limits.silence)
@@ -89,7 +95,7 @@
         if left <= 0:
             raise TimeoutError('no progress in time')
         if self.limits.bytes_left <= 0:
-            raise ValueError('too many bytes without progress')
+            raise MalformedAnswerError('too many bytes without progress')
         self.sock.settimeout(max(MIN_SECONDS, left))
         count: int | None = self.raw.readinto(buffer)
         self.limits.bytes_left -= count or 0
--- a/libs/platform/src/gypsumrelay_platform/__init__.py
+++ b/libs/platform/src/gypsumrelay_platform/__init__.py
@@ -7,7 +7,6 @@
 from .http import (
     exchange,
     new_pool,
-    release,
 )
 from .listclient import (
     ListClient,
@@ -48,6 +47,5 @@
     'new_pool',
     'parse_address',
     'publish',
-    'release',
     'write_snapshot',
 )
--- a/libs/platform/src/gypsumrelay_platform/http.py
+++ b/libs/platform/src/gypsumrelay_platform/http.py
@@ -7,7 +7,7 @@
 
 import urllib3
 from gypsumrelay_errors import Outcome, PlatformUnavailable
-from gypsumrelay_http.checked_pool import new_checked_pool
+from gypsumrelay_http.checked_pool import new_checked_pool, read_body
 
 CONNECT_SECONDS: Final = 1.0
 READ_SECONDS: Final = 3.0
@@ -51,7 +51,7 @@
             headers={'Content-Type': 'application/json'},
             preload_content=False,
         )
-        payload = response.read(ANSWER_LIMIT_BYTES)
+        payload = read_body(response, READ_SECONDS, ANSWER_LIMIT_BYTES)
     except (urllib3.exceptions.NewConnectionError, ValueError):
         return PlatformUnavailable('the platform service is out of reach')
     except urllib3.exceptions.HTTPError:
@@ -59,7 +59,6 @@
             'the platform service gave no answer',
             Outcome.unknown,
         )
-    release(response)
     if response.status >= MIN_ERROR_STATUS:
         return PlatformUnavailable(
             f'the platform service answered {response.status}',
@@ -68,12 +67,6 @@
     return _parse(payload)
 
 
-def release(response: urllib3.BaseHTTPResponse) -> None:
-    """Drain a response and return its connection to the pool."""
-    response.drain_conn()
-    response.release_conn()
-
-
 def _parse(payload: bytes) -> Any | PlatformUnavailable:
     try:
         return json.loads(payload)
--- a/libs/relay/src/gypsumrelay_relay/__init__.py
+++ b/libs/relay/src/gypsumrelay_relay/__init__.py
@@ -13,9 +13,6 @@
     ReplyHeaders,
     UpstreamRequest,
 )
-from .read_limits import (
-    BoundedSocket,
-)
 from .routes import (
     Account,
     CallerLimits,
@@ -47,7 +44,6 @@
     'LIVENESS_OPTIONS',
     'Account',
     'AddedHeaders',
-    'BoundedSocket',
     'CallerHeaders',
     'CallerLimits',
     'Changes',
--- a/libs/relay/src/gypsumrelay_relay/attempts.py
+++ b/libs/relay/src/gypsumrelay_relay/attempts.py
@@ -35,10 +35,10 @@
 
 if TYPE_CHECKING:
     from gypsumrelay_dispatch import PlacementRequest
+    from gypsumrelay_http import Silence
 
     from gypsumrelay_relay.exchange import Exchange
     from gypsumrelay_relay.protocol import AddedHeaders, ReplyHeaders
-    from gypsumrelay_relay.read_limits import Silence
 
 MS_PER_SECOND: Final = 1000
 # Delay in seconds of `Retry-After` if it is unknown when capacity becomes
--- a/libs/relay/src/gypsumrelay_relay/connections.py
+++ b/libs/relay/src/gypsumrelay_relay/connections.py
@@ -10,9 +10,7 @@
 
 import attrs
 from gypsumrelay_clock import monotonic
-from gypsumrelay_http import client_library
-
-from gypsumrelay_relay.read_limits import BoundedSocket
+from gypsumrelay_http import BoundedSocket, client_library
 
 if TYPE_CHECKING:
     from urllib3.connection import HTTPConnection
--- a/libs/relay/src/gypsumrelay_relay/plain_requests.py
+++ b/libs/relay/src/gypsumrelay_relay/plain_requests.py
@@ -9,6 +9,7 @@
 from gypsumrelay_clock import monotonic
 from gypsumrelay_dispatch import Ending
 from gypsumrelay_errors import Failure, Outcome, UpstreamFailed
+from gypsumrelay_http import ANSWER_BYTES, Silence
 
 from gypsumrelay_relay.attempts import (
     NOT_RUN_ENDINGS,
@@ -28,10 +29,8 @@
     drop_body,
 )
 from gypsumrelay_relay.protocol import AddedHeaders
-from gypsumrelay_relay.read_limits import Silence
 from gypsumrelay_relay.routes import RetryPolicy
 from gypsumrelay_relay.sending import (
-    ANSWER_BYTES,
     Reply,
     SendFailed,
     io_errors,
@@ -39,9 +38,10 @@
 from gypsumrelay_relay.substitution import Substitution
 
 if TYPE_CHECKING:
+    from gypsumrelay_http import BoundedSocket
+
     from gypsumrelay_relay.exchange import Chunks, Exchange
     from gypsumrelay_relay.placement import Placement
-    from gypsumrelay_relay.read_limits import BoundedSocket
 
 MS_PER_SECOND: Final = 1000
 # Share of the remaining time after which a substitute of an upstream that does
--- a/libs/relay/src/gypsumrelay_relay/sending.py
+++ b/libs/relay/src/gypsumrelay_relay/sending.py
@@ -11,26 +11,25 @@
 import attrs
 from gypsumrelay_clock import monotonic
 from gypsumrelay_dispatch import Ending
-from gypsumrelay_http import client_library
-
-from gypsumrelay_relay.read_limits import MIN_SECONDS
+from gypsumrelay_http import (
+    ANSWER_BYTES,
+    HEAD_BYTES,
+    MIN_SECONDS,
+    client_library,
+)
 
 if TYPE_CHECKING:
+    from gypsumrelay_http import BoundedSocket, Silence
     from urllib3 import BaseHTTPResponse
     from urllib3.connection import HTTPConnection
 
     from gypsumrelay_relay.cancellation import Cancellation
     from gypsumrelay_relay.connections import Connections
     from gypsumrelay_relay.protocol import UpstreamRequest
-    from gypsumrelay_relay.read_limits import BoundedSocket, Silence
 
 READ_BYTES: Final = 65_536
-# Size limit in bytes of an answer that is kept in memory.
-ANSWER_BYTES: Final = 16_777_216
 # Maximum length in characters of an error in the log.
 REASON_LENGTH: Final = 160
-# Size limit in bytes of an answer's head, with all interim answers before it.
-HEAD_BYTES: Final = 262_144
 # Size limit in bytes of one event of a stream, or of an error answer's body.
 EVENT_BYTES: Final = 1_048_576
 
--- a/libs/relay/src/gypsumrelay_relay/stream_runs.py
+++ b/libs/relay/src/gypsumrelay_relay/stream_runs.py
@@ -17,10 +17,11 @@
 from gypsumrelay_relay.sending import shut_down
 
 if TYPE_CHECKING:
+    from gypsumrelay_http import BoundedSocket
+
     from gypsumrelay_relay.eventstream import EventBlock, EventSplitter
     from gypsumrelay_relay.exchange import Exchange
     from gypsumrelay_relay.placement import Placement
-    from gypsumrelay_relay.read_limits import BoundedSocket
     from gypsumrelay_relay.sending import Reply
     from gypsumrelay_relay.substitution import Substitution
 
--- a/libs/relay/src/gypsumrelay_relay/stream_start.py
+++ b/libs/relay/src/gypsumrelay_relay/stream_start.py
@@ -9,6 +9,7 @@
 from gypsumrelay_clock import monotonic
 from gypsumrelay_dispatch import Ending
 from gypsumrelay_errors import Failure, Outcome, UpstreamFailed
+from gypsumrelay_http import Silence
 
 from gypsumrelay_relay.attempts import (
     FIRST_SERVER_ERROR,
@@ -26,7 +27,6 @@
 from gypsumrelay_relay.exchange import CompleteAnswer
 from gypsumrelay_relay.prefill import MS_PER_SECOND, Cache, run_prefill
 from gypsumrelay_relay.protocol import AddedHeaders
-from gypsumrelay_relay.read_limits import Silence
 from gypsumrelay_relay.sending import (
     EVENT_BYTES,
     Reply,
@@ -47,10 +47,10 @@
 
 if TYPE_CHECKING:
     from gypsumrelay_dispatch import PlacementRequest
+    from gypsumrelay_http import BoundedSocket
 
     from gypsumrelay_relay.exchange import Exchange
     from gypsumrelay_relay.placement import Placement
-    from gypsumrelay_relay.read_limits import BoundedSocket
 
 # Time in seconds without an event after which a substitute of an upstream is
 # requested; callers leave after two seconds.
--- a/libs/standins/src/gypsumrelay_standins/__init__.py
+++ b/libs/standins/src/gypsumrelay_standins/__init__.py
@@ -1,5 +1,8 @@
 """Simulated platform services and upstreams for tests and demonstrations."""
 
+from gypsumrelay_standins.endless_answers import (
+    ENDLESS,
+)
 from gypsumrelay_standins.engine import (
     Engine,
     EngineSettings,
@@ -40,6 +43,7 @@
 )
 
 __all__ = (
+    'ENDLESS',
     'GROUPS',
     'Engine',
     'EngineSettings',
--- a/libs/standins/src/gypsumrelay_standins/faulty_service.py
+++ b/libs/standins/src/gypsumrelay_standins/faulty_service.py
@@ -7,12 +7,15 @@
 import struct
 import threading
 import time
+from collections.abc import Iterable
+from contextlib import suppress
 from functools import partial
 from http.server import BaseHTTPRequestHandler
 from typing import Any, Final
 
 import attrs
 
+from gypsumrelay_standins.endless_answers import endless_answer
 from gypsumrelay_standins.odd_answers import odd_answer
 
 NO_FAULT: Final = ''
@@ -24,12 +27,15 @@
 }
 # Bytes before the end of the request's body at which the reset comes.
 LAST_BYTE_RESET: Final = 'last_byte_reset'
+PART_FAULTS: Final = frozenset((*READ_SHARES, LAST_BYTE_RESET))
 # The answer ends with its connection after the first header.
 HALF_HEAD: Final = 'half_head'
 # Faults that state the given status in an answer with a length.
 STATUS_PREFIX: Final = 'status_'
 # The answer is the one of this name in `odd_answers`.
 ODD_PREFIX: Final = 'odd: '
+# The answer is the one of this name in `endless_answers`.
+ENDLESS_PREFIX: Final = 'endless: '
 # Pause in seconds before a reset, so that the sent part arrives first.
 RESET_AFTER_SECONDS: Final = 0.05
 WHOLE_BODY: Final = b'whole'
@@ -49,6 +55,7 @@
         whole: The body of all other answers.
         connections: Number of connections accepted so far.
         runs: Number of requests received so far.
+        sent_bytes: Bytes of odd and endless answers sent so far.
     """
 
     server: socketserver.ThreadingTCPServer | None = None
@@ -58,6 +65,7 @@
     whole: bytes = WHOLE_BODY
     connections: int = 0
     runs: int = 0
+    sent_bytes: int = 0
 
     @property
     def url(self) -> str:
@@ -100,28 +108,39 @@
         faults = self.faults
         faults.runs += 1
         length = int(self.headers.get('Content-Length') or 0)
+        if faults.fault in PART_FAULTS:
+            self._write_part(length)
+            return
+        self.rfile.read(length)
         if faults.fault == NO_FAULT:
-            self.rfile.read(length)
             self._write_whole('200 OK')
         elif faults.fault.startswith(STATUS_PREFIX):
-            self.rfile.read(length)
             status = faults.fault.removeprefix(STATUS_PREFIX)
             self._write_whole(f'{status} Status')
-        elif faults.fault.startswith(ODD_PREFIX):
-            self.rfile.read(length)
-            name = faults.fault.removeprefix(ODD_PREFIX)
-            self.wfile.write(odd_answer(name, faults.whole))
-            self.close_connection = True
-        elif faults.fault == HALF_HEAD:
-            self.rfile.read(length)
-            self.wfile.write(b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n')
-            self.close_connection = True
         else:
-            self._write_part(length)
+            self._write_and_close(faults.fault)
 
     def log_message(self, format: str, *args: object) -> None:
         """Log nothing."""
 
+    def _write_and_close(self, fault: str) -> None:
+        """Send an answer until it ends or its reader closes the connection."""
+        self.close_connection = True
+        with suppress(OSError):
+            for piece in self._pieces(fault):
+                self.wfile.write(piece)
+                self.faults.sent_bytes += len(piece)
+
+    def _pieces(self, fault: str) -> Iterable[bytes]:
+        if fault.startswith(ODD_PREFIX):
+            name = fault.removeprefix(ODD_PREFIX)
+            return [odd_answer(name, self.faults.whole)]
+        if fault.startswith(ENDLESS_PREFIX):
+            return endless_answer(fault.removeprefix(ENDLESS_PREFIX))
+        if fault == HALF_HEAD:
+            return [b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n']
+        raise ValueError(f'there is no fault {fault}')
+
     def _write_whole(self, status: str) -> None:
         whole = self.faults.whole
         head = f'HTTP/1.1 {status}\r\nContent-Length: {len(whole)}\r\n\r\n'
