--- a/libs/platform/tests/malformed_answers.feature
+++ b/libs/platform/tests/malformed_answers.feature
@@ -17,3 +17,17 @@
   Scenario: Sound answers that are unusual count
     Given a faulty log service
     Then each of the sound answers is the answer to an append
+
+  Scenario Outline: A part of an answer that a reset cut off counts as none
+    Guards against a verdict on records of which the service has read a part.
+    Given a faulty log service
+    When it answers with the fault "<fault>", framed by none
+    Then calls with bodies of 100, 100000, 4000000 and 16000000 bytes get no answer
+
+    Examples:
+      | fault           |
+      | early_reset     |
+      | midway_reset    |
+      | last_byte_reset |
+      | late_reset      |
+      | half_head       |
--- a/libs/platform/tests/steps/malformed_answers.py
+++ b/libs/platform/tests/steps/malformed_answers.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
-from behave import given, then
+from behave import given, then, when
 from gypsumrelay_errors import Outcome, PlatformUnavailable
 from gypsumrelay_platform import LogClient
+from gypsumrelay_platform.http import exchange, new_pool
 from gypsumrelay_standins import GROUPS, FaultyService
 
 FIRST_OFFSET = 7
@@ -14,7 +16,8 @@
 
 @given('a faulty log service')
 def start_service(context: Any) -> None:
-    context.service = FaultyService(whole=b'{"first_offset": 7}')
+    whole = b'{"first_offset": 7}'
+    context.service = FaultyService(whole=whole, part=whole)
     context.service.start()
     context.add_cleanup(context.service.stop)
 
@@ -39,3 +42,18 @@
 def check_each(context: Any, group: str) -> None:
     for name in GROUPS[group]:
         assert append(context, name) == FIRST_OFFSET, name
+
+
+@when('it answers with the fault "{fault}", framed by {framing}')
+def set_fault(context: Any, fault: str, framing: str) -> None:
+    context.service.fault = fault
+    context.service.framing = framing
+
+
+@then('calls with bodies of {sizes} bytes get no answer')
+def check_parts(context: Any, sizes: str) -> None:
+    pool = new_pool()
+    for size in map(int, re.findall(r'\d+', sizes)):
+        found = exchange(pool, 'POST', context.service.url, 'x' * size)
+        assert isinstance(found, PlatformUnavailable), (size, found)
+        assert found.outcome is Outcome.unknown, size
