Bind no stream to versions that a suspended relay has missed

A stream went on at an upstream of another version than the one that began it (ORDER): it was taken up at the coordinator, which had been suspended while upstreams started again under their names at a new version and the relay that served the stream ended, and the store answered nothing just then.

Cause: what a relay knows of versions is as old as its list of upstreams. While the store is away the old list stays in use, since nobody can read a newer one; but one that was suspended may have missed changes that others saw. It knew at which version the stream began, and took an upstream for one of it that had started again since. The reported form, where new upstreams join and a relay that missed them takes up their streams, was handled before: a version that is not in the list, or not known, is rejected; these scenarios are kept.

Now a coordinator that was suspended does not rely on the versions in its list until it has read the list again: requests that are bound to a version get 503 stream_not_resumable at once, with a time to retry of a second, and a stream that begins meanwhile is bound to no version, so that it is not taken up. Requests without a version go on as before.

--- a/libs/dispatch/src/gypsumrelay_dispatch/granting.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/granting.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Final
 
+import attrs
+
 from gypsumrelay_dispatch import (
     fair_queueing,
     pauses,
@@ -58,7 +60,7 @@
         load.direct_prefill_until = now + prefill_work_ms / MS_PER_SECOND
     return Grant(
         request,
-        load.upstream,
+        _granted(scheduler, load.upstream),
         prefill,
         now - waiting.requested_at,
         used,
@@ -70,6 +72,16 @@
     )
 
 
+def _granted(scheduler: SchedulerState, upstream: Upstream) -> Upstream:
+    """Return an upstream, without its version while that is not known.
+
+    A stream that it begins would be bound to a wrong one.
+    """
+    if scheduler.versions_known:
+        return upstream
+    return attrs.evolve(upstream, version='')
+
+
 def is_direct_prefill(placement: ActivePlacement) -> bool:
     """Return whether the decode upstream also runs the prefill."""
     request = placement.request
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduler_state.py
@@ -117,6 +117,8 @@
         list_position: Position of the list of upstreams in the store.
         list_expires_at: Instant at which the list of upstreams becomes too old
             for new grants.
+        versions_known: Whether the versions of the upstreams are those of the
+            list; not while this instance may have missed their changes.
         rate_limits: Rate limits that upstreams state, by upstream.
         departures: Upstreams that state in their answers that they are
             leaving.
@@ -153,6 +155,7 @@
     grant_rates: dict[str, GrantRate] = attrs.field(factory=dict)
     list_position: int = -1
     list_expires_at: float = float('inf')
+    versions_known: bool = True
     rate_limits: RateLimits = attrs.field(factory=dict)
     departures: Departures = attrs.field(factory=dict)
     pauses: Pauses = attrs.field(factory=dict)
--- a/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
+++ b/libs/dispatch/src/gypsumrelay_dispatch/scheduling.py
@@ -283,12 +283,10 @@
     if quarantined is not None:
         refund_charge(scheduler, request)
         return build_rejection(scheduler, request, quarantined)
-    if _lacks_version(scheduler, request, now):
+    unresumable = _version_failure(scheduler, request, now)
+    if unresumable is not None:
         refund_charge(scheduler, request)
-        failure = StreamNotResumable(
-            'no upstream has the version that began the stream'
-        )
-        return build_rejection(scheduler, request, failure)
+        return build_rejection(scheduler, request, unresumable)
     may_place = is_attempted and _may_place(scheduler, request, now)
     choice = choose(scheduler, request, now) if may_place else None
     if choice is not None:
@@ -313,17 +311,27 @@
     )
 
 
-def _lacks_version(
+def _version_failure(
     scheduler: SchedulerState, request: PlacementRequest, now: float
-) -> bool:
-    """Return whether no upstream has the version that a request is bound to.
+) -> StreamNotResumable | None:
+    """Return why no upstream can go on with the stream of a request.
 
-    An old list of upstreams does not show that.
+    An old list of upstreams does not show which versions there are. If it is
+    used all the same, an upstream may have started again at another version
+    while this instance missed it.
     """
     if not request.version or now >= scheduler.list_expires_at:
-        return False
-    is_listed = scheduler.list_position >= 0
-    return is_listed and not has_version(scheduler, request, now)
+        return None
+    if not scheduler.versions_known:
+        return StreamNotResumable(
+            'the versions of the upstreams are not known',
+            retry_at=now + DEFAULT_RETRY_SECONDS,
+        )
+    if scheduler.list_position < 0 or has_version(scheduler, request, now):
+        return None
+    return StreamNotResumable(
+        'no upstream has the version that began the stream'
+    )
 
 
 def _may_place(
--- a/libs/relay/src/gypsumrelay_relay/coordination/actor.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination/actor.py
@@ -307,8 +307,8 @@
             dispatch.record_phase_change(scheduler, change, now)
         case messages.SettingsChanged(settings):
             scheduler.settings = settings
-        case messages.ListRead(usable_until):
-            scheduler.list_expires_at = usable_until
+        case messages.ListRead() | messages.ListMissed():
+            _apply_list_age(scheduler, message)
         case messages.UpstreamsChanged(upstreams, position, store_recovered):
             scheduler.list_position = position
             dispatch.apply_upstreams(
@@ -316,6 +316,17 @@
             )
 
 
+def _apply_list_age(
+    scheduler: SchedulerState, message: messages.ListRead | messages.ListMissed
+) -> None:
+    match message:
+        case messages.ListRead(usable_until, versions_known):
+            scheduler.list_expires_at = usable_until
+            scheduler.versions_known = versions_known
+        case messages.ListMissed():
+            scheduler.versions_known = False
+
+
 def _apply_operator_state(
     scheduler: SchedulerState, state: OperatorState, now: float
 ) -> None:
--- a/libs/relay/src/gypsumrelay_relay/coordination/messages.py
+++ b/libs/relay/src/gypsumrelay_relay/coordination/messages.py
@@ -229,9 +229,17 @@
 
     Attributes:
         usable_until: Instant until which placements are granted from the list.
+        versions_known: Whether the versions of the upstreams are those of the
+            list.
     """
 
     usable_until: float
+    versions_known: bool = True
+
+
+@attrs.frozen
+class ListMissed:
+    """Changes of the list of upstreams may have been missed."""
 
 
 @attrs.frozen
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -269,7 +269,9 @@
     coordination = relay.coordination
 
     def on_update(
-        update: messages.UpstreamsChanged | messages.ListRead,
+        update: messages.UpstreamsChanged
+        | messages.ListRead
+        | messages.ListMissed,
     ) -> None:
         coordination.actor.tell(update)
         if isinstance(update, messages.UpstreamsChanged):
--- a/libs/relay/src/gypsumrelay_relay/store_follower.py
+++ b/libs/relay/src/gypsumrelay_relay/store_follower.py
@@ -11,7 +11,11 @@
 from gypsumrelay_errors import Failure
 from logbook import Logger
 
-from gypsumrelay_relay.coordination.messages import ListRead, UpstreamsChanged
+from gypsumrelay_relay.coordination.messages import (
+    ListMissed,
+    ListRead,
+    UpstreamsChanged,
+)
 from gypsumrelay_relay.events import state as state_events
 from gypsumrelay_relay.membership import becomes_stale
 from gypsumrelay_relay.operator_check import OperatorCheck
@@ -53,7 +57,7 @@
 # Maximum number of unreadable records that are remembered.
 MAX_UNREADABLE: Final = 1024
 
-OnUpdate = Callable[[UpstreamsChanged | ListRead], None]
+OnUpdate = Callable[[UpstreamsChanged | ListRead | ListMissed], None]
 
 
 @attrs.define(eq=False)
@@ -72,6 +76,10 @@
         upstreams: The copy of the list of upstreams.
         history: The newest record that was read of each upstream.
         due_at: Instant at which the next read of the list is due.
+        missed_until: Instant before which changes of the list may have been
+            missed.
+        current_at: Instant at which the last read of the list began that was
+            answered.
         read_requested: Set to read the list at once.
         stopped: Ends all threads.
         operator_check: Reads the operator records at intervals.
@@ -88,6 +96,8 @@
     )
     history: UpstreamHistory = attrs.field(factory=UpstreamHistory)
     due_at: float = 0
+    missed_until: float = float('-inf')
+    current_at: float = 0
     read_requested: threading.Event = attrs.field(factory=threading.Event)
     stopped: threading.Event = attrs.field(factory=threading.Event)
     operator_check: OperatorCheck = attrs.field(init=False)
@@ -130,8 +140,11 @@
     def read_list(self) -> float:
         """Read the list once; return the seconds until the next read."""
         copy = self.upstreams
+        began_at = monotonic()
         changed = self._refresh(copy, 0)
         now = monotonic()
+        if changed is not None:
+            self.current_at = began_at
         store_recovered = now - copy.returned_at < RECOVERY_SECONDS
         is_due = store_recovered or not self.history.is_settled
         if changed or (changed is not None and is_due):
@@ -143,8 +156,9 @@
                 self._read(copy.removed),
             )
             upstreams = newest_upstreams(self.history, listed, reading)
-            update = UpstreamsChanged(upstreams, copy.position, store_recovered)
-            self.on_update(update)
+            self.on_update(
+                UpstreamsChanged(upstreams, copy.position, store_recovered)
+            )
         # While the store is unavailable, no relay can read a newer list, so
         # that the current one stays in use.
         self.allow_use(now)
@@ -213,13 +227,16 @@
         What was read may be as old as the suspension was long, although no
         read failed.
         """
+        self.missed_until = now
+        self.on_update(ListMissed())
         self.operator_check.read_now(now)
         self.due_at = now
         self.read_requested.set()
 
     def allow_use(self, now: float) -> None:
         """Allow placements from the current list for `LIST_USABLE_SECONDS`."""
-        self.on_update(ListRead(now + LIST_USABLE_SECONDS))
+        is_current = self.current_at >= self.missed_until
+        self.on_update(ListRead(now + LIST_USABLE_SECONDS, is_current))
 
     def read_now(self, now: float) -> None:
         """Make the next reads due now, as this relay coordinates."""
