--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -47,4 +47,19 @@
       | malformed lines  |
       | malformed names  |
       | malformed chunks |
-      | truncated chunks |
+      | truncated answers |
+
+  Scenario Outline: A request whose answer is malformed is not run again
+    Guards against a second run of a request that must not be repeated, and
+    against a caller that is left without an answer.
+    Given the smallest deployment with a faulty service
+    Then each request with one of the <answers> runs once and gets a typed error with status 502
+
+    Examples:
+      | answers         |
+      | malformed lines |
+      | malformed names |
+
+  Scenario: A sound answer that is unusual reaches its caller
+    Given the smallest deployment with a faulty service
+    Then each request with one of the sound answers gets a whole answer
--- a/features/steps/broken_answers.py
+++ b/features/steps/broken_answers.py
@@ -202,3 +202,30 @@
         assert service.runs, name
         service.runs = 0
     assert not whole, whole
+
+
+@then(
+    'each request with one of the {group} runs once and gets a typed error '
+    'with status {status:d}'
+)
+def check_not_repeated(context: Any, group: str, status: int) -> None:
+    service = context.system.service
+    for name in GROUPS[group]:
+        service.runs = 0
+        service.fault = f'odd: {name}'
+        answers = send_bodies(context, '100', 'with a length')
+        for answer in answers:
+            assert answer.status == status, (name, answer)
+            assert answer.is_whole and b'"code"' in answer.body, (name, answer)
+        assert service.runs == len(answers), (name, service.runs)
+
+
+@then('each request with one of the {group} gets a whole answer')
+def check_sound(context: Any, group: str) -> None:
+    service = context.system.service
+    for name in GROUPS[group]:
+        service.fault = f'odd: {name}'
+        answers = send_bodies(context, '100', 'with a length')
+        for answer in answers:
+            expected = Answer(200, service.whole, is_whole=True)
+            assert answer == expected, (name, answer)
--- a/libs/agent/tests/steps/broken_answers.py
+++ b/libs/agent/tests/steps/broken_answers.py
@@ -157,3 +157,18 @@
         if not isinstance(batches[-1], UpstreamFault):
             whole.append((name, batches))
     assert not whole, whole
+
+
+@then(
+    'after each of the {group}, kept open, the next request gets its own on a '
+    'new connection'
+)
+def check_rest(context: Any, group: str) -> None:
+    for name in GROUPS[group]:
+        assert call(context, 100, '') == WHOLE, name
+        known = context.faulty.connections
+        answer = call(context, 100, f'kept: {name}')
+        assert context.faulty.connections == known, (name, 'not kept')
+        assert isinstance(answer[-1], UpstreamFault), (name, answer)
+        assert call(context, 100, '') == WHOLE, name
+        assert context.faulty.connections == known + 1, name
--- a/libs/standins/src/gypsumrelay_standins/__init__.py
+++ b/libs/standins/src/gypsumrelay_standins/__init__.py
@@ -33,6 +33,7 @@
 )
 from gypsumrelay_standins.odd_answers import (
     GROUPS,
+    REST,
     odd_answer,
 )
 from gypsumrelay_standins.plain_service import (
@@ -45,6 +46,7 @@
 __all__ = (
     'ENDLESS',
     'GROUPS',
+    'REST',
     'Engine',
     'EngineSettings',
     'FaultyService',
--- a/libs/standins/src/gypsumrelay_standins/faulty_service.py
+++ b/libs/standins/src/gypsumrelay_standins/faulty_service.py
@@ -16,7 +16,7 @@
 import attrs
 
 from gypsumrelay_standins.endless_answers import endless_answer
-from gypsumrelay_standins.odd_answers import odd_answer
+from gypsumrelay_standins.odd_answers import REST, odd_answer
 
 NO_FAULT: Final = ''
 # Part of the request's body that is read before the answer, by fault.
@@ -34,6 +34,8 @@
 STATUS_PREFIX: Final = 'status_'
 # The answer is the one of this name in `odd_answers`.
 ODD_PREFIX: Final = 'odd: '
+# The same, followed by another one on a connection that stays open.
+KEPT_PREFIX: Final = 'kept: '
 # The answer is the one of this name in `endless_answers`.
 ENDLESS_PREFIX: Final = 'endless: '
 # Pause in seconds before a reset, so that the sent part arrives first.
@@ -118,14 +120,14 @@
             status = faults.fault.removeprefix(STATUS_PREFIX)
             self._write_whole(f'{status} Status')
         else:
-            self._write_and_close(faults.fault)
+            self.close_connection = not faults.fault.startswith(KEPT_PREFIX)
+            self._write_pieces(faults.fault)
 
     def log_message(self, format: str, *args: object) -> None:
         """Log nothing."""
 
-    def _write_and_close(self, fault: str) -> None:
+    def _write_pieces(self, fault: str) -> None:
         """Send an answer until it ends or its reader closes the connection."""
-        self.close_connection = True
         with suppress(OSError):
             for piece in self._pieces(fault):
                 self.wfile.write(piece)
@@ -135,6 +137,9 @@
         if fault.startswith(ODD_PREFIX):
             name = fault.removeprefix(ODD_PREFIX)
             return [odd_answer(name, self.faults.whole)]
+        if fault.startswith(KEPT_PREFIX):
+            name = fault.removeprefix(KEPT_PREFIX)
+            return [odd_answer(name, self.faults.whole) + REST]
         if fault.startswith(ENDLESS_PREFIX):
             return endless_answer(fault.removeprefix(ENDLESS_PREFIX))
         if fault == HALF_HEAD:
--- a/libs/standins/src/gypsumrelay_standins/odd_answers.py
+++ b/libs/standins/src/gypsumrelay_standins/odd_answers.py
@@ -132,10 +132,11 @@
         b'{size}\r\n{body}\r\n0\r\nno field\r\n\r\n'
     ),
 }
-# The connection ends before the last chunk has ended.
-TRUNCATED_CHUNKS: Final = {
+# The connection ends before the answer has.
+TRUNCATED: Final = {
     'no end after the last chunk': _chunked(b'{size}\r\n{body}\r\n0\r\n'),
     'no last chunk': _chunked(b'{size}\r\n{body}\r\n'),
+    'a 103 alone': b'HTTP/1.1 103 Early Hints\r\n{fields}\r\n\r\n',
     'a part of a chunk': _chunked(b'1{size}\r\n{body}'),
     'a part of a trailer': _chunked(b'{size}\r\n{body}\r\n0\r\nX-Text'),
 }
@@ -146,7 +147,8 @@
     )
     for status in ('000', '099', '101', '102', '103', '199', '600', '999')
 }
-ODD_STATUSES['a 103 alone'] = b'HTTP/1.1 103 Early Hints\r\n{fields}\r\n\r\n'
+# What may follow on a connection that stays open: another whole answer.
+REST: Final = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nrest'
 # Sound answers that are unusual.
 SOUND: Final = {
     'no length': _plain(b'Connection: close'),
@@ -182,7 +184,7 @@
     'malformed lines': MALFORMED_LINES,
     'malformed names': MALFORMED_NAMES,
     'malformed chunks': MALFORMED_CHUNKS,
-    'truncated chunks': TRUNCATED_CHUNKS,
+    'truncated answers': TRUNCATED,
     'odd statuses': ODD_STATUSES,
     'sound answers': SOUND,
 }
