Bind no stream to versions that a relay cut off has missed

A stream went on at an upstream of another version than the one that began it (ORDER): at a coordinator that had been cut off from the store, and then from the other relays, while upstreams started again under their names at a new version.

The old list stays in use while it cannot be read, since nobody can read a newer one; but here others could.

Now a list that is more than two seconds old counts as missed, too, while another relay may have read a newer one: a living one whose heartbeats say that its list is not stale, or, if none is heard, one of the last two minutes whose last heartbeat said so.

The choice itself is in membership.feature.

--- a/libs/relay/src/gypsumrelay_relay/membership.py
+++ b/libs/relay/src/gypsumrelay_relay/membership.py
@@ -225,6 +225,20 @@
     ]
 
 
+def others_read_list(members: Members, now: float) -> bool:
+    """Return whether another member may read the list of upstreams.
+
+    If no other member is alive, this relay may be cut off from them, so that
+    the last heartbeats of those that were heard recently count.
+    """
+    others = alive(members, now) or [
+        member
+        for member in members.known.values()
+        if members.hosts.get(member.host, 0) > now
+    ]
+    return not all(member.is_stale for member in others)
+
+
 def is_heard(members: Members, name: str, now: float) -> bool:
     """Return whether a member's last heartbeat is as recent as expected.
 
--- a/libs/relay/src/gypsumrelay_relay/process.py
+++ b/libs/relay/src/gypsumrelay_relay/process.py
@@ -30,6 +30,7 @@
     UNRANKED,
     add_hosts,
     must_give_up_rank,
+    others_read_list,
     stated_leader,
 )
 from gypsumrelay_relay.periodic import send_link_heartbeats
@@ -288,12 +289,17 @@
             members = coordination.members
             return read_intervals(members, relay.settings.store, monotonic())
 
+    def others_read() -> bool:
+        with coordination.lock:
+            return others_read_list(coordination.members, monotonic())
+
     return StoreFollower(
         process.adapter.store,
         process.adapter.reader,
         relay.operator_records,
         on_update,
         intervals,
+        others_read,
     )
 
 
--- a/libs/relay/src/gypsumrelay_relay/store_follower.py
+++ b/libs/relay/src/gypsumrelay_relay/store_follower.py
@@ -60,6 +60,11 @@
 OnUpdate = Callable[[UpstreamsChanged | ListRead | ListMissed], None]
 
 
+def reads_alone() -> bool:
+    """Return False; the default without other relays."""
+    return False
+
+
 @attrs.define(eq=False)
 class StoreFollower:
     """Follows the operator records and the list of upstreams in the store.
@@ -71,6 +76,7 @@
         on_update: Called with changes of the list of upstreams, and with the
             instant until which it may be used.
         intervals: Returns the read intervals for this relay's current rank.
+        others_read: Returns whether other relays may read a newer list.
         unreadable: Hashes of the records that were logged as unreadable, by
             key.
         upstreams: The copy of the list of upstreams.
@@ -90,6 +96,7 @@
     operator_records: OperatorRecords
     on_update: OnUpdate
     intervals: Callable[[], ReadIntervals]
+    others_read: Callable[[], bool] = reads_alone
     unreadable: dict[str, int] = attrs.field(factory=dict)
     upstreams: TopicCopy = attrs.field(
         factory=lambda: TopicCopy(Topic.upstreams),
@@ -234,9 +241,14 @@
         self.read_requested.set()
 
     def allow_use(self, now: float) -> None:
-        """Allow placements from the current list for `LIST_USABLE_SECONDS`."""
-        is_current = self.current_at >= self.missed_until
-        self.on_update(ListRead(now + LIST_USABLE_SECONDS, is_current))
+        """Allow placements from the current list for `LIST_USABLE_SECONDS`.
+
+        Its versions count while no relay may have read a newer one.
+        """
+        is_missed = self.current_at < self.missed_until
+        is_old = now - self.current_at > LIST_USABLE_SECONDS
+        is_missed = is_missed or (is_old and self.others_read())
+        self.on_update(ListRead(now + LIST_USABLE_SECONDS, not is_missed))
 
     def read_now(self, now: float) -> None:
         """Make the next reads due now, as this relay coordinates."""
--- a/libs/relay/tests/membership.feature
+++ b/libs/relay/tests/membership.feature
@@ -247,3 +247,18 @@
 
   Scenario: Reports of crashes keep their contents
     Then 100 random crashes are equal after their way over a link
+
+  Scenario: A relay knows whether others may read a newer list of upstreams
+    Guards against versions of upstreams that a relay has missed, and against
+    rejected streams while nobody can read the list.
+    Given members with seniorities 1, 2 and 3
+    When the list of the one with seniority 1 is stale
+    Then the one with seniority 1 takes it that others may read the list
+    When the lists of all are stale
+    Then the one with seniority 1 takes it that no other reads the list
+
+  Scenario: A relay that is cut off takes it that others read on
+    Given members with seniorities 1, 2 and 3
+    When the one with seniority 1 is cut off
+    Then the one with seniority 1 takes it that others may read the list
+    And 121 seconds later it takes it that no other reads the list
--- a/libs/relay/tests/steps/membership.py
+++ b/libs/relay/tests/steps/membership.py
@@ -21,6 +21,7 @@
     coordinator,
     heartbeat_targets,
     must_give_up_rank,
+    others_read_list,
     record_heartbeat,
 )
 
@@ -211,3 +212,22 @@
         for sender, member in context.own.items():
             if sender not in context.silent:
                 record_heartbeat(view, member, context.now)
+
+
+@then(
+    'the one with seniority {number:d} takes it that others may read the list'
+)
+def check_others_read(context: Any, number: int) -> None:
+    context.number = number
+    assert others_read_list(context.views[number], context.now)
+
+
+@then('the one with seniority {number:d} takes it that no other reads the list')
+def check_nobody_reads(context: Any, number: int) -> None:
+    assert not others_read_list(context.views[number], context.now)
+
+
+@then('{seconds:d} seconds later it takes it that no other reads the list')
+def check_nobody_later(context: Any, seconds: int) -> None:
+    context.now += seconds
+    check_nobody_reads(context, context.number)
