Fail runs and probes whose engine answers with unusable JSON

A caller waited until its deadline for a run whose engine had answered with JSON that could not be used, and the run kept its place at the agent; an agent stopped probing its engine. Some callers got the text "None".

Cause: the JSON library accepts infinite numbers and texts that can't be encoded, and raises RecursionError on values that are nested deeply. These errors, and a result of a prefill without its fields, ended the thread of the run or of the probe without an event.

Now fields are checked for type and range where they are read (engine_fields.py), and each fault ends the run or the probe as a malformed answer does. The clients of the log and of the instance list, and copies of the configuration, treat the same errors as no answer.

--- a/libs/agent/src/gypsumrelay_agent/engine.py
+++ b/libs/agent/src/gypsumrelay_agent/engine.py
@@ -16,6 +16,13 @@
     renew_size,
 )
 
+from gypsumrelay_agent.engine_fields import (
+    read_count,
+    read_flag,
+    read_object,
+    read_text,
+)
+
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
 REQUEST_TIMEOUT_SECONDS: Final = 1.5
 # Read time-out of a token stream. The progress deadline of the entry is shorter
@@ -70,6 +77,21 @@
     finished: bool
 
 
+@attrs.frozen
+class PrefillResult:
+    """The KV cache of a prompt at the engine.
+
+    Attributes:
+        handle: Name of the KV cache.
+        prompt_tokens: Number of tokens in the prompt.
+        cached_tokens: Number of them that were not computed.
+    """
+
+    handle: str
+    prompt_tokens: int
+    cached_tokens: int
+
+
 def fault_from_error(error: urllib3.exceptions.HTTPError) -> UpstreamFault:
     """Return the fault that corresponds to an error of the HTTP client."""
     if isinstance(error, urllib3.exceptions.NewConnectionError):
@@ -101,10 +123,13 @@
         run_id: str,
         prompt: str,
         seconds: float,
-    ) -> dict[str, Any] | UpstreamFault:
+    ) -> PrefillResult | UpstreamFault:
         """Compute the KV cache of a prompt, with a read time-out in seconds."""
         body = {'request_id': run_id, 'prompt': prompt}
-        return self.post('/prefill', body, seconds)
+        answer = self.post('/prefill', body, seconds)
+        if isinstance(answer, UpstreamFault):
+            return answer
+        return _parse_result(answer)
 
     def fetch_cache(
         self,
@@ -225,12 +250,20 @@
     if status not in SUCCESS_STATUSES:
         return UpstreamFault(f'the upstream answered {status}', status=status)
     try:
-        answer = json.loads(content)
-    except (ValueError, RecursionError):
-        return UpstreamFault('the upstream answered something else than JSON')
-    if not isinstance(answer, dict):
+        return read_object(content)
+    except ValueError:
         return UpstreamFault('the upstream answered no JSON object')
-    return answer
+
+
+def _parse_result(answer: dict[str, Any]) -> PrefillResult | UpstreamFault:
+    try:
+        return PrefillResult(
+            read_text(answer, 'handle'),
+            read_count(answer, 'prompt_tokens'),
+            read_count(answer, 'cached_tokens'),
+        )
+    except ValueError:
+        return UpstreamFault('the result of the prefill is malformed')
 
 
 def _read_batches(
@@ -252,12 +285,13 @@
 
 def _parse_batch(line: bytes) -> TokenBatch | UpstreamFault:
     try:
-        raw = json.loads(line)
+        raw = read_object(line)
+        finished = read_flag(raw, 'finished')
         return TokenBatch(
-            int(raw['index']),
-            0 if raw['finished'] else 1,
-            str(raw['tokens']),
-            bool(raw['finished']),
+            read_count(raw, 'index'),
+            0 if finished else 1,
+            read_text(raw, 'tokens'),
+            finished,
         )
-    except (ValueError, KeyError, TypeError):
+    except ValueError:
         return UpstreamFault('a line of the stream is malformed')
--- a/libs/agent/src/gypsumrelay_agent/probes.py
+++ b/libs/agent/src/gypsumrelay_agent/probes.py
@@ -15,6 +15,7 @@
     EngineClient,
     UpstreamFault,
 )
+from gypsumrelay_agent.engine_fields import read_count, read_flag, read_text
 
 if TYPE_CHECKING:
     from gypsumrelay_agent.state import AgentState
@@ -25,6 +26,9 @@
 # after it has started.
 DOWN_PROBE_INTERVAL_SECONDS: Final = 0.3
 
+# Errors of reading fields from the JSON of an answer.
+_FIELD_ERRORS: Final = (AttributeError, KeyError, TypeError, ValueError)
+
 
 def start_probe(state: AgentState) -> None:
     """Start a probe of the upstream immediately."""
@@ -76,13 +80,13 @@
     try:
         return tuple(
             CacheEvent(
-                int(raw['number']),
+                read_count(raw, 'number'),
                 raw['kind'] == 'stored',
                 bytes.fromhex(raw['prefix']),
             )
             for raw in response['events']
         )
-    except (KeyError, TypeError, ValueError):
+    except _FIELD_ERRORS:
         return ()
 
 
@@ -112,10 +116,10 @@
     try:
         return EngineReport(
             frozenset(response['held']),
-            int(response['held_pieces']),
-            bool(response['cold']),
-            str(response['incarnation']),
+            read_count(response, 'held_pieces'),
+            read_flag(response, 'cold'),
+            read_text(response, 'incarnation'),
             asked_at,
         )
-    except (KeyError, TypeError, ValueError):
+    except _FIELD_ERRORS:
         return UpstreamFault('the report of the upstream is malformed')
--- a/libs/agent/src/gypsumrelay_agent/runs.py
+++ b/libs/agent/src/gypsumrelay_agent/runs.py
@@ -101,16 +101,16 @@
     engine: EngineClient,
 ) -> Prefilled | UpstreamFault:
     """Compute the KV cache of a prompt and notify the entry."""
-    response = engine.prefill(run.run_id, prompt, PREFILL_TIMEOUT_SECONDS)
-    if isinstance(response, UpstreamFault):
-        return response
+    computed = engine.prefill(run.run_id, prompt, PREFILL_TIMEOUT_SECONDS)
+    if isinstance(computed, UpstreamFault):
+        return computed
     prefilled = Prefilled(
         run.key.request_id,
         run.key.attempt,
-        str(response['handle']),
+        computed.handle,
         engine.url,
-        int(response['prompt_tokens']),
-        int(response['cached_tokens']),
+        computed.prompt_tokens,
+        computed.cached_tokens,
     )
     run.used_tokens = prefilled.prompt_tokens
     if not run.cancelled.is_set():
--- a/libs/agent/tests/broken_answers.feature
+++ b/libs/agent/tests/broken_answers.feature
@@ -101,6 +101,35 @@
     Given a faulty upstream and the agent's client of engines
     Then none of the malformed chunks gives the result of a prefill
 
+  Scenario Outline: A run whose engine answers with unusable JSON fails
+    Guards against a run that ends without a result and keeps its place, since
+    the JSON library has errors and values of its own.
+    Given a faulty upstream and the agent's client of engines
+    When it answers <run> runs with each kind of unusable JSON
+    Then each run sends nothing and ends with a fault, not with a crash
+
+    Examples:
+      | run     |
+      | prefill |
+      | decode  |
+
+  Scenario Outline: A probe whose engine answers with unusable JSON ends
+    Guards against an agent that probes no more, since it still waits for the
+    end of the last probe.
+    Given a faulty upstream and the agent's client of engines
+    When it answers a probe with <number> in the <part>
+    Then the probe ends with <result>
+
+    Examples:
+      | number  | part         | result          |
+      | "1e999" | state        | a fault         |
+      | "-1"    | state        | a fault         |
+      | "0.5"   | state        | a fault         |
+      | "null"  | state        | a fault         |
+      | "1e999" | cache events | no cache events |
+      | "0.5"   | cache events | no cache events |
+      | "null"  | cache events | no cache events |
+
   Scenario Outline: What follows a malformed answer is not the next one
     Guards against the rest of a connection that is read as the answer to a
     later request.
--- a/libs/instance/src/gypsumrelay_instance/replica.py
+++ b/libs/instance/src/gypsumrelay_instance/replica.py
@@ -35,6 +35,14 @@
 # the reduction in size.
 COMPRESSION_LEVEL: Final = 1
 
+_DECODE_ERRORS: Final = (
+    ValueError,
+    TypeError,
+    RecursionError,
+    zlib.error,
+    cattrs.BaseValidationError,
+)
+
 NEVER: Final = float('-inf')
 
 
@@ -138,5 +146,5 @@
     try:
         dumped = json.loads(unpacker.decompress(encoded, COPY_LIMIT_BYTES))
         return load_state(dumped)
-    except (ValueError, TypeError, zlib.error, cattrs.BaseValidationError):
+    except _DECODE_ERRORS:
         return None
--- a/libs/instance/tests/steps/copies.py
+++ b/libs/instance/tests/steps/copies.py
@@ -18,6 +18,7 @@
 from gypsumrelay_wire import FRAME_LIMIT_BYTES
 
 MEGABYTE = 1_000_000
+NESTED_ARRAYS = 100_000
 
 
 @given(
@@ -66,7 +67,8 @@
 
 @when('bytes that are not a copy are received')
 def take_faulty(context: Any) -> None:
-    for encoded in (b'', b'{}', b'[1]', b'\xff' * 9, zlib.compress(b'[1]')):
+    packed = zlib.compress(b'[1]'), zlib.compress(b'[' * NESTED_ARRAYS)
+    for encoded in (b'', b'{}', b'[1]', b'\xff' * 9, *packed):
         context.replica.load_copy(encoded)
 
 
--- a/libs/platform/src/gypsumrelay_platform/http.py
+++ b/libs/platform/src/gypsumrelay_platform/http.py
@@ -15,6 +15,14 @@
 ANSWER_LIMIT_BYTES: Final = 67_108_864
 MIN_ERROR_STATUS: Final = 400
 POOL_CONNECTIONS: Final = 4
+# Errors of reading fields from the JSON of an answer.
+FIELD_ERRORS: Final = (
+    ArithmeticError,
+    AttributeError,
+    KeyError,
+    TypeError,
+    ValueError,
+)
 
 
 def new_pool() -> urllib3.PoolManager:
@@ -70,7 +78,7 @@
 def _parse(payload: bytes) -> Any | PlatformUnavailable:
     try:
         return json.loads(payload)
-    except ValueError:
+    except (ValueError, RecursionError):
         return PlatformUnavailable(
             'the platform service answered something that is not JSON',
             Outcome.unknown,
--- a/libs/platform/src/gypsumrelay_platform/listclient.py
+++ b/libs/platform/src/gypsumrelay_platform/listclient.py
@@ -8,7 +8,7 @@
 import urllib3
 from gypsumrelay_errors import Outcome, PlatformUnavailable
 
-from gypsumrelay_platform.http import exchange, new_pool
+from gypsumrelay_platform.http import FIELD_ERRORS, exchange, new_pool
 
 
 @attrs.frozen
@@ -62,7 +62,7 @@
             return answer
         try:
             return _parse_listing(answer)
-        except (TypeError, KeyError, ValueError, AttributeError):
+        except FIELD_ERRORS:
             return PlatformUnavailable(
                 'the instance list has missing fields',
                 Outcome.unknown,
--- a/libs/platform/src/gypsumrelay_platform/logclient.py
+++ b/libs/platform/src/gypsumrelay_platform/logclient.py
@@ -9,7 +9,7 @@
 from gypsumrelay_configuration import Record, record_from_json, record_to_json
 from gypsumrelay_errors import Failure, Outcome, PlatformUnavailable
 
-from gypsumrelay_platform.http import exchange, new_pool
+from gypsumrelay_platform.http import FIELD_ERRORS, exchange, new_pool
 
 BATCH_RECORDS: Final = 500
 
@@ -54,7 +54,7 @@
             return answer
         try:
             return int(answer['first_offset'])
-        except (TypeError, KeyError, ValueError):
+        except FIELD_ERRORS:
             return _missing_fields()
 
     def read(self, offset: int) -> Batch | PlatformUnavailable:
@@ -65,7 +65,7 @@
             return answer
         try:
             return _parse_batch(answer)
-        except (TypeError, KeyError, ValueError):
+        except FIELD_ERRORS:
             return _missing_fields()
 
 
--- a/libs/platform/tests/malformed_answers.feature
+++ b/libs/platform/tests/malformed_answers.feature
@@ -8,12 +8,24 @@
     Then none of the <answers> is the answer to an append
 
     Examples:
-      | answers          |
-      | malformed lines  |
-      | malformed names  |
-      | malformed chunks |
+      | answers           |
+      | malformed lines   |
+      | malformed names   |
+      | malformed chunks  |
       | truncated answers |
 
+  Scenario Outline: Unusable JSON counts as no answer
+    Guards against a thread that ends, since the JSON library has errors and
+    values of its own.
+    Given a faulty log service
+    Then <call> takes no unusable JSON for an answer
+
+    Examples:
+      | call               |
+      | an append          |
+      | a read             |
+      | a read of the list |
+
   Scenario: Sound answers that are unusual count
     Given a faulty log service
     Then each of the sound answers is the answer to an append
--- a/libs/standins/src/gypsumrelay_standins/faulty_service.py
+++ b/libs/standins/src/gypsumrelay_standins/faulty_service.py
@@ -105,6 +105,10 @@
         faults.connections += 1
         super().__init__(*arguments)
 
+    def do_GET(self) -> None:
+        """Answer a request like any other."""
+        self.do_POST()
+
     def do_POST(self) -> None:
         """Answer a request, with the fault in force if there is one."""
         faults = self.faults
