Show the memory of entry and agent for callers that read nothing

While a faulty service sends without end and 12 callers read nothing, the entry grows to 215 MB, since it keeps up to 16 MiB of each answer, and the agent to 237 MB if the orders have a key, since it also stores the responses. After chunks of a byte with a key, other orders get 502 for some time.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -43,10 +43,10 @@
     Then none of the <answers> gets a complete answer with status 200
 
     Examples:
-      | answers          |
-      | malformed lines  |
-      | malformed names  |
-      | malformed chunks |
+      | answers           |
+      | malformed lines   |
+      | malformed names   |
+      | malformed chunks  |
       | truncated answers |
 
   Scenario Outline: A request whose answer is malformed is not run again
@@ -63,3 +63,20 @@
   Scenario: A sound answer that is unusual reaches its caller
     Given the smallest deployment with a faulty service
     Then each request with one of the sound answers gets a whole answer
+
+  Scenario Outline: Bytes without end cost the requests of others nothing
+    Guards against a process that keeps what a faulty service sends without
+    end, and ends with the requests of others when its memory does.
+    Given the smallest deployment with a faulty service
+    When 12 orders <key> get <answer> without end, and their callers read nothing
+    Then entry and agent used no more than 150 megabytes each
+    And other orders are answered
+
+    Examples:
+      | answer                  | key         |
+      | a body without a length | without key |
+      | a body without a length | with a key  |
+      | chunks of a byte        | without key |
+      | chunks of a byte        | with a key  |
+      | a header                | without key |
+      | interim answers         | without key |
--- a/features/steps/broken_answers.py
+++ b/features/steps/broken_answers.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import re
+import secrets
 import socket
+import time
 from contextlib import suppress
 from http.client import HTTPConnection, HTTPException
+from pathlib import Path
 from typing import Any
 
 import attrs
@@ -15,6 +18,9 @@
 
 PATH = '/orders/1'
 TIMEOUT_SECONDS = 30
+# Time in seconds for which bytes arrive that no caller reads.
+FLOOD_SECONDS = 8
+KILOBYTES_PER_MEGABYTE = 1000
 
 
 @attrs.frozen
@@ -229,3 +235,54 @@
         for answer in answers:
             expected = Answer(200, service.whole, is_whole=True)
             assert answer == expected, (name, answer)
+
+
+@when(
+    '{count:d} orders {key} get {answer} without end, and their callers read '
+    'nothing'
+)
+def send_without_reading(
+    context: Any, count: int, key: str, answer: str
+) -> None:
+    context.system.service.fault = f'endless: {answer}'
+    connections = []
+    for _ in range(count):
+        connection = HTTPConnection(
+            *entry_address(context), timeout=TIMEOUT_SECONDS
+        )
+        headers = {'Authorization': authorization(context)}
+        if key == 'with a key':
+            headers['Idempotency-Key'] = secrets.token_hex(8)
+        connection.request('POST', PATH, b'body', headers)
+        connections.append(connection)
+    time.sleep(FLOOD_SECONDS)
+    for connection in connections:
+        connection.close()
+    assert context.system.service.runs
+
+
+@then('entry and agent used no more than {most:d} megabytes each')
+def check_memory(context: Any, most: int) -> None:
+    system = context.system
+    nodes = system.entries | system.agents
+    used = {
+        name: peak_kilobytes(node.process.pid) // KILOBYTES_PER_MEGABYTE
+        for name, node in nodes.items()
+    }
+    assert max(used.values()) <= most, used
+
+
+def peak_kilobytes(pid: int) -> int:
+    """Return the largest resident memory that a process has had."""
+    text = Path(f'/proc/{pid}/status').read_text()
+    found = re.search(r'VmHWM:\s+(\d+) kB', text)
+    assert found is not None, text
+    return int(found.group(1))
+
+
+@then('other orders are answered')
+def check_others(context: Any) -> None:
+    context.system.service.fault = ''
+    whole = context.system.service.whole
+    for answer in send_bodies(context, '100', 'with a length'):
+        assert answer == Answer(200, whole, is_whole=True), answer
