Take no answer that the relay itself interrupts for a whole one

Cause: such an answer ends with its connection. The watcher ends a wait by a shutdown of the connection, and so does the relay when it closes a silent stream for a substitute; the reader then gets the end of the bytes, without an error, as if the upstream had ended its answer.

All interrupts now go through BoundedSocket.interrupt, which marks the socket before the shutdown, and BoundedReader, below all readers, fails at the end of the bytes of a marked socket. The socket is not marked if the end of the peer had arrived by then, so that sound answers stay whole.

--- a/libs/http/src/gypsumrelay_http/read_limits.py
+++ b/libs/http/src/gypsumrelay_http/read_limits.py
@@ -11,6 +11,7 @@
 import select
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any, Final
 
 import attrs
@@ -30,6 +31,10 @@
 HEAD_BYTES: Final = 262_144
 
 
+class AnswerInterruptedError(ConnectionAbortedError):
+    """This process shut the connection down before its answer had ended."""
+
+
 @attrs.frozen
 class Silence:
     """What to do while an upstream makes no progress.
@@ -88,6 +93,8 @@
             TimeoutError: No progress was made in time, or another upstream
                 answers instead.
             MalformedAnswerError: Too many bytes arrived without progress.
+            AnswerInterruptedError: The bytes end because `interrupt` was
+                called on the socket.
         """
         if self.limits.silence is not None:
             self._wait(self.limits.silence)
@@ -98,6 +105,8 @@
             raise MalformedAnswerError('too many bytes without progress')
         self.sock.settimeout(max(MIN_SECONDS, left))
         count: int | None = self.raw.readinto(buffer)
+        if not count and self.sock.is_interrupted:
+            raise AnswerInterruptedError('the answer was interrupted')
         self.limits.bytes_left -= count or 0
         return count
 
@@ -128,17 +137,37 @@
 
 
 class BoundedSocket:
-    """A socket whose readers enforce limits in time and bytes."""
+    """A socket whose readers enforce limits in time and bytes.
+
+    Attributes:
+        sock: The connected socket.
+        limits: Limits of the readers.
+        is_interrupted: Whether `interrupt` was called before the peer had ended
+            what it sends.
+    """
 
     def __init__(self, sock: socket.socket) -> None:
         """Wrap a connected socket."""
         self.sock = sock
         self.limits = ReadLimits()
+        self.is_interrupted = False
 
     def makefile(self, mode: str) -> io.BufferedReader:
         """Return a buffered reader for the next answer."""
         return AnswerReader(BoundedReader(self))
 
+    def interrupt(self) -> None:
+        """Shut the connection down, which wakes a thread that reads from it.
+
+        The reader gets the end of the bytes, which would also be the end of an
+        answer without a length. It fails there, unless the peer's own end
+        arrived before.
+        """
+        if not self._has_peer_ended():
+            self.is_interrupted = True
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+
     def has_bytes(self) -> bool:
         """Return whether unread bytes have arrived."""
         poller = select.poll()
@@ -149,6 +178,16 @@
         except OSError:
             return False
 
+    def _has_peer_ended(self) -> bool:
+        """Return whether all bytes of the peer and their end have arrived."""
+        descriptor = self.sock.fileno()
+        if descriptor < 0:
+            return False
+        poller = select.poll()
+        poller.register(descriptor, select.POLLRDHUP)
+        found = dict(poller.poll(0)).get(descriptor, 0)
+        return bool(found & select.POLLRDHUP) and not found & select.POLLERR
+
     def __getattr__(self, name: str) -> Any:
         """Return any other attribute of the socket."""
         return getattr(self.sock, name)
--- a/libs/relay/src/gypsumrelay_relay/sending.py
+++ b/libs/relay/src/gypsumrelay_relay/sending.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import importlib
-import socket
 from collections.abc import Iterator, Mapping
 from functools import cache
 from typing import TYPE_CHECKING, Any, Final
@@ -118,7 +117,7 @@
 
     def close(self) -> None:
         """Close the connection, so that the upstream cancels the request."""
-        shut_down(self.sock)
+        self.sock.interrupt()
         self.response.close()
         self.connection.close()
 
@@ -169,7 +168,7 @@
     sock: Any = connection.sock
     if sock is None:
         return SendFailed(Ending.unreached, 'the connection is closed')
-    cancellation.set_interrupt(lambda: shut_down(sock))
+    cancellation.set_interrupt(sock.interrupt)
     if cancellation.cause is not None:
         connection.close()
         return SendFailed(Ending.unreached, 'the request has ended')
@@ -178,7 +177,7 @@
     try:
         response = _send_and_receive(connection, sock, request, deadline)
     except failures as error:
-        shut_down(sock)
+        sock.interrupt()
         connection.close()
         return SendFailed(Ending.lost, _describe(error))
     return Reply(
@@ -191,14 +190,6 @@
     )
 
 
-def shut_down(sock: BoundedSocket) -> None:
-    """Shut down a socket, which wakes a thread that reads from it."""
-    try:
-        sock.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        return
-
-
 def _send_and_receive(
     connection: HTTPConnection,
     sock: BoundedSocket,
--- a/libs/relay/src/gypsumrelay_relay/stream_runs.py
+++ b/libs/relay/src/gypsumrelay_relay/stream_runs.py
@@ -14,7 +14,6 @@
     end_attempt,
 )
 from gypsumrelay_relay.prefill import Cache, free_cache
-from gypsumrelay_relay.sending import shut_down
 
 if TYPE_CHECKING:
     from gypsumrelay_http import BoundedSocket
@@ -118,7 +117,7 @@
     An upstream must not go on with a stream that another one resumes.
     """
     if run.silent is not None:
-        shut_down(run.silent)
+        run.silent.interrupt()
         run.silent = None
 
 
--- a/libs/relay/src/gypsumrelay_relay/stream_start.py
+++ b/libs/relay/src/gypsumrelay_relay/stream_start.py
@@ -32,7 +32,6 @@
     Reply,
     SendFailed,
     io_errors,
-    shut_down,
 )
 from gypsumrelay_relay.stream_runs import (
     OpenStream,
@@ -152,7 +151,7 @@
     if isinstance(outcome, OpenStream):
         run.successor = outcome
     if run.successor is None:
-        exchange.cancellation.set_interrupt(partial(shut_down, sock))
+        exchange.cancellation.set_interrupt(sock.interrupt)
     return run.successor is not None
 
 
