End the interrupt of a request before its connection serves another

A request kept the interrupt of its connection until it asked for the next placement. If its caller disconnected, or its deadline passed, between the end of an answer and that moment, the connection was shut down although the pool had given it to another request, which lost its answer.

An answer that returns its connection now ends the interrupt first. The cancellation calls it with its lock held, so that an interrupt which has begun is over before the connection is returned, and a connection that was interrupted is closed in place of being kept.

All three new scenarios of interrupted_answers.feature failed before; in the first one the other request ended with "AnswerInterruptedError: the answer was interrupted".

--- a/libs/relay/src/gypsumrelay_relay/cancellation.py
+++ b/libs/relay/src/gypsumrelay_relay/cancellation.py
@@ -54,9 +54,10 @@
             if self.cause is not None:
                 return
             self.cause = cause
-            interrupt = self.interrupt_callback
-        if interrupt is not None:
-            interrupt()
+            # With the lock held, so that it has no effect once `end_interrupt`
+            # has returned.
+            if self.interrupt_callback is not None:
+                self.interrupt_callback()
 
     def set_interrupt(self, interrupt: Callable[[], None] | None) -> None:
         """Set the callback that interrupts the request.
@@ -69,6 +70,15 @@
         if is_cancelled and interrupt is not None:
             interrupt()
 
+    def end_interrupt(self, interrupt: Callable[[], None]) -> None:
+        """Forget a callback, unless another one was set meanwhile.
+
+        What it interrupts may serve another request after this.
+        """
+        with self.lock:
+            if self.interrupt_callback == interrupt:
+                self.interrupt_callback = None
+
 
 @attrs.define(eq=False)
 class RequestWatcher:
--- a/libs/relay/src/gypsumrelay_relay/sending.py
+++ b/libs/relay/src/gypsumrelay_relay/sending.py
@@ -56,6 +56,7 @@
         connection: The connection on which it arrives.
         sock: The socket of that connection.
         connections: The pool to which the connection returns afterwards.
+        cancellation: Interrupts the connection while it serves the request.
         is_reused: Whether the connection served another request before.
     """
 
@@ -64,6 +65,7 @@
     connection: HTTPConnection
     sock: BoundedSocket
     connections: Connections
+    cancellation: Cancellation
     is_reused: bool
 
     @property
@@ -106,9 +108,11 @@
 
     def return_connection(self) -> None:
         """Return the connection to the pool; the answer must be read fully."""
+        self.cancellation.end_interrupt(self.sock.interrupt)
         headers = self.headers
         closing = headers.get('Connection', '').lower() == 'close'
-        if closing or self.connection.sock is None:
+        is_open = self.connection.sock is not None
+        if closing or not is_open or self.sock.is_interrupted:
             self.close()
             return
         self.response.release_conn()
@@ -186,6 +190,7 @@
         connection,
         sock,
         connections,
+        cancellation,
         is_reused,
     )
 
--- a/libs/relay/tests/interrupted_answers.feature
+++ b/libs/relay/tests/interrupted_answers.feature
@@ -49,3 +49,23 @@
     Given an upstream that sends a whole answer without a length after 0.6 seconds
     When 20 answers are read with 1.0 seconds left while requests are watched
     Then each of them is whole
+
+  Scenario: A request that is cancelled after its answer interrupts no other
+    Guards against the end of an answer to another request, which has got the
+    connection from the pool by then.
+    Given an upstream that answers each request on a kept connection
+    When the answer to a request is read and its connection serves another
+    And the first request is cancelled
+    Then the other request is answered
+
+  Scenario: A connection that was interrupted serves no other request
+    Given an upstream that answers each request on a kept connection
+    When a request is cancelled when its answer is read and before its connection is returned
+    Then the next request gets a new connection
+
+  Scenario: A connection is returned when an interrupt that has begun is over
+    Guards against a connection that is shut down for a request which has
+    returned it: its interrupt began before the return.
+    Given a request whose interrupt takes 0.3 seconds
+    When the request is cancelled and then ends its interrupt
+    Then the interrupt was over before
--- a/libs/relay/tests/steps/interrupted_answers.py
+++ b/libs/relay/tests/steps/interrupted_answers.py
@@ -223,3 +223,100 @@
 @then('each of them is whole')
 def check_all_whole(context: Any) -> None:
     assert set(context.bodies) == {WHOLE}, context.bodies
+
+
+@given('an upstream that answers each request on a kept connection')
+def give_kept(context: Any) -> None:
+    def answer(link: socket.socket) -> None:
+        link.sendall(framed('with a length', WHOLE))
+        while link.recv(65_536):
+            time.sleep(READER_SECONDS * 2)
+            link.sendall(framed('with a length', WHOLE))
+
+    start_upstream(context, answer)
+
+
+@when('the answer to a request is read and its connection serves another')
+def serve_two(context: Any) -> None:
+    open_answer(context)
+    read(context)
+    context.reply.return_connection()
+    context.first = context.cancellation
+    context.sent = threading.Event()
+
+    def serve_other() -> None:
+        context.sent.set()
+        open_answer(context)
+        read(context)
+
+    context.serving = threading.Thread(target=serve_other, daemon=True)
+    context.serving.start()
+    assert context.sent.wait(TIMEOUT_SECONDS)
+    time.sleep(READER_SECONDS)
+
+
+@when('the first request is cancelled')
+def cancel_first(context: Any) -> None:
+    context.first.cancel(CancelCause.gone)
+    context.serving.join(TIMEOUT_SECONDS)
+
+
+@then('the other request is answered')
+def check_other(context: Any) -> None:
+    assert context.cancellation is not context.first, 'no answer'
+    assert context.reply.is_reused
+    check_whole(context)
+
+
+@when(
+    'a request is cancelled when its answer is read and before its connection '
+    'is returned'
+)
+def cancel_before_return(context: Any) -> None:
+    open_answer(context)
+    read(context)
+    context.cancellation.cancel(CancelCause.gone)
+    context.reply.return_connection()
+
+
+@then('the next request gets a new connection')
+def check_new_connection(context: Any) -> None:
+    assert not context.connections.idle
+    open_answer(context)
+    assert not context.reply.is_reused
+    read(context)
+    check_whole(context)
+
+
+@given('a request whose interrupt takes {seconds:g} seconds')
+def give_slow_interrupt(context: Any, seconds: float) -> None:
+    context.begun = threading.Event()
+    context.over = threading.Event()
+
+    def interrupt() -> None:
+        context.begun.set()
+        time.sleep(seconds)
+        context.over.set()
+
+    context.interrupt = interrupt
+    context.cancellation = Cancellation(
+        monotonic() + TIMEOUT_SECONDS, never_disconnects
+    )
+    context.cancellation.set_interrupt(interrupt)
+
+
+@when('the request is cancelled and then ends its interrupt')
+def end_begun_interrupt(context: Any) -> None:
+    threading.Thread(
+        target=context.cancellation.cancel,
+        args=(CancelCause.gone,),
+        daemon=True,
+    ).start()
+    assert context.begun.wait(TIMEOUT_SECONDS)
+    context.cancellation.end_interrupt(context.interrupt)
+    context.was_over = context.over.is_set()
+
+
+@then('the interrupt was over before')
+def check_over(context: Any) -> None:
+    assert context.was_over
