--- a/libs/relay/tests/steps/election.py
+++ b/libs/relay/tests/steps/election.py
@@ -38,7 +38,7 @@
     context.members = Members(own)
     context.hosts = [f'10.0.1.{number + 1}' for number in range(count)]
     context.now = monotonic()
-    context.elapsed = 0.0
+    context.elapsed = 0
     context.members.election.started_at = context.now
     add_hosts(context.members, context.hosts, context.now)
 
