Show that entry and agent have neither fault of interrupted answers

Entry and agent shut down no connection that another thread reads, and a caller learns from the outcome of an error of the entry, not from a status, that nothing ran.

New scenarios of broken_answers.feature, which also pass on the code before: answers without a length that outlast their request are not complete, with and without an idempotency key; one that ends in time is whole; a service's status reaches the caller with the service's body and no statement of the entry.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -32,6 +32,29 @@
     When 5 orders are sent with HTTP 1.0
     Then each got the whole answer
 
+  Scenario Outline: An answer without a length that outlasts its request is not complete
+    Guards against an end that entry or agent make themselves and that looks
+    like the end of the service's answer.
+    Given the smallest deployment with a faulty service and a time-out of 1000 ms
+    When 48 orders <key> get an answer without a length that takes 1.5 seconds
+    Then none got a complete answer with status 200, and some ran
+
+    Examples:
+      | key         |
+      | without key |
+      | with a key  |
+
+  Scenario: An answer without a length that ends in time is whole
+    Given the smallest deployment with a faulty service and a time-out of 10000 ms
+    When 12 orders without key get an answer without a length that takes 0.8 seconds
+    Then each that ran got the answer in 20 parts as a whole
+
+  Scenario: The entry adds no statement of its own to a status of the service
+    Guards against callers that take the status of a service for the entry's
+    statement that nothing ran, which is the outcome `not_run` alone.
+    Given the smallest deployment with a faulty service
+    Then orders that ran get the statuses 408, 421, 429 and 503 with the body of the service
+
   Scenario: A status outside 200 to 599 reaches no caller
     Given the smallest deployment with a faulty service
     Then bodies of 100 and 4000000 bytes get a typed error with status 502 for the statuses 000, 099, 103, 600 and 999
--- a/features/steps/broken_answers.py
+++ b/features/steps/broken_answers.py
@@ -6,6 +6,8 @@
 import secrets
 import socket
 import time
+from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
@@ -20,6 +22,7 @@
 TIMEOUT_SECONDS = 30
 # Time in seconds for which bytes arrive that no caller reads.
 FLOOD_SECONDS = 8
+SLOW_CALLERS = 12
 KILOBYTES_PER_MEGABYTE = 1000
 
 
@@ -63,6 +66,24 @@
     context.system.start()
 
 
+@given(
+    'the smallest deployment with a faulty service and a time-out of '
+    '{timeout:d} ms'
+)
+def start_with_timeout(context: Any, timeout: int) -> None:
+    deployment = smallest_deployment()
+    routes = [
+        attrs.evolve(route, timeout_ms=timeout)
+        for route in deployment.configuration.routes
+    ]
+    configuration = attrs.evolve(deployment.configuration, routes=routes)
+    deployment = attrs.evolve(deployment, configuration=configuration)
+    context.system = FaultySystem(deployment, context.path)
+    context.system.service.start()
+    context.add_cleanup(context.system.service.stop)
+    context.system.start()
+
+
 @given(
     'the service sends {size:d} bytes of an answer and resets the connection'
 )
@@ -131,7 +152,11 @@
 
 
 def send_body(
-    context: Any, connection: HTTPConnection, size: int, framing: str
+    context: Any,
+    connection: HTTPConnection,
+    size: int,
+    framing: str,
+    headers: Mapping[str, str] | None = None,
 ) -> Answer:
     is_chunked = framing == 'in chunks'
     body: Any = b'x' * size
@@ -140,7 +165,7 @@
             'POST',
             PATH,
             iter([body]) if is_chunked else body,
-            {'Authorization': authorization(context)},
+            {'Authorization': authorization(context)} | dict(headers or {}),
             encode_chunked=is_chunked,
         )
         response = connection.getresponse()
@@ -154,6 +179,60 @@
         return Answer(response.status, b'', is_whole=False)
 
 
+@when(
+    '{count:d} orders {key} get an answer without a length that takes '
+    '{seconds:g} seconds'
+)
+def send_slow(context: Any, count: int, key: str, seconds: float) -> None:
+    context.system.service.fault = f'slow: {seconds}'
+
+    def send_one(_: int) -> Answer:
+        connection = HTTPConnection(
+            *entry_address(context), timeout=TIMEOUT_SECONDS
+        )
+        headers = {}
+        if key == 'with a key':
+            headers['Idempotency-Key'] = secrets.token_hex(8)
+        return send_body(context, connection, 4, 'with a length', headers)
+
+    with ThreadPoolExecutor(SLOW_CALLERS) as pool:
+        context.answers = list(pool.map(send_one, range(count)))
+
+
+@then('none got a complete answer with status 200, and some ran')
+def check_none_whole(context: Any) -> None:
+    assert context.system.service.runs
+    wrong = [
+        answer
+        for answer in context.answers
+        if answer.status == 200 and answer.is_whole
+    ]
+    assert not wrong, wrong
+
+
+@then('each that ran got the answer in {count:d} parts as a whole')
+def check_parts(context: Any, count: int) -> None:
+    service = context.system.service
+    expected = Answer(200, service.part * count, is_whole=True)
+    # An upstream that has just started gets few requests at once.
+    assert service.runs
+    assert context.answers.count(expected) == service.runs, context.answers
+
+
+@then(
+    'orders that ran get the statuses {statuses} with the body of the service'
+)
+def check_statuses(context: Any, statuses: str) -> None:
+    service = context.system.service
+    for status in map(int, re.findall(r'\d+', statuses)):
+        service.runs = 0
+        service.fault = f'status_{status}'
+        answers = send_bodies(context, '100', 'with a length')
+        expected = Answer(status, service.whole, is_whole=True)
+        assert set(answers) == {expected}, answers
+        assert service.runs == len(answers), (status, service.runs)
+
+
 @when('{count:d} orders are sent with HTTP 1.0')
 def send_old(context: Any, count: int) -> None:
     context.answers = [send_old_order(context) for _ in range(count)]
--- a/libs/standins/src/gypsumrelay_standins/faulty_service.py
+++ b/libs/standins/src/gypsumrelay_standins/faulty_service.py
@@ -7,7 +7,7 @@
 import struct
 import threading
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from contextlib import suppress
 from functools import partial
 from http.server import BaseHTTPRequestHandler
@@ -38,6 +38,10 @@
 KEPT_PREFIX: Final = 'kept: '
 # The answer is the one of this name in `endless_answers`.
 ENDLESS_PREFIX: Final = 'endless: '
+# The answer has no length and takes the seconds that follow.
+SLOW_PREFIX: Final = 'slow: '
+# Number of pieces in which it comes.
+SLOW_PIECES: Final = 20
 # Pause in seconds before a reset, so that the sent part arrives first.
 RESET_AFTER_SECONDS: Final = 0.05
 WHOLE_BODY: Final = b'whole'
@@ -146,10 +150,18 @@
             return [odd_answer(name, self.faults.whole) + REST]
         if fault.startswith(ENDLESS_PREFIX):
             return endless_answer(fault.removeprefix(ENDLESS_PREFIX))
+        if fault.startswith(SLOW_PREFIX):
+            return self._slow_pieces(float(fault.removeprefix(SLOW_PREFIX)))
         if fault == HALF_HEAD:
             return [b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n']
         raise ValueError(f'there is no fault {fault}')
 
+    def _slow_pieces(self, seconds: float) -> Iterator[bytes]:
+        yield b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n'
+        for _ in range(SLOW_PIECES):
+            time.sleep(seconds / SLOW_PIECES)
+            yield self.faults.part
+
     def _write_whole(self, status: str) -> None:
         whole = self.faults.whole
         head = f'HTTP/1.1 {status}\r\nContent-Length: {len(whole)}\r\n\r\n'
